--- /dev/null
+++ b/src/contracts/linkMessages.ts
@@ -0,0 +1,32 @@
+import { z } from 'zod'
+
+const logicalTime = z.number().int().nonnegative()
+
+/** What one executor holder uses of a grant. */
+export const slotUseSchema = z.object({ executor: z.string(), held: z.number().int().nonnegative(), inFlight: z.number().int().nonnegative() })
+export type SlotUse = z.infer<typeof slotUseSchema>
+
+/** A holder's share of one executor's slots and connections. */
+export const slotGrantSchema = z.object({ executor: z.string(), slots: z.number().int().nonnegative(), connections: z.number().int().nonnegative() })
+export type SlotGrant = z.infer<typeof slotGrantSchema>
+
+/** Messages between entry instances after the handshake. */
+export const linkMessageSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('heartbeat'), logicalTime, leaving: z.boolean(), revision: z.number().int() }),
+  z.object({ type: z.literal('slotReport'), logicalTime, sequence: z.number().int(), appliedGrant: z.number().int(), term: z.number().int(), demand: z.record(z.string(), z.number().int()), uses: z.array(slotUseSchema) }),
+  z.object({ type: z.literal('slotGrants'), logicalTime, term: z.number().int(), sequence: z.number().int(), answersReport: z.number().int(), validMilliseconds: z.number().int(), grants: z.array(slotGrantSchema) }),
+  z.object({ type: z.literal('promiseRequest'), logicalTime, failureDomain: z.string(), term: z.number().int(), request: z.number().int(), durationMilliseconds: z.number().int() }),
+  z.object({ type: z.literal('promise'), logicalTime, failureDomain: z.string(), term: z.number().int(), request: z.number().int(), granted: z.boolean() }),
+  z.object({ type: z.literal('configurationAnnouncement'), logicalTime, revision: z.number().int(), text: z.string() }),
+  z.object({ type: z.literal('domainSummary'), logicalTime, failureDomain: z.string(), freeSlots: z.record(z.string(), z.number().int()), waitingTasks: z.number().int() })
+])
+export type LinkMessage = z.infer<typeof linkMessageSchema>
+export type LinkMessageOf<Type extends LinkMessage['type']> = Extract<LinkMessage, { type: Type }>
+
+/** Handshake messages. Each side proves that it holds a key by an HMAC over both nonces and both identities. */
+export const handshakeSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('hello'), instance: z.string(), incarnation: z.string(), failureDomain: z.string(), nonce: z.string() }),
+  z.object({ type: z.literal('challenge'), instance: z.string(), incarnation: z.string(), failureDomain: z.string(), nonce: z.string(), proof: z.string() }),
+  z.object({ type: z.literal('proof'), proof: z.string() })
+])
+export type HandshakeMessage = z.infer<typeof handshakeSchema>
--- /dev/null
+++ b/src/contracts/records.ts
@@ -0,0 +1,65 @@
+import { z } from 'zod'
+import { jobOutcomeSchema, jobSchema } from './jobs.js'
+
+/** Stream of the site text. */
+export const CONFIGURATION_STREAM = 'configuration'
+
+/** Kinds of streams that each failure domain has of its own, so that an instance follows only its own failure domain. */
+export type DomainStreamKind = 'ownership' | 'jobs' | 'keys'
+
+/** Name of a failure domain's stream. */
+export function domainStream (kind: DomainStreamKind, failureDomain: string): string {
+  return `${kind}.${failureDomain}`
+}
+
+/** Version of the record schemas that this build writes. Records of a greater version are kept and skipped. */
+export const RECORD_SCHEMA_VERSION = 1
+
+const electors = z.array(z.strictObject({ instance: z.string(), incarnation: z.string() }))
+const term = z.number().int().nonnegative()
+const holder = { failureDomain: z.string(), instance: z.string(), incarnation: z.string() }
+
+const configurationPublished = z.strictObject({
+  type: z.literal('configurationPublished'),
+  baseRevision: z.number().int().nonnegative(),
+  text: z.string(),
+  publisher: z.string()
+})
+/** Restates the text in force before its record leaves the retention period. */
+const configurationRestated = z.strictObject({ type: z.literal('configurationRestated'), revision: z.number().int().positive(), text: z.string() })
+const instanceJoined = z.strictObject({ type: z.literal('instanceJoined'), ...holder })
+/** A claim is valid if it follows the current term and the claimant is an elector, the term was released, or owner and electors are gone. */
+const ownershipClaimed = z.strictObject({ type: z.literal('ownershipClaimed'), ...holder, afterTerm: term, electors, ownerAndElectorsGone: z.boolean() })
+const ownershipRenewed = z.strictObject({ type: z.literal('ownershipRenewed'), ...holder, term, electors })
+const ownershipReleased = z.strictObject({ type: z.literal('ownershipReleased'), ...holder, term })
+const jobAccepted = z.strictObject({ type: z.literal('jobAccepted'), job: jobSchema, failureDomain: z.string() })
+const jobCancelRequested = z.strictObject({ type: z.literal('jobCancelRequested'), job: z.string() })
+const jobEnded = z.strictObject({ type: z.literal('jobEnded'), job: z.string(), outcome: jobOutcomeSchema, reason: z.string().optional(), atMilliseconds: z.number() })
+const keyStarted = z.strictObject({ type: z.literal('keyStarted'), key: z.string(), request: z.string(), atMilliseconds: z.number() })
+const keyEnded = z.strictObject({ type: z.literal('keyEnded'), key: z.string(), request: z.string(), status: z.number().int(), body: z.string().optional(), contentType: z.string().optional(), atMilliseconds: z.number() })
+const keyNotRun = z.strictObject({ type: z.literal('keyNotRun'), key: z.string(), request: z.string() })
+
+export const recordBodySchema = z.discriminatedUnion('type', [
+  configurationPublished, configurationRestated, instanceJoined, ownershipClaimed, ownershipRenewed, ownershipReleased,
+  jobAccepted, jobCancelRequested, jobEnded, keyStarted, keyEnded, keyNotRun
+])
+export type RecordBody = z.infer<typeof recordBodySchema>
+
+/** Envelope of every record. `identity` makes a repeated append of the same record have effect once. */
+export const recordSchema = z.object({
+  identity: z.string().min(1),
+  schemaVersion: z.number().int().positive(),
+  writer: z.string(),
+  logicalTime: z.number().int().nonnegative(),
+  body: z.unknown()
+})
+export type RecordEnvelope = z.infer<typeof recordSchema>
+
+/** A record as read from a stream, with its offset. */
+export interface StoredRecord<Body = RecordBody> {
+  readonly offset: number
+  readonly identity: string
+  readonly writer: string
+  readonly logicalTime: number
+  readonly body: Body
+}
--- /dev/null
+++ b/src/contracts/siteText.ts
@@ -0,0 +1,159 @@
+import { z } from 'zod'
+import { parseJsonWithComments, type Finding, type KeyPath, type ParsedText } from '../base/jsonWithComments.js'
+import { addResources, multiplyResources, NO_RESOURCES, resourcesSchema, type Resources } from './resources.js'
+
+/** Urgency classes, most urgent first. */
+export const URGENCY_CLASSES = ['urgent', 'normal', 'deferrable'] as const
+export const urgencySchema = z.enum(URGENCY_CLASSES)
+export type Urgency = z.infer<typeof urgencySchema>
+
+/** Rank of an urgency class: 0 is the most urgent. */
+export function urgencyRank (urgency: Urgency): number {
+  return URGENCY_CLASSES.indexOf(urgency)
+}
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected a name of lower-case letters, digits and hyphens')
+const milliseconds = z.number().int().positive().max(86_400_000)
+const counts = z.record(name, z.number().int().nonnegative().max(100_000))
+
+const failureDomainSchema = z.strictObject({
+  region: name,
+  /** Share of the workers' capacity that may be used; lowered when the room runs hot. */
+  allowedCapacityPercent: z.number().int().min(0).max(100).default(100)
+})
+
+const serviceSchema = z.strictObject({
+  urgency: urgencySchema,
+  dependsOn: z.array(name).default([]),
+  executorPool: name,
+  /** Whether every request may be run twice without harm. If false, only methods that HTTP defines as idempotent are. */
+  idempotent: z.boolean(),
+  deadlineMilliseconds: milliseconds,
+  /** An executor ends a request that runs for longer than this. */
+  maximumRunMilliseconds: milliseconds
+})
+
+const executorPoolSchema = z.strictObject({
+  slots: z.number().int().min(1).max(1024),
+  connections: z.number().int().min(1).max(65_535),
+  executors: counts
+})
+
+const workerPoolSchema = resourcesSchema.extend({
+  workersPerRack: z.number().int().min(1),
+  workers: counts
+})
+
+const teamSchema = z.strictObject({ quota: resourcesSchema })
+
+const limitsSchema = z.strictObject({
+  queuedRequests: z.number().int().min(1).default(2000),
+  queuedJobs: z.number().int().min(1).default(100_000),
+  requestBodyBytes: z.number().int().min(1).default(8 * 1024 * 1024),
+  idempotencyWindowMilliseconds: milliseconds.default(600_000)
+})
+
+/** The one text by which operators drive a site. */
+export const siteTextSchema = z.strictObject({
+  site: name,
+  failureDomains: z.record(name, failureDomainSchema),
+  services: z.record(name, serviceSchema),
+  executorPools: z.record(name, executorPoolSchema),
+  workerPools: z.record(name, workerPoolSchema),
+  teams: z.record(name, teamSchema),
+  limits: limitsSchema.default(() => limitsSchema.parse({}))
+})
+export type SiteText = z.infer<typeof siteTextSchema>
+export type Service = SiteText['services'][string]
+export type ExecutorPool = SiteText['executorPools'][string]
+export type WorkerPool = SiteText['workerPools'][string]
+
+/** Result of checking a site text: the text, or every finding with its place. */
+export type CheckedSiteText =
+  | { readonly kind: 'valid', readonly text: SiteText }
+  | { readonly kind: 'invalid', readonly findings: readonly Finding[] }
+
+type Problem = readonly [path: KeyPath, message: string]
+
+/** Parses a site text and checks its references, cycles, urgencies and quotas. Does not throw on bad input. */
+export function checkSiteText (file: string, source: string): CheckedSiteText {
+  const parsed: ParsedText<SiteText> = parseJsonWithComments(file, source, siteTextSchema as z.ZodType<SiteText>)
+  if (parsed.kind === 'invalid') return parsed
+  const problems = [...referenceProblems(parsed.value), ...dependencyProblems(parsed.value), ...quotaProblems(parsed.value)]
+  if (problems.length === 0) return { kind: 'valid', text: parsed.value }
+  return { kind: 'invalid', findings: problems.map(([path, message]) => parsed.locate(path, message)) }
+}
+
+/** Capacity of all workers of a site. */
+export function siteCapacity (text: SiteText): Resources {
+  let total = NO_RESOURCES
+  for (const pool of Object.values(text.workerPools)) {
+    const workers = Object.values(pool.workers).reduce((sum, count) => sum + count, 0)
+    total = addResources(total, multiplyResources(pool, workers))
+  }
+  return total
+}
+
+function referenceProblems (text: SiteText): Problem[] {
+  const problems: Problem[] = []
+  if (Object.keys(text.failureDomains).length === 0) problems.push([['failureDomains'], 'at least one failure domain is expected'])
+  for (const [serviceName, service] of Object.entries(text.services)) {
+    if (!(service.executorPool in text.executorPools)) {
+      problems.push([['services', serviceName, 'executorPool'], `unknown executor pool '${service.executorPool}'; expected one of ${listNames(text.executorPools)}`])
+    }
+    for (const [index, dependency] of service.dependsOn.entries()) {
+      if (!(dependency in text.services)) problems.push([['services', serviceName, 'dependsOn', index], `unknown service '${dependency}'; expected one of ${listNames(text.services)}`])
+    }
+  }
+  for (const [kind, pools] of [['executorPools', text.executorPools], ['workerPools', text.workerPools]] as const) {
+    for (const [poolName, pool] of Object.entries(pools)) {
+      const placed = 'executors' in pool ? pool.executors : pool.workers
+      const key = 'executors' in pool ? 'executors' : 'workers'
+      for (const domain of Object.keys(placed)) {
+        if (!(domain in text.failureDomains)) problems.push([[kind, poolName, key, domain], `unknown failure domain '${domain}'; expected one of ${listNames(text.failureDomains)}`])
+      }
+    }
+  }
+  return problems
+}
+
+function dependencyProblems (text: SiteText): Problem[] {
+  const problems: Problem[] = []
+  const finished = new Set<string>()
+  const visit = (serviceName: string, path: readonly string[]): void => {
+    const service = text.services[serviceName]
+    if (service === undefined || finished.has(serviceName)) return
+    for (const [index, dependency] of service.dependsOn.entries()) {
+      const key = ['services', serviceName, 'dependsOn', index]
+      if (path.includes(dependency) || dependency === serviceName) {
+        const cycle = [...path.slice(Math.max(0, path.indexOf(dependency))), serviceName, dependency]
+        problems.push([key, `dependency cycle: ${cycle.join(' -> ')}`])
+        continue
+      }
+      const required = text.services[dependency]
+      if (service.urgency === 'urgent' && required?.urgency === 'deferrable') {
+        problems.push([key, `urgent service '${serviceName}' depends on deferrable service '${dependency}'; expected a dependency that is urgent or normal`])
+      }
+      visit(dependency, [...path, serviceName])
+    }
+    finished.add(serviceName)
+  }
+  for (const serviceName of Object.keys(text.services)) visit(serviceName, [])
+  return problems
+}
+
+function quotaProblems (text: SiteText): Problem[] {
+  const capacity = siteCapacity(text)
+  const problems: Problem[] = []
+  for (const [teamName, team] of Object.entries(text.teams)) {
+    for (const dimension of ['processorsThousandths', 'memoryBytes', 'accelerators'] as const) {
+      if (team.quota[dimension] <= capacity[dimension]) continue
+      problems.push([['teams', teamName, 'quota', dimension], `quota ${team.quota[dimension]} is above the site's capacity of ${capacity[dimension]}`])
+    }
+  }
+  return problems
+}
+
+function listNames (named: Readonly<Record<string, unknown>>): string {
+  return Object.keys(named).map(entry => `'${entry}'`).join(', ') || 'none (no name is defined)'
+}
--- /dev/null
+++ b/src/entry/entryInstance.ts
@@ -0,0 +1,87 @@
+import { delay } from '../base/delay.js'
+import { DisposableObject, type Disposable } from '../base/disposable.js'
+import type { LogFollower } from '../links/logFollower.js'
+import type { WebSocketLinkHub } from '../links/linkHub.js'
+import type { CallerServer } from './callerServer.js'
+import type { ConfigurationTask } from './configurationTask.js'
+import type { EntryContext } from './entryContext.js'
+import type { FrontDoor } from './frontDoor.js'
+import type { MembershipTask } from './membershipTask.js'
+import type { OwnershipTask } from './ownershipTask.js'
+import type { SlotTask } from './slotTask.js'
+
+/** The parts of an entry instance that its life cycle needs. */
+export interface EntryParts {
+  readonly followers: readonly LogFollower[]
+  readonly links: WebSocketLinkHub
+  readonly membership: MembershipTask
+  readonly configuration: ConfigurationTask
+  readonly ownership: OwnershipTask
+  readonly slots: SlotTask
+  readonly frontDoor: FrontDoor
+  readonly server: CallerServer
+  /** Everything that is disposed when the instance ends, in order of creation. */
+  readonly disposables: readonly Disposable[]
+}
+
+/** Ports that an entry instance listens on. */
+export interface EntryPorts {
+  readonly callers: number
+  readonly links: number
+}
+
+const STOP_POLL_MILLISECONDS = 20
+const RELEASE_TIMEOUT_MILLISECONDS = 1000
+
+/** Life cycle of one entry instance. */
+export class EntryInstance extends DisposableObject {
+  private accepting = true
+
+  constructor (private readonly context: EntryContext, private readonly parts: EntryParts) {
+    super()
+    for (const disposable of parts.disposables) this.register(disposable)
+  }
+
+  /** Whether the instance can serve: it has a configuration and is not stopping. */
+  get isReady (): boolean {
+    return this.accepting && this.parts.configuration.inForce !== undefined
+  }
+
+  /** Whether the instance is ready and holds slots of at least one executor. */
+  get canServe (): boolean {
+    return this.isReady && this.parts.slots.holder.holdsSlots(performance.now())
+  }
+
+  /** Starts listening and following the log; rejects if an address is taken. */
+  async start (): Promise<EntryPorts> {
+    const { settings, events, logger } = this.context
+    events.record('instanceStarted', { failureDomain: settings.failureDomain })
+    const links = await this.parts.links.listen(settings.links.host, settings.links.port)
+    const callers = await this.parts.server.listen(settings.callers.host, settings.callers.port)
+    for (const follower of this.parts.followers) follower.run()
+    this.parts.membership.refresh()
+    const subscription = this.register(this.parts.configuration.onDidChangeRevision(() => {
+      subscription.dispose()
+      logger.info('ready to serve')
+      events.record('instanceReady')
+    }))
+    logger.info('listening', { address: `${settings.callers.host}:${callers}` })
+    return { callers, links }
+  }
+
+  /** Stops gracefully: refuses new requests, lets those in flight end, gives up ownership, closes links. Returns the number cut off. */
+  async stop (): Promise<number> {
+    const { settings, events, logger } = this.context
+    this.accepting = false
+    this.parts.frontDoor.stopAccepting()
+    events.record('instanceStopping')
+    const deadline = performance.now() + settings.stopBoundMilliseconds
+    while (this.parts.frontDoor.active > 0 && performance.now() < deadline && !this.isDisposed) await delay(STOP_POLL_MILLISECONDS)
+    const cutOff = this.parts.frontDoor.active
+    if (cutOff > 0) logger.warn('the time bound of the stop has passed; requests are cut off', { count: cutOff })
+    await this.parts.ownership.release(RELEASE_TIMEOUT_MILLISECONDS)
+    events.record('instanceStopped')
+    this.dispose()
+    return cutOff
+  }
+}
--- /dev/null
+++ b/src/entry/errorResponse.ts
@@ -0,0 +1,8 @@
+import { httpStatusOf, type ServingError } from '../contracts/verdict.js'
+
+/** JSON answer that carries an error. */
+export function errorResponse (error: ServingError): Response {
+  const headers = new Headers({ 'content-type': 'application/json' })
+  if (error.retryAfterSeconds !== undefined) headers.set('retry-after', String(error.retryAfterSeconds))
+  return new Response(JSON.stringify({ error }), { status: httpStatusOf(error), headers })
+}
--- /dev/null
+++ b/src/entry/operatorApi.ts
@@ -0,0 +1,81 @@
+import { timingSafeEqual, createHash } from 'node:crypto'
+import type { H3, H3Event } from 'h3'
+import type { Membership } from '../machines/membership.js'
+import type { LinkTransport } from '../links/linkHub.js'
+import type { ConfigurationTask } from './configurationTask.js'
+import { monotonicNow, type EntryContext } from './entryContext.js'
+import { errorResponse } from './errorResponse.js'
+import type { FrontDoor } from './frontDoor.js'
+import type { JobTask } from './jobTask.js'
+import type { MetricsRegistry } from './metricsRegistry.js'
+import type { OwnershipTask } from './ownershipTask.js'
+import type { PlacementTask } from './placementTask.js'
+
+/** HTTP for operators' commands; every route needs a token of the settings. */
+export class OperatorApi {
+  constructor (
+    private readonly context: EntryContext,
+    private readonly configuration: ConfigurationTask,
+    private readonly ownership: OwnershipTask,
+    private readonly placement: PlacementTask,
+    private readonly jobs: JobTask,
+    private readonly frontDoor: FrontDoor,
+    private readonly membership: Membership,
+    private readonly links: LinkTransport,
+    private readonly metrics: MetricsRegistry
+  ) {}
+
+  route (app: H3): void {
+    app.get('/metrics', async () => await this.metrics.response())
+    app.get('/operator/status', event => this.authorized(event, () => this.status()))
+    app.get('/operator/configuration', event => this.authorized(event, () => {
+      const current = this.configuration.inForce
+      return Response.json({ revision: current?.revision ?? 0, text: current?.source ?? '' })
+    }))
+    app.get('/operator/explain/:subject', event => this.authorized(event, () => this.explain(event.context.params?.subject ?? '')))
+  }
+
+  private authorized (event: H3Event, answer: () => Response): Response {
+    const given = event.req.headers.get('authorization') ?? ''
+    const accepted = this.context.settings.operatorTokens.some(token => equalSecrets(given, `Bearer ${token}`))
+    if (accepted) return answer()
+    return errorResponse({ code: 'unauthorized', verdict: 'notRun', message: 'a valid operator token is required' })
+  }
+
+  private status (): Response {
+    const { instance, failureDomain, region } = this.context.settings
+    const utilization = this.placement.current?.utilization()
+    return Response.json({
+      instance,
+      incarnation: this.context.incarnation,
+      failureDomain,
+      region,
+      revision: this.configuration.inForce?.revision ?? 0,
+      owner: this.ownership.owner?.instance,
+      term: this.ownership.term,
+      isOwner: this.ownership.isOwner(),
+      activeRequests: this.frontDoor.active,
+      openJobs: this.jobs.book.open().length,
+      peers: this.links.peers().map(peer => peer.instance),
+      instanceListAgeMilliseconds: Math.round(this.membership.ageMilliseconds(monotonicNow())),
+      used: utilization?.used,
+      capacity: utilization?.capacity
+    })
+  }
+
+  private explain (subject: string): Response {
+    const booked = this.jobs.book.find(subject)
+    if (booked === undefined) return errorResponse({ code: 'unknownJob', verdict: 'notRun', message: `'${subject}' is not known to this instance` })
+    if (booked.outcome !== undefined) return Response.json({ subject, explanation: `the job has ended: ${booked.outcome}${booked.reason === undefined ? '' : ` (${booked.reason})`}` })
+    const scheduler = this.placement.current
+    if (scheduler === undefined) {
+      return Response.json({ subject, owner: this.ownership.owner?.instance, explanation: `ask the owner of ${booked.failureDomain}: ${this.ownership.owner?.instance ?? 'none at present'}` })
+    }
+    return Response.json({ subject, owner: this.context.settings.instance, explanation: scheduler.explain(subject, monotonicNow()) })
+  }
+}
+
+function equalSecrets (left: string, right: string): boolean {
+  const digest = (value: string): Buffer => createHash('sha256').update(value).digest()
+  return timingSafeEqual(digest(left), digest(right))
+}
--- /dev/null
+++ b/src/entry/ownershipTask.ts
@@ -0,0 +1,177 @@
+import { Emitter, type Event } from '../base/emitter.js'
+import { describeError } from '../base/logger.js'
+import { Task } from '../base/task.js'
+import type { LinkMessageOf } from '../contracts/linkMessages.js'
+import type { StoredRecord } from '../contracts/records.js'
+import type { LogAppender } from '../links/logAppender.js'
+import type { LogFollower } from '../links/logFollower.js'
+import type { LinkTransport } from '../links/linkHub.js'
+import type { PeerIdentity } from '../links/handshake.js'
+import type { Membership } from '../machines/membership.js'
+import { holderKey, Ownership, OWNERSHIP_TIMINGS, type Holder, type OwnershipAction } from '../zones/ownership.js'
+import { monotonicNow, type EntryContext } from './entryContext.js'
+
+type OwnershipMessage =
+  | { readonly kind: 'record', readonly record: StoredRecord }
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'promiseRequest', readonly from: PeerIdentity, readonly message: LinkMessageOf<'promiseRequest'> }
+  | { readonly kind: 'promise', readonly from: PeerIdentity, readonly message: LinkMessageOf<'promise'> }
+
+const TICK_MILLISECONDS = 100
+const CLAIM_TIMEOUT_MILLISECONDS = 2000
+const JOIN_TIMEOUT_MILLISECONDS = 5000
+/** Age of the instance list, plus its own lag, after which it is not used to tell that instances are gone. */
+const LIST_FRESHNESS_MILLISECONDS = 3000
+
+/** Owns this instance's part in the ownership of its failure domain. */
+export class OwnershipTask extends Task<OwnershipMessage> {
+  private readonly rules: Ownership
+  private wasOwner = false
+  private joined = false
+  private joining = false
+  private readonly didChange = new Emitter<boolean>()
+  /** Fires when this instance becomes owner (true) or ceases to be (false). */
+  readonly onDidChangeOwner: Event<boolean> = this.didChange.event
+
+  constructor (
+    private readonly context: EntryContext,
+    private readonly follower: LogFollower,
+    private readonly appender: LogAppender,
+    private readonly links: LinkTransport,
+    private readonly membership: Membership
+  ) {
+    super()
+    this.rules = new Ownership(context.settings.failureDomain, { instance: context.settings.instance, incarnation: context.incarnation })
+    this.register(this.didChange)
+    this.register(follower.onDidReadRecord(record => this.post({ kind: 'record', record })))
+    this.register(links.onDidReceive(({ from, message }) => {
+      if (message.type === 'promiseRequest') this.post({ kind: 'promiseRequest', from, message })
+      if (message.type === 'promise') this.post({ kind: 'promise', from, message })
+    }))
+    this.registerInterval(() => this.post({ kind: 'tick' }), TICK_MILLISECONDS)
+  }
+
+  /** Whether this instance may act as owner at this moment; to be asked right before each act. */
+  isOwner (): boolean {
+    return this.rules.isOwner(monotonicNow())
+  }
+
+  get term (): number {
+    return this.rules.term
+  }
+
+  get owner (): Holder | undefined {
+    return this.rules.currentOwner
+  }
+
+  /** Gives ownership up on a planned stop; resolves when the record is in the log or `timeoutMilliseconds` have passed. */
+  async release (timeoutMilliseconds: number): Promise<void> {
+    const body = this.rules.release()
+    if (body === undefined) return
+    this.noteOwnerChange()
+    this.context.events.record('ownershipReleased', { failureDomain: this.context.settings.failureDomain, term: this.rules.term })
+    await this.appender.append(body, timeoutMilliseconds)
+  }
+
+  protected override handle (message: OwnershipMessage): void {
+    const now = monotonicNow()
+    switch (message.kind) {
+      case 'record':
+        this.onRecord(message.record, now)
+        break
+      case 'promiseRequest':
+        this.onPromiseRequest(message.from, message.message, now)
+        break
+      case 'promise':
+        this.rules.onPromise({ instance: message.from.instance, incarnation: message.from.incarnation }, message.message.request, message.message.granted)
+        break
+      case 'tick':
+        this.onTick(now)
+    }
+    this.noteOwnerChange()
+  }
+
+  protected override handleFailure (message: OwnershipMessage, error: unknown): void {
+    this.context.logger.error('handling an ownership message failed', { code: message.kind, reason: describeError(error) })
+  }
+
+  private onRecord (record: StoredRecord, now: number): void {
+    const before = this.rules.term
+    this.rules.onRecord(record, now)
+    if (record.body.type === 'instanceJoined' && record.body.incarnation === this.context.incarnation) this.joined = true
+    if (this.rules.term === before || this.rules.currentOwner?.incarnation !== this.context.incarnation) return
+    this.context.logger.info('claimed the failure domain', { failureDomain: this.context.settings.failureDomain, term: this.rules.term })
+    this.context.events.record('ownershipClaimed', { failureDomain: this.context.settings.failureDomain, term: this.rules.term })
+  }
+
+  private onTick (now: number): void {
+    if (!this.follower.hasCaughtUp) return
+    if (!this.joined) {
+      this.join()
+      return
+    }
+    const view = { isGone: (holder: Holder) => this.isGone(holder, now) }
+    for (const action of this.rules.tick(now, view)) this.perform(action)
+  }
+
+  private async join (): Promise<void> {
+    if (this.joining) return
+    this.joining = true
+    const { instance, failureDomain } = this.context.settings
+    const body = { type: 'instanceJoined' as const, failureDomain, instance, incarnation: this.context.incarnation }
+    await this.appender.append(body, JOIN_TIMEOUT_MILLISECONDS, `join:${this.context.incarnation}`)
+    this.joining = false
+  }
+
+  private perform (action: OwnershipAction): void {
+    if (action.kind === 'requestPromises') {
+      this.requestPromises(action)
+      return
+    }
+    this.append(action)
+  }
+
+  private async append (action: Extract<OwnershipAction, { kind: 'append' }>): Promise<void> {
+    const confirmed = await this.appender.append(action.body, CLAIM_TIMEOUT_MILLISECONDS)
+    if (!confirmed && action.body.type === 'ownershipClaimed') this.rules.claimAbandoned()
+  }
+
+  private requestPromises (action: Extract<OwnershipAction, { kind: 'requestPromises' }>): void {
+    for (const elector of action.electors) {
+      this.links.send(elector.instance, {
+        type: 'promiseRequest',
+        logicalTime: this.context.events.clock.tick(),
+        failureDomain: this.context.settings.failureDomain,
+        term: this.rules.term,
+        request: action.request,
+        durationMilliseconds: action.durationMilliseconds
+      })
+    }
+  }
+
+  private onPromiseRequest (from: PeerIdentity, message: LinkMessageOf<'promiseRequest'>, now: number): void {
+    const owner = this.rules.currentOwner
+    const fromOwner = owner !== undefined && holderKey(owner) === holderKey(from)
+    const granted = fromOwner && message.failureDomain === this.context.settings.failureDomain && this.rules.onPromiseRequest(message.term, message.durationMilliseconds, now)
+    this.links.send(from.instance, { type: 'promise', logicalTime: this.context.events.clock.tick(), failureDomain: message.failureDomain, term: message.term, request: message.request, granted })
+  }
+
+  private isGone (holder: Holder, now: number): boolean {
+    return this.membership.ageMilliseconds(now) < LIST_FRESHNESS_MILLISECONDS && this.membership.find(holder.instance) === undefined
+  }
+
+  private noteOwnerChange (): void {
+    const isOwner = this.isOwner()
+    if (isOwner === this.wasOwner) return
+    this.wasOwner = isOwner
+    const fields = { failureDomain: this.context.settings.failureDomain, term: this.rules.term }
+    this.context.logger.info(isOwner ? 'acting as owner of the failure domain' : 'no longer owner of the failure domain', fields)
+    this.context.events.record(isOwner ? 'ownershipTaken' : 'ownershipLost', fields)
+    this.didChange.fire(isOwner)
+  }
+}
+
+/** Time from a takeover until tasks that an earlier owner may have started on silent workers have certainly ended, in milliseconds. */
+export function silentWorkerBoundMilliseconds (taskLeaseMilliseconds: number, marginMilliseconds: number): number {
+  return OWNERSHIP_TIMINGS.lease + OWNERSHIP_TIMINGS.driftMargin + taskLeaseMilliseconds + marginMilliseconds
+}
--- /dev/null
+++ b/src/entry/placementTask.ts
@@ -0,0 +1,203 @@
+import { describeError } from '../base/logger.js'
+import { Task } from '../base/task.js'
+import type { RecordBody } from '../contracts/records.js'
+import type { WorkerReport } from '../contracts/workerProtocol.js'
+import type { CommandOutcome, WorkerClient } from '../links/workerClient.js'
+import type { Membership } from '../machines/membership.js'
+import { BestFitPolicy } from '../scheduling/placementPolicy.js'
+import { Scheduler, TASK_LEASE_MARGIN_MILLISECONDS, TASK_LEASE_MILLISECONDS, type RenewalPlan, type SchedulingDecision } from '../scheduling/scheduler.js'
+import type { ConfigurationTask } from './configurationTask.js'
+import { monotonicNow, type EntryContext } from './entryContext.js'
+import type { JobTask } from './jobTask.js'
+import { silentWorkerBoundMilliseconds, type OwnershipTask } from './ownershipTask.js'
+
+type PlacementMessage =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'ownerChanged', readonly isOwner: boolean }
+  | { readonly kind: 'jobChanged', readonly body: RecordBody }
+  | { readonly kind: 'report', readonly worker: string, readonly term: number, readonly report: WorkerReport }
+  | { readonly kind: 'startOutcome', readonly decision: Extract<SchedulingDecision, { kind: 'start' }>, readonly outcome: CommandOutcome }
+
+const TICK_MILLISECONDS = 100
+const STARTS_PER_TICK = 200
+/** Most renewals sent a second; with more workers than that, each is renewed less often. */
+const RENEWALS_PER_SECOND = 100
+const RENEWAL_PERIOD_MILLISECONDS = 500
+
+/** As owner of the failure domain, places tasks on its workers and keeps their leases. */
+export class PlacementTask extends Task<PlacementMessage> {
+  private scheduler: Scheduler | undefined
+  private term = 0
+  private renewedAt = -Infinity
+  private readonly renewing = new Set<string>()
+
+  constructor (
+    private readonly context: EntryContext,
+    private readonly ownership: OwnershipTask,
+    private readonly configuration: ConfigurationTask,
+    private readonly membership: Membership,
+    private readonly jobs: JobTask,
+    private readonly workers: WorkerClient
+  ) {
+    super()
+    this.register(ownership.onDidChangeOwner(isOwner => this.post({ kind: 'ownerChanged', isOwner })))
+    this.register(jobs.onDidChangeJobs(body => this.post({ kind: 'jobChanged', body })))
+    this.registerInterval(() => this.post({ kind: 'tick' }), TICK_MILLISECONDS)
+  }
+
+  /** The scheduler while this instance owns the failure domain. */
+  get current (): Scheduler | undefined {
+    return this.scheduler
+  }
+
+  protected override handle (message: PlacementMessage): void {
+    const now = monotonicNow()
+    switch (message.kind) {
+      case 'ownerChanged':
+        this.onOwnerChanged(message.isOwner, now)
+        return
+      case 'jobChanged':
+        this.onJobChanged(message.body, now)
+        return
+      case 'report':
+        if (message.term === this.term) this.scheduler?.onReport(message.worker, message.report, now)
+        return
+      case 'startOutcome':
+        this.onStartOutcome(message.decision, message.outcome, now)
+        return
+      case 'tick':
+        this.onTick(now)
+    }
+  }
+
+  protected override handleFailure (message: PlacementMessage, error: unknown): void {
+    this.context.logger.error('handling a placement message failed', { code: message.kind, reason: describeError(error) })
+  }
+
+  private onOwnerChanged (isOwner: boolean, now: number): void {
+    if (!isOwner) {
+      this.scheduler = undefined
+      return
+    }
+    this.term = this.ownership.term
+    const firstOwner = this.term === 1
+    const lapseAt = firstOwner ? now : now + silentWorkerBoundMilliseconds(TASK_LEASE_MILLISECONDS, TASK_LEASE_MARGIN_MILLISECONDS)
+    this.scheduler = new Scheduler(this.term, lapseAt, new BestFitPolicy())
+    for (const booked of this.jobs.book.open()) {
+      this.scheduler.addJob(booked.job, now)
+      if (booked.cancelRequested) this.scheduler.cancelJob(booked.job.identity)
+    }
+  }
+
+  private onJobChanged (body: RecordBody, now: number): void {
+    const { scheduler } = this
+    if (scheduler === undefined) return
+    if (body.type === 'jobAccepted' && this.jobs.book.find(body.job.identity)?.outcome === undefined) scheduler.addJob(body.job, now)
+    if (body.type === 'jobCancelRequested') scheduler.cancelJob(body.job)
+    if (body.type === 'jobEnded') scheduler.forgetJob(body.job)
+  }
+
+  private onStartOutcome (decision: Extract<SchedulingDecision, { kind: 'start' }>, outcome: CommandOutcome, now: number): void {
+    this.scheduler?.onStartOutcome(decision.task, decision.attempt, outcome.kind, now)
+    const fields = { task: decision.task, job: decision.job.identity, worker: decision.worker.name }
+    if (outcome.kind === 'done') this.context.events.record('taskStarted', fields)
+    else this.context.logger.warn('a start did not succeed', { task: decision.task, worker: decision.worker.name, code: outcome.kind, reason: outcome.reason })
+  }
+
+  private onTick (now: number): void {
+    const { scheduler } = this
+    const text = this.configuration.inForce?.text
+    if (scheduler === undefined || text === undefined || !this.ownership.isOwner()) return
+    const listed = this.membership.workers(this.context.settings.failureDomain).flatMap(worker => {
+      const pool = text.workerPools[worker.pool]
+      if (pool === undefined) return []
+      const { processorsThousandths, memoryBytes, accelerators } = pool
+      return [{ ...worker, capacity: { processorsThousandths, memoryBytes, accelerators }, leaving: worker.state === 'leaving' }]
+    })
+    scheduler.setWorkers(listed)
+    this.renewLeases(scheduler, listed.length, now)
+    if (listed.length === 0) return
+    for (const decision of scheduler.decide(now, STARTS_PER_TICK)) this.perform(decision)
+  }
+
+  private renewLeases (scheduler: Scheduler, workerCount: number, now: number): void {
+    const period = Math.max(RENEWAL_PERIOD_MILLISECONDS, workerCount * 1000 / RENEWALS_PER_SECOND)
+    if (now - this.renewedAt < period) return
+    this.renewedAt = now
+    for (const plan of scheduler.planRenewals(now)) this.renew(plan)
+  }
+
+  private async renew (plan: RenewalPlan): Promise<void> {
+    const { name, address } = plan.worker
+    if (this.renewing.has(name) || !this.ownership.isOwner()) return
+    this.renewing.add(name)
+    const { term } = this
+    try {
+      const report = await this.workers.renew(address, {
+        term,
+        leaseMilliseconds: TASK_LEASE_MILLISECONDS,
+        tasks: [...plan.tasks],
+        acknowledged: [...plan.acknowledged],
+        logicalTime: this.context.events.clock.tick()
+      })
+      this.context.events.clock.observe(report.logicalTime)
+      this.post({ kind: 'report', worker: name, term, report })
+    } catch (error) {
+      this.context.logger.debug('renewing leases failed', { worker: name, reason: describeError(error) })
+    } finally {
+      this.renewing.delete(name)
+    }
+  }
+
+  private perform (decision: SchedulingDecision): void {
+    switch (decision.kind) {
+      case 'start':
+        this.start(decision)
+        return
+      case 'stop':
+        this.stop(decision)
+        return
+      case 'jobEnded':
+        this.endJob(decision)
+    }
+  }
+
+  private async start (decision: Extract<SchedulingDecision, { kind: 'start' }>): Promise<void> {
+    const { worker, task, attempt, job } = decision
+    if (!this.ownership.isOwner()) {
+      this.post({ kind: 'startOutcome', decision, outcome: { kind: 'notSent', reason: 'no longer owner' } })
+      return
+    }
+    this.context.events.record('taskStarting', { task, job: job.identity, worker: worker.name })
+    const outcome = await this.workers.start(worker.address, task, {
+      term: attempt.term,
+      attempt,
+      job: job.identity,
+      taskIndex: decision.taskIndex,
+      name: job.name,
+      resources: job.resources,
+      leaseMilliseconds: TASK_LEASE_MILLISECONDS,
+      runMilliseconds: job.kind === 'service' ? undefined : job.runMilliseconds,
+      checkpointable: job.checkpointable,
+      resumeFromMilliseconds: decision.resumeFromMilliseconds,
+      logicalTime: this.context.events.clock.tick()
+    })
+    this.post({ kind: 'startOutcome', decision, outcome })
+  }
+
+  private async stop (decision: Extract<SchedulingDecision, { kind: 'stop' }>): Promise<void> {
+    const { worker, task, attempt } = decision
+    if (!this.ownership.isOwner()) return
+    const outcome = await this.workers.act(worker.address, task, 'stop', { term: attempt.term, attempt, logicalTime: this.context.events.clock.tick() })
+    if (outcome.kind !== 'done') this.context.logger.warn('a stop did not succeed', { task, worker: worker.name, code: outcome.kind })
+  }
+
+  private async endJob (decision: Extract<SchedulingDecision, { kind: 'jobEnded' }>): Promise<void> {
+    const { job, outcome, reason } = decision
+    this.context.events.record('jobEnded', { job, detail: outcome })
+    const body = { type: 'jobEnded' as const, job, outcome, reason, atMilliseconds: Date.now() }
+    while (!this.isDisposed && this.scheduler !== undefined) {
+      if (await this.jobs.end(job, body)) return
+    }
+  }
+}
--- /dev/null
+++ b/src/links/logFollower.ts
@@ -0,0 +1,99 @@
+import { backoffMilliseconds, delay } from '../base/delay.js'
+import { DisposableObject, toDisposable } from '../base/disposable.js'
+import { Emitter, type Event } from '../base/emitter.js'
+import type { LogicalClock } from '../base/logicalClock.js'
+import { describeError, type Logger } from '../base/logger.js'
+import type { Random } from '../base/random.js'
+import { RECORD_SCHEMA_VERSION, recordBodySchema, type RecordEnvelope, type StoredRecord } from '../contracts/records.js'
+import type { PlatformLog } from './platformLog.js'
+
+const READ_LIMIT = 500
+const LONG_POLL_MILLISECONDS = 10_000
+const BACKOFF_BASE_MILLISECONDS = 100
+const BACKOFF_MAXIMUM_MILLISECONDS = 2000
+/** Identities remembered to ignore repeated appends. */
+const REMEMBERED_IDENTITIES = 50_000
+
+/** Reads one stream in order and fires each record once, by its identity. */
+export class LogFollower extends DisposableObject {
+  private nextOffset = 0
+  private failures = 0
+  private caughtUp = false
+  private readonly identities = new Set<string>()
+  private readonly stopping = new AbortController()
+  private readonly didRead = new Emitter<StoredRecord>()
+  private readonly didCatchUp = new Emitter<void>()
+  private readonly didTruncate = new Emitter<void>()
+  /** Fires for each record in log order. */
+  readonly onDidReadRecord: Event<StoredRecord> = this.didRead.event
+  /** Fires once all records that were in the stream at start have been read. */
+  readonly onDidCatchUp: Event<void> = this.didCatchUp.event
+  /** Fires when records that were not yet read have left the retention period. */
+  readonly onDidTruncate: Event<void> = this.didTruncate.event
+
+  constructor (
+    readonly stream: string,
+    private readonly log: PlatformLog,
+    private readonly clock: LogicalClock,
+    private readonly logger: Logger,
+    private readonly random: Random
+  ) {
+    super()
+    this.register(this.didRead)
+    this.register(this.didCatchUp)
+    this.register(this.didTruncate)
+    this.register(toDisposable(() => this.stopping.abort()))
+  }
+
+  /** Whether the last read succeeded. */
+  get reachable (): boolean {
+    return this.caughtUp && this.failures === 0
+  }
+
+  get hasCaughtUp (): boolean {
+    return this.caughtUp
+  }
+
+  /** Follows the stream until disposal. */
+  async run (): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      try {
+        await this.readOnce()
+        this.failures = 0
+      } catch (error) {
+        if (this.stopping.signal.aborted) return
+        if (this.failures === 0) this.logger.warn('reading a stream failed; retrying', { stream: this.stream, reason: describeError(error) })
+        this.failures += 1
+        await delay(backoffMilliseconds(this.failures, BACKOFF_BASE_MILLISECONDS, BACKOFF_MAXIMUM_MILLISECONDS, 0.5 + this.random.fraction() / 2), this.stopping.signal)
+      }
+    }
+  }
+
+  private async readOnce (): Promise<void> {
+    const waitMilliseconds = this.caughtUp && this.failures === 0 ? LONG_POLL_MILLISECONDS : 0
+    const answer = await this.log.read(this.stream, this.nextOffset, READ_LIMIT, waitMilliseconds, this.stopping.signal)
+    if (this.stopping.signal.aborted) return
+    if (answer.retainedFrom > this.nextOffset) this.didTruncate.fire()
+    for (const { offset, record } of answer.records) this.accept(offset, record)
+    this.nextOffset = Math.max(this.nextOffset, answer.retainedFrom, ...answer.records.map(({ offset }) => offset + 1))
+    if (this.caughtUp || this.nextOffset < answer.nextOffset) return
+    this.caughtUp = true
+    this.didCatchUp.fire()
+  }
+
+  private accept (offset: number, record: RecordEnvelope): void {
+    if (this.identities.has(record.identity)) return
+    this.identities.add(record.identity)
+    if (this.identities.size > REMEMBERED_IDENTITIES) {
+      const [oldest] = this.identities
+      this.identities.delete(oldest as string)
+    }
+    this.clock.observe(record.logicalTime)
+    const body = recordBodySchema.safeParse(record.body)
+    if (record.schemaVersion > RECORD_SCHEMA_VERSION || !body.success) {
+      this.logger.warn('skipping a record that this version does not understand', { stream: this.stream, offset })
+      return
+    }
+    this.didRead.fire({ offset, identity: record.identity, writer: record.writer, logicalTime: record.logicalTime, body: body.data })
+  }
+}
--- /dev/null
+++ b/src/programs/embeddedSite.ts
@@ -0,0 +1,103 @@
+import { Agent } from 'undici'
+import { delay } from '../base/delay.js'
+import type { LineSink } from '../base/logger.js'
+import type { SiteText } from '../contracts/siteText.js'
+import type { EntryInstance } from '../entry/entryInstance.js'
+import { LoadRunner } from '../load/loadRunner.js'
+import type { LoadResult } from '../load/loadResult.js'
+import type { Scenario } from '../load/scenario.js'
+import { OperatorClient } from '../operator/operatorClient.js'
+import type { SiteStandin } from '../standins/siteStandin.js'
+import { createEntryInstance, createSiteStandin } from './wiring.js'
+
+const HOST = '127.0.0.1'
+const LINK_KEY = 'embedded-site-link-key'
+const OPERATOR_TOKEN = 'embedded-site-operator-token'
+const ENTRIES_PER_FAILURE_DOMAIN = 2
+const START_TIMEOUT_MILLISECONDS = 20_000
+const POLL_MILLISECONDS = 50
+
+/** A whole site in one process: stand-ins, entry instances and load. */
+export class EmbeddedSite {
+  private readonly standin: SiteStandin
+  private readonly instances: EntryInstance[] = []
+  private readonly callerAddresses: string[] = []
+  private readonly agent = new Agent({ connections: 128 })
+  private runner: LoadRunner | undefined
+
+  constructor (private readonly text: SiteText, private readonly source: string, private readonly sink: LineSink) {
+    this.standin = createSiteStandin(text, {
+      host: HOST, port: 0, listLagMilliseconds: 300, retainedRecords: 100_000, appendsPerSecond: 400, appendMilliseconds: 4, serviceMilliseconds: 20, seed: 1, logLevel: 'warn'
+    }, sink)
+  }
+
+  /** Starts everything, publishes the text and waits until it is in force and slots are granted. */
+  async start (): Promise<void> {
+    await this.standin.start()
+    for (const failureDomain of Object.keys(this.text.failureDomains)) {
+      for (let index = 1; index <= ENTRIES_PER_FAILURE_DOMAIN; index += 1) await this.startEntry(failureDomain, `${failureDomain}-${index}`)
+    }
+    const operator = new OperatorClient(this.standin.platform.address, this.callerAddresses, OPERATOR_TOKEN)
+    const published = await operator.publish(this.source, 0, 'vanillaturn-site')
+    if (published.kind !== 'accepted') throw new Error(`the site text was not accepted: ${published.kind}`)
+    const deadline = performance.now() + START_TIMEOUT_MILLISECONDS
+    while (!this.instances.every(instance => instance.canServe)) {
+      if (performance.now() > deadline) throw new Error('the entry instances did not become ready in time')
+      await delay(POLL_MILLISECONDS)
+    }
+    await operator.close()
+  }
+
+  async run (scenario: Scenario): Promise<LoadResult> {
+    const target = { callerAddresses: this.callerAddresses, operatorToken: OPERATOR_TOKEN, urgencyOf: (service: string) => this.text.services[service]?.urgency ?? 'normal' }
+    this.runner = new LoadRunner(scenario, target, this.agent, () => {})
+    return await this.runner.run()
+  }
+
+  /** Compares what callers were told with what executors and workers ran. Returns one line for each contradiction. */
+  check (result: LoadResult): string[] {
+    const ledger = this.standin.ledger()
+    const problems: string[] = []
+    const runs = new Map<string, number>()
+    for (const executor of ledger.executors) {
+      for (const run of executor.runs) runs.set(run.request, (runs.get(run.request) ?? 0) + 1)
+      if (executor.maximumConcurrent > executor.slots) problems.push(`executor ${executor.name} ran ${executor.maximumConcurrent} requests at once with ${executor.slots} slots`)
+    }
+    for (const outcome of this.runner?.outcomes ?? []) {
+      if (outcome.kind === 'broken' || outcome.kind === 'mayHaveRun') problems.push(`a request ended as ${outcome.kind}`)
+      if (outcome.kind === 'answered' && runs.get(outcome.request ?? '') !== 1) problems.push(`request ${outcome.request} was answered and ran ${runs.get(outcome.request ?? '') ?? 0} times`)
+    }
+    for (const job of result.jobs) {
+      if (job.state !== 'finished') problems.push(`job ${job.name} is ${job.state}`)
+    }
+    const finished = new Map<string, number>()
+    for (const worker of ledger.workers) {
+      if (worker.overcommittedStarts > 0) problems.push(`worker ${worker.name} was overcommitted by ${worker.overcommittedStarts} starts`)
+      for (const run of worker.runs) {
+        if (run.state === 'finished') finished.set(run.task, (finished.get(run.task) ?? 0) + 1)
+      }
+    }
+    for (const [task, count] of finished) {
+      if (count !== 1) problems.push(`task ${task} finished ${count} times`)
+    }
+    return problems
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.instances.map(async instance => await instance.stop()))
+    this.standin.dispose()
+    await this.agent.destroy()
+  }
+
+  private async startEntry (failureDomain: string, name: string): Promise<void> {
+    const region = this.text.failureDomains[failureDomain]?.region ?? ''
+    const instance = createEntryInstance({
+      instance: name, failureDomain, region, callers: { host: HOST, port: 0 }, links: { host: HOST, port: 0 }, platformAddress: this.standin.platform.address, linkKeys: [LINK_KEY], operatorTokens: [OPERATOR_TOKEN], logLevel: 'info', stopBoundMilliseconds: 5000
+    }, this.sink)
+    const ports = await instance.start()
+    const callerAddress = `http://${HOST}:${ports.callers}`
+    this.standin.list({ kind: 'entry', name, failureDomain, address: `ws://${HOST}:${ports.links}`, callerAddress, state: 'live' })
+    this.instances.push(instance)
+    this.callerAddresses.push(callerAddress)
+  }
+}
--- /dev/null
+++ b/src/programs/entry.ts
@@ -0,0 +1,26 @@
+#!/usr/bin/env node
+import { cac } from 'cac'
+import { entrySettingsSchema } from '../contracts/settings.js'
+import { readSettings, runCommandLine, writeLine } from './commandLine.js'
+import { createEntryInstance } from './wiring.js'
+
+const program = cac('vanillaturn-entry')
+
+program
+  .command('<settings>', 'Run an entry instance with a settings file (JSON with comments)')
+  .action(async (settingsFile: string) => {
+    const settings = readSettings(settingsFile, entrySettingsSchema)
+    const instance = createEntryInstance(settings, writeLine)
+    let stops = 0
+    const onSignal = async (): Promise<void> => {
+      stops += 1
+      if (stops > 1) process.exit(1)
+      const cutOff = await instance.stop()
+      process.exit(cutOff === 0 ? 0 : 1)
+    }
+    process.on('SIGTERM', onSignal)
+    process.on('SIGINT', onSignal)
+    await instance.start()
+  })
+
+await runCommandLine(program)
--- /dev/null
+++ b/src/programs/wiring.ts
@@ -0,0 +1,94 @@
+import { randomUUID, randomInt } from 'node:crypto'
+import { Agent } from 'undici'
+import { toDisposable, type Disposable } from '../base/disposable.js'
+import { LogicalClock } from '../base/logicalClock.js'
+import { Logger, type LineSink, type LogLevel } from '../base/logger.js'
+import { Random } from '../base/random.js'
+import { EventLog } from '../contracts/eventLog.js'
+import { CONFIGURATION_STREAM, domainStream } from '../contracts/records.js'
+import type { EntrySettings } from '../contracts/settings.js'
+import type { SiteText } from '../contracts/siteText.js'
+import { CallerServer } from '../entry/callerServer.js'
+import { ConfigurationTask } from '../entry/configurationTask.js'
+import type { EntryContext } from '../entry/entryContext.js'
+import { EntryInstance } from '../entry/entryInstance.js'
+import { FrontDoor } from '../entry/frontDoor.js'
+import { JobApi } from '../entry/jobApi.js'
+import { JobTask } from '../entry/jobTask.js'
+import { MembershipTask } from '../entry/membershipTask.js'
+import { MetricsRegistry } from '../entry/metricsRegistry.js'
+import { OperatorApi } from '../entry/operatorApi.js'
+import { OwnershipTask } from '../entry/ownershipTask.js'
+import { PlacementTask } from '../entry/placementTask.js'
+import { SlotTask } from '../entry/slotTask.js'
+import { HttpExecutorClient } from '../links/executorClient.js'
+import { HttpInstanceList } from '../links/instanceList.js'
+import { WebSocketLinkHub } from '../links/linkHub.js'
+import { LogAppender } from '../links/logAppender.js'
+import { LogFollower } from '../links/logFollower.js'
+import { HttpPlatformLog } from '../links/platformLog.js'
+import { HttpWorkerClient } from '../links/workerClient.js'
+import { LeastExpectedTimeChooser } from '../requests/executorChooser.js'
+import { SiteStandin, type SiteOptions } from '../standins/siteStandin.js'
+
+const SEED_BOUND = 2 ** 31 - 1
+/** Connections to one address that the instance keeps for the platform, workers and peers. */
+const AGENT_CONNECTIONS = 16
+
+/** Wires an entry instance from its settings. Lines of the log and of the time line go to `sink`. */
+export function createEntryInstance (settings: EntrySettings, sink: LineSink): EntryInstance {
+  const incarnation = randomUUID()
+  const logger = new Logger(settings.instance, settings.logLevel, sink)
+  const clock = new LogicalClock()
+  const events = new EventLog(settings.instance, incarnation, clock, sink)
+  const random = new Random(randomInt(SEED_BOUND))
+  const context: EntryContext = { settings, incarnation, logger, events, random }
+  const owned: Disposable[] = []
+  const own = <T extends Disposable>(disposable: T): T => {
+    owned.push(disposable)
+    return disposable
+  }
+
+  const agent = new Agent({ connections: AGENT_CONNECTIONS, pipelining: 1 })
+  own(toDisposable(() => { agent.destroy() }))
+  const log = new HttpPlatformLog(settings.platformAddress, agent)
+  const follow = (stream: string): LogFollower => own(new LogFollower(stream, log, clock, logger, random))
+  const createAppender = (stream: string): LogAppender => new LogAppender(stream, settings.instance, log, clock, logger, random)
+  const links = own(new WebSocketLinkHub({ instance: settings.instance, incarnation, failureDomain: settings.failureDomain }, settings.linkKeys, logger))
+  const configurationFollower = follow(CONFIGURATION_STREAM)
+  const ownershipFollower = follow(domainStream('ownership', settings.failureDomain))
+  const jobFollower = follow(domainStream('jobs', settings.failureDomain))
+
+  const membership = own(new MembershipTask(context, new HttpInstanceList(settings.platformAddress, agent), links))
+  const configuration = own(new ConfigurationTask(context, configurationFollower, links))
+  const ownershipAppender = own(createAppender(domainStream('ownership', settings.failureDomain)))
+  const ownership = own(new OwnershipTask(context, ownershipFollower, ownershipAppender, links, membership.membership))
+  const slots = own(new SlotTask(context, ownership, configuration, membership.membership, links, () => frontDoor.demand()))
+  const executorClient = own(new HttpExecutorClient())
+  const frontDoor: FrontDoor = own(new FrontDoor(context, configuration, membership.membership, slots.holder, executorClient, new LeastExpectedTimeChooser()))
+  own(slots.onDidChangeGrants(() => frontDoor.dispatchAll()))
+  const jobs = own(new JobTask(context, configuration, jobFollower, createAppender))
+  const placement = own(new PlacementTask(context, ownership, configuration, membership.membership, jobs, new HttpWorkerClient(agent)))
+
+  const metrics = new MetricsRegistry()
+  metrics.addGauge('active_requests', 'Requests accepted and not yet answered to their end', () => frontDoor.active)
+  metrics.addGauge('open_jobs', 'Jobs of the failure domain that have not ended', () => jobs.book.open().length)
+  metrics.addGauge('configuration_revision', 'Revision of the site text in force', () => configuration.inForce?.revision ?? 0)
+  metrics.addGauge('link_bytes', 'Bytes sent and received on links', () => links.bytesExchanged)
+  metrics.addGauge('processor_seconds', 'Processor time used by the process', () => process.cpuUsage().user / 1e6 + process.cpuUsage().system / 1e6)
+  metrics.addGauge('resident_bytes', 'Resident memory of the process', () => process.memoryUsage.rss())
+  metrics.addGauge('malformed_frames', 'Malformed frames received on links', () => links.malformedFrames)
+  const operators = new OperatorApi(context, configuration, ownership, placement, jobs, frontDoor, membership.membership, links, metrics)
+  const jobApi = new JobApi(context, jobs, placement, membership.membership, agent)
+  const server = own(new CallerServer(configuration, frontDoor, jobApi, operators, () => instance.isReady))
+  const followers = [configurationFollower, ownershipFollower, jobFollower]
+  const instance: EntryInstance = new EntryInstance(context, { followers, links, membership, configuration, ownership, slots, frontDoor, server, disposables: owned })
+  return instance
+}
+
+/** Wires the stand-in of platform, workers and executors of a site text. */
+export function createSiteStandin (text: SiteText, options: SiteOptions & { seed: number, logLevel: LogLevel }, sink: LineSink): SiteStandin {
+  const logger = new Logger('standin', options.logLevel, sink)
+  const events = new EventLog('standin', randomUUID(), new LogicalClock(), sink)
+  return new SiteStandin({ logger, events, random: new Random(options.seed) }, text, options)
+}
--- /dev/null
+++ b/src/scheduling/jobBook.ts
@@ -0,0 +1,60 @@
+import type { StoredRecord } from '../contracts/records.js'
+import type { Job, JobOutcome } from '../contracts/jobs.js'
+
+/** A job as the log tells it. */
+export interface BookedJob {
+  readonly job: Job
+  readonly failureDomain: string
+  cancelRequested: boolean
+  outcome: JobOutcome | undefined
+  reason: string | undefined
+}
+
+/** Jobs of a failure domain, built from the records of its stream. Ended jobs are kept for a while so that callers can read them. */
+export class JobBook {
+  private readonly jobs = new Map<string, BookedJob>()
+  private readonly ended: string[] = []
+
+  constructor (private readonly keptEndedJobs: number) {}
+
+  /** Applies a record in log order. A re-append of a known job has no further effect. */
+  apply (record: StoredRecord): void {
+    const { body } = record
+    switch (body.type) {
+      case 'jobAccepted':
+        if (this.jobs.has(body.job.identity)) return
+        this.jobs.set(body.job.identity, { job: body.job, failureDomain: body.failureDomain, cancelRequested: false, outcome: undefined, reason: undefined })
+        return
+      case 'jobCancelRequested': {
+        const booked = this.jobs.get(body.job)
+        if (booked !== undefined && booked.outcome === undefined) booked.cancelRequested = true
+        return
+      }
+      case 'jobEnded':
+        this.end(body.job, body.outcome, body.reason)
+    }
+  }
+
+  find (identity: string): BookedJob | undefined {
+    return this.jobs.get(identity)
+  }
+
+  /** Jobs that have not ended, in order of acceptance. */
+  open (): BookedJob[] {
+    return [...this.jobs.values()].filter(booked => booked.outcome === undefined)
+  }
+
+  all (): BookedJob[] {
+    return [...this.jobs.values()]
+  }
+
+  private end (identity: string, outcome: JobOutcome, reason: string | undefined): void {
+    const booked = this.jobs.get(identity)
+    if (booked === undefined || booked.outcome !== undefined) return
+    booked.outcome = outcome
+    booked.reason = reason
+    this.ended.push(identity)
+    if (this.ended.length <= this.keptEndedJobs) return
+    this.jobs.delete(this.ended.shift() as string)
+  }
+}
--- /dev/null
+++ b/src/standins/executorStandin.ts
@@ -0,0 +1,67 @@
+import { H3, type H3Event } from 'h3'
+import { delay } from '../base/delay.js'
+import { brokenAnswer, HttpStandin } from './httpServer.js'
+import type { StandinContext } from './standinContext.js'
+
+/** Faults of an executor, switched by HTTP. */
+export interface ExecutorFaults {
+  /** Answers 500 at once, without running. */
+  failEverything: boolean
+  /** Refuses with a statement that the request was not run. */
+  refuse: boolean
+  /** Runs the request, then breaks the connection before any answer. */
+  loseAnswers: boolean
+  /** Answers a part of the body, then breaks the connection. */
+  cutBodies: boolean
+  /** Multiplies the time to serve. */
+  slowFactor: number
+}
+
+/** One request that an executor ran. */
+export interface ExecutorRun {
+  readonly request: string
+  readonly method: string
+  readonly path: string
+}
+
+const BODY_PREVIEW_CHARACTERS = 200
+
+/** Executor with a bounded number of slots. It runs more than its slots if it is asked to, and records that. */
+export class ExecutorStandin extends HttpStandin {
+  readonly faults: ExecutorFaults = { failEverything: false, refuse: false, loseAnswers: false, cutBodies: false, slowFactor: 1 }
+  readonly runs: ExecutorRun[] = []
+  private concurrent = 0
+  private mostConcurrent = 0
+
+  constructor (private readonly context: StandinContext, readonly name: string, readonly slots: number, private readonly serviceMilliseconds: number) {
+    super()
+  }
+
+  /** Greatest number of requests that ran at once. */
+  get maximumConcurrent (): number {
+    return this.mostConcurrent
+  }
+
+  async listen (host: string, port: number): Promise<void> {
+    const app = new H3()
+    app.all('/**', async event => await this.onRequest(event))
+    await this.listenFor(app, host, port)
+  }
+
+  private async onRequest (event: H3Event): Promise<Response> {
+    const request = event.req.headers.get('vanillaturn-request') ?? ''
+    if (this.faults.failEverything) return new Response('failing on purpose', { status: 500 })
+    if (this.faults.refuse) return new Response('refusing on purpose', { status: 503, headers: { 'request-not-run': '1' } })
+    const body = await event.req.text()
+    this.concurrent += 1
+    this.mostConcurrent = Math.max(this.mostConcurrent, this.concurrent)
+    this.runs.push({ request, method: event.req.method, path: event.url.pathname })
+    this.context.events.record('executorStarted', { request, executor: this.name })
+    await delay(this.context.random.exponential(this.serviceMilliseconds * this.faults.slowFactor))
+    this.concurrent -= 1
+    this.context.events.record('executorEnded', { request, executor: this.name })
+    if (this.faults.loseAnswers) return brokenAnswer()
+    if (this.faults.cutBodies) return brokenAnswer('{"request":')
+    return Response.json({ request, executor: this.name, path: event.url.pathname, echo: body.slice(0, BODY_PREVIEW_CHARACTERS) })
+  }
+}
--- /dev/null
+++ b/src/standins/workerStandin.ts
@@ -0,0 +1,198 @@
+import { H3, type H3Event } from 'h3'
+import { toDisposable } from '../base/disposable.js'
+import { addResources, fitsWithin, NO_RESOURCES, type Resources } from '../contracts/resources.js'
+import { renewLeasesSchema, startTaskSchema, taskActionSchema, type Attempt, type ReportedTask, type StartTask, type TaskActionName, type TaskState, type WorkerReport } from '../contracts/workerProtocol.js'
+import { brokenAnswer, HttpStandin } from './httpServer.js'
+import type { StandinContext } from './standinContext.js'
+
+/** Faults of a worker, switched by HTTP. */
+export interface WorkerFaults {
+  /** Every task fails right after its start. */
+  failEverything: boolean
+  /** Answers nothing, as behind a partition; tasks go on under their leases. */
+  silent: boolean
+  /** Does what it is told, then breaks the connection before the answer. */
+  loseAnswers: boolean
+}
+
+/** One run of a task attempt. `endedAt` is undefined while it runs; times are monotonic milliseconds. */
+export interface TaskRun {
+  readonly task: string
+  readonly job: string
+  readonly attempt: Attempt
+  readonly startedAt: number
+  endedAt: number | undefined
+  state: TaskState
+}
+
+interface StandinTask {
+  readonly command: StartTask
+  readonly run: TaskRun
+  startedAt: number
+  checkpointMilliseconds: number
+  throttlePercent: number
+  leaseTimer: NodeJS.Timeout | undefined
+  endTimer: NodeJS.Timeout | undefined
+}
+
+/** Worker that runs tasks under leases and starts what it is given, whether it fits or not. */
+export class WorkerStandin extends HttpStandin {
+  readonly faults: WorkerFaults = { failEverything: false, silent: false, loseAnswers: false }
+  readonly runs: TaskRun[] = []
+  private readonly tasks = new Map<string, StandinTask>()
+  private term = 0
+  private overcommitted = 0
+  private most = NO_RESOURCES
+
+  constructor (private readonly context: StandinContext, readonly name: string, readonly incarnation: string, readonly capacity: Resources) {
+    super()
+    this.register(toDisposable(() => {
+      for (const task of this.tasks.values()) this.clearTimers(task)
+    }))
+  }
+
+  /** Number of starts after which the running tasks exceeded the capacity. */
+  get overcommittedStarts (): number {
+    return this.overcommitted
+  }
+
+  /** Greatest sum of resources of running tasks. */
+  get mostUsed (): Resources {
+    return this.most
+  }
+
+  async listen (host: string, port: number): Promise<void> {
+    const app = new H3()
+    app.put('/tasks/:task', async event => await this.onStart(event))
+    app.post('/tasks/:task/:action', async event => await this.onAction(event))
+    app.post('/leases', async event => await this.onRenew(event))
+    await this.listenFor(app, host, port)
+  }
+
+  private async onStart (event: H3Event): Promise<Response> {
+    if (this.faults.silent) return brokenAnswer()
+    const parsed = startTaskSchema.safeParse(await event.req.json().catch(() => undefined))
+    if (!parsed.success) return new Response('malformed start', { status: 400 })
+    const command = parsed.data
+    if (command.term < this.term) return new Response('stale term', { status: 409 })
+    this.term = command.term
+    this.context.events.clock.observe(command.logicalTime)
+    const name = decodeURIComponent(event.context.params?.task ?? '')
+    const known = this.tasks.get(name)
+    if (known !== undefined && compareAttempts(command.attempt, known.command.attempt) < 0) return new Response('stale attempt', { status: 409 })
+    if (known === undefined || compareAttempts(command.attempt, known.command.attempt) > 0) this.run(name, command)
+    if (this.faults.loseAnswers) return brokenAnswer()
+    return Response.json({})
+  }
+
+  private async onAction (event: H3Event): Promise<Response> {
+    if (this.faults.silent) return brokenAnswer()
+    const parsed = taskActionSchema.safeParse(await event.req.json().catch(() => undefined))
+    if (!parsed.success) return new Response('malformed action', { status: 400 })
+    if (parsed.data.term < this.term) return new Response('stale term', { status: 409 })
+    this.context.events.clock.observe(parsed.data.logicalTime)
+    const task = this.tasks.get(decodeURIComponent(event.context.params?.task ?? ''))
+    if (task === undefined || compareAttempts(parsed.data.attempt, task.command.attempt) !== 0) return new Response('unknown attempt', { status: 404 })
+    this.act(task, event.context.params?.action as TaskActionName, parsed.data.throttlePercent)
+    if (this.faults.loseAnswers) return brokenAnswer()
+    return Response.json({})
+  }
+
+  private async onRenew (event: H3Event): Promise<Response> {
+    if (this.faults.silent) return brokenAnswer()
+    const parsed = renewLeasesSchema.safeParse(await event.req.json().catch(() => undefined))
+    if (!parsed.success) return new Response('malformed renewal', { status: 400 })
+    const renewal = parsed.data
+    if (renewal.term < this.term) return new Response('stale term', { status: 409 })
+    this.term = renewal.term
+    this.context.events.clock.observe(renewal.logicalTime)
+    for (const { task, attempt } of renewal.tasks) {
+      const known = this.tasks.get(task)
+      if (known !== undefined && known.run.state === 'running' && compareAttempts(known.command.attempt, attempt) === 0) this.startLease(known, renewal.leaseMilliseconds)
+    }
+    for (const { task, attempt } of renewal.acknowledged) {
+      const known = this.tasks.get(task)
+      if (known !== undefined && known.run.state !== 'running' && compareAttempts(known.command.attempt, attempt) === 0) this.tasks.delete(task)
+    }
+    if (this.faults.loseAnswers) return brokenAnswer()
+    return Response.json(this.report())
+  }
+
+  private report (): WorkerReport {
+    const tasks = [...this.tasks].map(([task, entry]): ReportedTask => ({
+      task,
+      attempt: entry.command.attempt,
+      job: entry.command.job,
+      taskIndex: entry.command.taskIndex,
+      state: entry.run.state,
+      resources: entry.command.resources,
+      usage: entry.run.state === 'running' ? entry.command.resources : NO_RESOURCES,
+      checkpointMilliseconds: entry.checkpointMilliseconds
+    }))
+    return { worker: this.name, incarnation: this.incarnation, term: this.term, tasks, logicalTime: this.context.events.clock.tick() }
+  }
+
+  private run (name: string, command: StartTask): void {
+    const previous = this.tasks.get(name)
+    if (previous?.run.state === 'running') this.end(previous, 'stopped')
+    const now = performance.now()
+    const run: TaskRun = { task: name, job: command.job, attempt: command.attempt, startedAt: now, endedAt: undefined, state: 'running' }
+    const task: StandinTask = { command, run, startedAt: now, checkpointMilliseconds: command.resumeFromMilliseconds, throttlePercent: 100, leaseTimer: undefined, endTimer: undefined }
+    this.runs.push(run)
+    this.tasks.set(name, task)
+    this.context.events.record('taskStarted', { task: name, job: command.job, worker: this.name, term: command.term })
+    this.startLease(task, command.leaseMilliseconds)
+    this.noteUse()
+    if (this.faults.failEverything) this.end(task, 'failed')
+    else if (command.runMilliseconds !== undefined) task.endTimer = setTimeout(() => this.end(task, 'finished'), Math.max(1, command.runMilliseconds - command.resumeFromMilliseconds))
+  }
+
+  private act (task: StandinTask, action: TaskActionName, throttlePercent: number | undefined): void {
+    if (task.run.state !== 'running') return
+    if (action === 'stop') this.end(task, 'stopped')
+    if (action === 'throttle') task.throttlePercent = throttlePercent ?? 100
+    if (action === 'checkpoint' && task.command.checkpointable) {
+      task.checkpointMilliseconds = task.command.resumeFromMilliseconds + performance.now() - task.startedAt
+      this.end(task, 'checkpointed')
+    }
+  }
+
+  private startLease (task: StandinTask, leaseMilliseconds: number): void {
+    clearTimeout(task.leaseTimer)
+    task.leaseTimer = setTimeout(() => {
+      this.context.events.record('leaseLapsed', { task: task.run.task, job: task.run.job, worker: this.name })
+      this.end(task, 'leaseLapsed')
+    }, leaseMilliseconds)
+  }
+
+  private end (task: StandinTask, state: TaskState): void {
+    if (task.run.state !== 'running') return
+    this.clearTimers(task)
+    task.run.state = state
+    task.run.endedAt = performance.now()
+    this.context.events.record('taskEnded', { task: task.run.task, job: task.run.job, worker: this.name, detail: state })
+  }
+
+  private noteUse (): void {
+    let sum = NO_RESOURCES
+    for (const task of this.tasks.values()) {
+      if (task.run.state === 'running') sum = addResources(sum, task.command.resources)
+    }
+    if (!fitsWithin(sum, this.capacity)) this.overcommitted += 1
+    this.most = {
+      processorsThousandths: Math.max(this.most.processorsThousandths, sum.processorsThousandths),
+      memoryBytes: Math.max(this.most.memoryBytes, sum.memoryBytes),
+      accelerators: Math.max(this.most.accelerators, sum.accelerators)
+    }
+  }
+
+  private clearTimers (task: StandinTask): void {
+    clearTimeout(task.leaseTimer)
+    clearTimeout(task.endTimer)
+  }
+}
+
+/** Negative if `left` is the earlier attempt, positive if it is the later, 0 if they are the same. */
+function compareAttempts (left: Attempt, right: Attempt): number {
+  return left.term - right.term || left.sequence - right.sequence
+}
