Let tests pass their own connections to an entry instance; end a process whose start failed

Cause: an entry instance whose address was taken printed the error and stayed alive on its timers. The wiring also created its sockets itself, so that fakes could not take their place.

--- a/src/entry/entryInstance.ts
+++ b/src/entry/entryInstance.ts
@@ -1,25 +1,29 @@
 import { delay } from '../base/delay.js'
 import { DisposableObject, type Disposable } from '../base/disposable.js'
 import type { LogFollower } from '../links/logFollower.js'
-import type { WebSocketLinkHub } from '../links/linkHub.js'
+import type { LinkTransport } from '../links/linkHub.js'
 import type { CallerServer } from './callerServer.js'
 import type { ConfigurationTask } from './configurationTask.js'
 import type { EntryContext } from './entryContext.js'
 import type { FrontDoor } from './frontDoor.js'
+import type { JobTask } from './jobTask.js'
 import type { MembershipTask } from './membershipTask.js'
 import type { OwnershipTask } from './ownershipTask.js'
+import type { PlacementTask } from './placementTask.js'
 import type { SlotTask } from './slotTask.js'
 
 /** The parts of an entry instance that its life cycle needs. */
 export interface EntryParts {
   readonly followers: readonly LogFollower[]
-  readonly links: WebSocketLinkHub
+  readonly links: LinkTransport
   readonly membership: MembershipTask
   readonly configuration: ConfigurationTask
   readonly ownership: OwnershipTask
   readonly slots: SlotTask
   readonly frontDoor: FrontDoor
   readonly server: CallerServer
+  readonly jobs: JobTask
+  readonly placement: PlacementTask
   /** Everything that is disposed when the instance ends, in order of creation. */
   readonly disposables: readonly Disposable[]
 }
@@ -37,7 +41,7 @@
 export class EntryInstance extends DisposableObject {
   private accepting = true
 
-  constructor (private readonly context: EntryContext, private readonly parts: EntryParts) {
+  constructor (private readonly context: EntryContext, readonly parts: EntryParts) {
     super()
     for (const disposable of parts.disposables) this.register(disposable)
   }
--- a/src/links/linkHub.ts
+++ b/src/links/linkHub.ts
@@ -18,6 +18,12 @@
   abstract readonly onDidReceive: Event<ReceivedMessage>
   abstract readonly onDidOpen: Event<PeerIdentity>
   abstract readonly onDidClose: Event<PeerIdentity>
+  /** Starts listening; resolves with the port, rejects if the address is taken. */
+  abstract listen (host: string, port: number): Promise<number>
+  /** Bytes sent and received so far. */
+  abstract readonly bytesExchanged: number
+  /** Malformed frames received so far. */
+  abstract readonly malformedFrames: number
   abstract peers (): readonly PeerIdentity[]
   /** Sends to a peer by instance name. Returns false if there is no open link to it. */
   abstract send (instance: string, message: LinkMessage): boolean
@@ -62,17 +68,15 @@
     }))
   }
 
-  /** Bytes sent and received on links so far. */
-  get bytesExchanged (): number {
+  override get bytesExchanged (): number {
     return this.bytes
   }
 
-  get malformedFrames (): number {
+  override get malformedFrames (): number {
     return this.malformedFrameCount
   }
 
-  /** Listens for links; resolves with the port, rejects if the address is taken. */
-  async listen (host: string, port: number): Promise<number> {
+  override async listen (host: string, port: number): Promise<number> {
     const server = new WebSocketServer({ host, port, maxPayload: MAXIMUM_FRAME_BYTES, perMessageDeflate: false })
     this.server = server
     server.on('connection', socket => this.acceptSocket(socket))
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -20,7 +20,12 @@
     }
     process.on('SIGTERM', onSignal)
     process.on('SIGINT', onSignal)
-    await instance.start()
+    try {
+      await instance.start()
+    } catch (error) {
+      instance.dispose()
+      throw error
+    }
   })
 
 await runCommandLine(program)
--- a/src/programs/standin.ts
+++ b/src/programs/standin.ts
@@ -15,7 +15,12 @@
     for (const entry of settings.entries) {
       site.list({ kind: 'entry', name: entry.name, failureDomain: entry.failureDomain, address: entry.linkAddress, callerAddress: entry.callerAddress, state: 'live' })
     }
-    await site.start()
+    try {
+      await site.start()
+    } catch (error) {
+      site.dispose()
+      throw error
+    }
     const stop = (): void => {
       site.dispose()
       process.exit(0)
--- a/src/programs/wiring.ts
+++ b/src/programs/wiring.ts
@@ -21,13 +21,13 @@
 import { OwnershipTask } from '../entry/ownershipTask.js'
 import { PlacementTask } from '../entry/placementTask.js'
 import { SlotTask } from '../entry/slotTask.js'
-import { HttpExecutorClient } from '../links/executorClient.js'
-import { HttpInstanceList } from '../links/instanceList.js'
-import { WebSocketLinkHub } from '../links/linkHub.js'
+import { HttpExecutorClient, type ExecutorClient } from '../links/executorClient.js'
+import { HttpInstanceList, type InstanceList } from '../links/instanceList.js'
+import { WebSocketLinkHub, type LinkTransport } from '../links/linkHub.js'
 import { LogAppender } from '../links/logAppender.js'
 import { LogFollower } from '../links/logFollower.js'
-import { HttpPlatformLog } from '../links/platformLog.js'
-import { HttpWorkerClient } from '../links/workerClient.js'
+import { HttpPlatformLog, type PlatformLog } from '../links/platformLog.js'
+import { HttpWorkerClient, type WorkerClient } from '../links/workerClient.js'
 import { LeastExpectedTimeChooser } from '../requests/executorChooser.js'
 import { SiteStandin, type SiteOptions } from '../standins/siteStandin.js'
 
@@ -35,40 +35,67 @@
 /** Connections to one address that the instance keeps for the platform, workers and peers. */
 const AGENT_CONNECTIONS = 16
 
+/** Connections of an entry instance to everything outside it. Tests pass fakes. */
+export interface EntryConnections {
+  readonly log: PlatformLog
+  readonly instanceList: InstanceList
+  readonly workers: WorkerClient
+  readonly executors: ExecutorClient
+  readonly links: LinkTransport
+  readonly agent: Agent
+}
+
 /** Wires an entry instance from its settings. Lines of the log and of the time line go to `sink`. */
 export function createEntryInstance (settings: EntrySettings, sink: LineSink): EntryInstance {
-  const incarnation = randomUUID()
+  const context = createEntryContext(settings, sink, randomUUID(), randomInt(SEED_BOUND))
+  const agent = new Agent({ connections: AGENT_CONNECTIONS, pipelining: 1 })
+  const identity = { instance: settings.instance, incarnation: context.incarnation, failureDomain: settings.failureDomain }
+  return assembleEntryInstance(context, {
+    log: new HttpPlatformLog(settings.platformAddress, agent),
+    instanceList: new HttpInstanceList(settings.platformAddress, agent),
+    workers: new HttpWorkerClient(agent),
+    executors: new HttpExecutorClient(),
+    links: new WebSocketLinkHub(identity, settings.linkKeys, context.logger),
+    agent
+  })
+}
+
+/** Creates the context of an entry instance; `incarnation` must differ between starts. */
+export function createEntryContext (settings: EntrySettings, sink: LineSink, incarnation: string, seed: number): EntryContext {
   const logger = new Logger(settings.instance, settings.logLevel, sink)
-  const clock = new LogicalClock()
-  const events = new EventLog(settings.instance, incarnation, clock, sink)
-  const random = new Random(randomInt(SEED_BOUND))
-  const context: EntryContext = { settings, incarnation, logger, events, random }
+  const events = new EventLog(settings.instance, incarnation, new LogicalClock(), sink)
+  return { settings, incarnation, logger, events, random: new Random(seed) }
+}
+
+/** Wires an entry instance from its connections, which it owns from then on. */
+export function assembleEntryInstance (context: EntryContext, connections: EntryConnections): EntryInstance {
+  const { settings, logger, random } = context
+  const { clock } = context.events
+  const { log, agent } = connections
   const owned: Disposable[] = []
   const own = <T extends Disposable>(disposable: T): T => {
     owned.push(disposable)
     return disposable
   }
 
-  const agent = new Agent({ connections: AGENT_CONNECTIONS, pipelining: 1 })
   own(toDisposable(() => { agent.destroy() }))
-  const log = new HttpPlatformLog(settings.platformAddress, agent)
   const follow = (stream: string): LogFollower => own(new LogFollower(stream, log, clock, logger, random))
   const createAppender = (stream: string): LogAppender => new LogAppender(stream, settings.instance, log, clock, logger, random)
-  const links = own(new WebSocketLinkHub({ instance: settings.instance, incarnation, failureDomain: settings.failureDomain }, settings.linkKeys, logger))
+  const links = own(connections.links)
   const configurationFollower = follow(CONFIGURATION_STREAM)
   const ownershipFollower = follow(domainStream('ownership', settings.failureDomain))
   const jobFollower = follow(domainStream('jobs', settings.failureDomain))
 
-  const membership = own(new MembershipTask(context, new HttpInstanceList(settings.platformAddress, agent), links))
+  const membership = own(new MembershipTask(context, connections.instanceList, links))
   const configuration = own(new ConfigurationTask(context, configurationFollower, links))
   const ownershipAppender = own(createAppender(domainStream('ownership', settings.failureDomain)))
   const ownership = own(new OwnershipTask(context, ownershipFollower, ownershipAppender, links, membership.membership))
   const slots = own(new SlotTask(context, ownership, configuration, membership.membership, links, () => frontDoor.demand()))
-  const executorClient = own(new HttpExecutorClient())
+  const executorClient = own(connections.executors)
   const frontDoor: FrontDoor = own(new FrontDoor(context, configuration, membership.membership, slots.holder, executorClient, new LeastExpectedTimeChooser()))
   own(slots.onDidChangeGrants(() => frontDoor.dispatchAll()))
   const jobs = own(new JobTask(context, configuration, jobFollower, createAppender))
-  const placement = own(new PlacementTask(context, ownership, configuration, membership.membership, jobs, new HttpWorkerClient(agent)))
+  const placement = own(new PlacementTask(context, ownership, configuration, membership.membership, jobs, connections.workers))
 
   const metrics = new MetricsRegistry()
   metrics.addGauge('active_requests', 'Requests accepted and not yet answered to their end', () => frontDoor.active)
@@ -82,7 +109,7 @@
   const jobApi = new JobApi(context, jobs, placement, membership.membership, agent)
   const server = own(new CallerServer(configuration, frontDoor, jobApi, operators, () => instance.isReady))
   const followers = [configurationFollower, ownershipFollower, jobFollower]
-  const instance: EntryInstance = new EntryInstance(context, { followers, links, membership, configuration, ownership, slots, frontDoor, server, disposables: owned })
+  const instance: EntryInstance = new EntryInstance(context, { followers, links, membership, configuration, ownership, slots, frontDoor, server, jobs, placement, disposables: owned })
   return instance
 }
 
