--- a/src/contracts/linkMessages.ts
+++ b/src/contracts/linkMessages.ts
@@ -2,8 +2,8 @@
 
 const logicalTime = z.number().int().nonnegative()
 
-/** What one executor holder uses of a grant. */
-export const slotUseSchema = z.object({ executor: z.string(), held: z.number().int().nonnegative(), inFlight: z.number().int().nonnegative() })
+/** What a holder uses of one executor. `connections` is the greater of those open and those granted. */
+export const slotUseSchema = z.object({ executor: z.string(), held: z.number().int().nonnegative(), inFlight: z.number().int().nonnegative(), connections: z.number().int().nonnegative() })
 export type SlotUse = z.infer<typeof slotUseSchema>
 
 /** A holder's share of one executor's slots and connections. */
@@ -13,7 +13,7 @@
 /** Messages between entry instances after the handshake. */
 export const linkMessageSchema = z.discriminatedUnion('type', [
   z.object({ type: z.literal('heartbeat'), logicalTime, leaving: z.boolean(), revision: z.number().int() }),
-  z.object({ type: z.literal('slotReport'), logicalTime, sequence: z.number().int(), appliedGrant: z.number().int(), term: z.number().int(), demand: z.record(z.string(), z.number().int()), uses: z.array(slotUseSchema) }),
+  z.object({ type: z.literal('slotReport'), logicalTime, sequence: z.number().int(), appliedGrant: z.number().int(), term: z.number().int(), demand: z.record(z.string(), z.number().int()), uses: z.array(slotUseSchema), leaving: z.boolean() }),
   z.object({ type: z.literal('slotGrants'), logicalTime, term: z.number().int(), sequence: z.number().int(), answersReport: z.number().int(), validMilliseconds: z.number().int(), grants: z.array(slotGrantSchema) }),
   z.object({ type: z.literal('promiseRequest'), logicalTime, failureDomain: z.string(), term: z.number().int(), request: z.number().int(), durationMilliseconds: z.number().int() }),
   z.object({ type: z.literal('promise'), logicalTime, failureDomain: z.string(), term: z.number().int(), request: z.number().int(), granted: z.boolean() }),
--- a/src/entry/entryInstance.ts
+++ b/src/entry/entryInstance.ts
@@ -80,7 +80,15 @@
     this.parts.frontDoor.stopAccepting()
     events.record('instanceStopping')
     const deadline = performance.now() + settings.stopBoundMilliseconds
-    while (this.parts.frontDoor.active > 0 && performance.now() < deadline && !this.isDisposed) await delay(STOP_POLL_MILLISECONDS)
+    let returned = false
+    while (this.parts.frontDoor.active > 0 && performance.now() < deadline && !this.isDisposed) {
+      if (!returned && this.parts.frontDoor.waiting === 0) {
+        this.parts.slots.returnGrants()
+        returned = true
+      }
+      await delay(STOP_POLL_MILLISECONDS)
+    }
+    this.parts.slots.returnGrants()
     const cutOff = this.parts.frontDoor.active
     if (cutOff > 0) logger.warn('the time bound of the stop has passed; requests are cut off', { count: cutOff })
     await this.parts.ownership.release(RELEASE_TIMEOUT_MILLISECONDS)
--- a/src/entry/frontDoor.ts
+++ b/src/entry/frontDoor.ts
@@ -62,11 +62,18 @@
     private readonly membership: Membership,
     private readonly slots: SlotHolder,
     private readonly client: ExecutorClient,
-    private readonly chooser: ExecutorChooser
+    private readonly chooser: ExecutorChooser,
+    /** Asks the owner for slots because requests wait. */
+    private readonly requestSlots: () => void
   ) {
     super()
     this.registerInterval(() => this.dispatchAll(), EXPIRY_PERIOD_MILLISECONDS)
     this.register(membership.onDidChange(() => this.dispatchAll()))
+    this.register(client.onDidChangeConnections(({ address, open }) => {
+      for (const executor of this.executors.values()) {
+        if (executor.address === address) this.slots.noteConnections(executor.name, open)
+      }
+    }))
     this.register(toDisposable(() => {
       for (const timer of this.heldTimers) clearTimeout(timer)
     }))
@@ -82,6 +89,13 @@
     this.stopping = true
   }
 
+  /** Requests that wait for a slot. */
+  get waiting (): number {
+    let sum = 0
+    for (const queue of this.queues.values()) sum += queue.length
+    return sum
+  }
+
   /** Waiting and running requests by executor pool, for the division of slots. */
   demand (): Record<string, number> {
     const demand: Record<string, number> = {}
@@ -116,6 +130,7 @@
       for (const expired of queue.takeExpired(now)) expired.settle(refusal('deadlineExpired', 'the deadline passed while the request waited for a slot'))
       this.dispatch(pool, queue, now)
     }
+    for (const executor of this.executors.values()) this.client.limitConnections(executor.address, this.slots.connections(executor.name, now))
   }
 
   private enqueue (queued: QueuedRequest, capacity: number): void {
@@ -135,7 +150,10 @@
   private dispatch (pool: string, queue: WaitingQueue<QueuedRequest>, now: number): void {
     while (queue.length > 0) {
       const candidates = this.candidates(pool, now)
-      if (candidates.length === 0) return
+      if (candidates.length === 0) {
+        this.requestSlots()
+        return
+      }
       const queued = queue.take()
       if (queued === undefined) return
       const untried = candidates.filter(candidate => !queued.tried.has(candidate.executor.name))
@@ -165,9 +183,14 @@
     queued.tried.add(executor.name)
     this.context.events.record('requestDispatched', { request: request.identity, executor: executor.name })
     const timeout = Math.max(1, Math.min(service.maximumRunMilliseconds, request.deadline - sentAt))
-    const result = await this.client.send(executor.address, this.outgoing(request), timeout, this.slots.connections(executor.name), request.signal)
+    let startedAt = sentAt
+    const mayStart = (): boolean => {
+      startedAt = monotonicNow()
+      return this.slots.mayStart(startedAt)
+    }
+    const result = await this.client.send(executor.address, this.outgoing(request), timeout, this.slots.connections(executor.name, sentAt), request.signal, mayStart)
     if (result.kind === 'answer') {
-      this.onAnswer(queued, executor, result.answer, sentAt)
+      this.onAnswer(queued, executor, result.answer, startedAt)
       return
     }
     executor.recordFailure()
@@ -176,7 +199,7 @@
       this.retryOr(queued, { code: 'noExecutor', verdict: 'notRun', message: 'no executor could be reached', retryAfterSeconds: 1 }, true)
       return
     }
-    this.releaseSlotLater(executor, sentAt + service.maximumRunMilliseconds)
+    this.releaseSlotLater(executor, startedAt + service.maximumRunMilliseconds)
     const error: ServingError = result.timedOut
       ? { code: 'executorTimeout', verdict: 'mayHaveRun', message: 'the executor did not answer in time' }
       : { code: 'executorFailed', verdict: 'mayHaveRun', message: 'the connection to the executor broke' }
@@ -209,7 +232,7 @@
   private async retryOr (queued: QueuedRequest, error: ServingError, allowed: boolean): Promise<void> {
     const now = monotonicNow()
     const wait = backoffMilliseconds(queued.attempts, RETRY_BASE_MILLISECONDS, RETRY_MAXIMUM_MILLISECONDS, this.context.random.fraction())
-    const mayRetry = allowed && queued.attempts < MAXIMUM_ATTEMPTS && now + wait < queued.deadline && !queued.request.signal.aborted
+    const mayRetry = allowed && !this.stopping && queued.attempts < MAXIMUM_ATTEMPTS && now + wait < queued.deadline && !queued.request.signal.aborted
     if (!mayRetry) {
       queued.settle({ kind: 'error', error })
       return
--- a/src/entry/slotTask.ts
+++ b/src/entry/slotTask.ts
@@ -6,7 +6,7 @@
 import type { LinkTransport } from '../links/linkHub.js'
 import type { PeerIdentity } from '../links/handshake.js'
 import type { Membership } from '../machines/membership.js'
-import { GRANT_VALID_MILLISECONDS, SlotAllocator, type ExecutorLimits } from '../requests/slotAllocator.js'
+import { GRANT_DRIFT_MARGIN_MILLISECONDS, GRANT_VALID_MILLISECONDS, SlotAllocator, type ExecutorLimits, type HolderGrants } from '../requests/slotAllocator.js'
 import { SlotHolder } from '../requests/slotHolder.js'
 import { holderKey } from '../zones/ownership.js'
 import type { ConfigurationTask } from './configurationTask.js'
@@ -15,17 +15,27 @@
 
 type SlotMessage =
   | { readonly kind: 'tick' }
+  | { readonly kind: 'demandRose' }
+  | { readonly kind: 'leave' }
   | { readonly kind: 'ownerChanged', readonly isOwner: boolean }
   | { readonly kind: 'report', readonly from: PeerIdentity, readonly report: LinkMessageOf<'slotReport'> }
   | { readonly kind: 'grants', readonly from: string, readonly grants: LinkMessageOf<'slotGrants'> }
 
 const REPORT_PERIOD_MILLISECONDS = 250
+/** Reports on demand are at least this far apart, which bounds the control traffic of an instance whose requests wait. */
+const DEMAND_REPORT_MILLISECONDS = 10
+/** Age of the instance list above which it does not show that an instance has ended. */
+const LIST_FRESHNESS_MILLISECONDS = 3000
 
 /** Owns the slots this instance holds and, as owner of the failure domain, their division among its instances. */
 export class SlotTask extends Task<SlotMessage> {
   readonly holder = new SlotHolder()
   private allocator: SlotAllocator | undefined
-  private lastOwner: string | undefined
+  private allocatorTerm = 0
+  private lastTerm: number | undefined
+  private lastReportAt = -Infinity
+  private leaving = false
+  private readonly instanceOfHolder = new Map<string, string>()
   private readonly didChange = new Emitter<void>()
   /** Fires when grants have been applied. */
   readonly onDidChangeGrants: Event<void> = this.didChange.event
@@ -48,16 +58,32 @@
     this.registerInterval(() => this.post({ kind: 'tick' }), REPORT_PERIOD_MILLISECONDS)
   }
 
+  /** Asks for slots before the next regular report, because requests wait. */
+  requestSlots (): void {
+    if (monotonicNow() - this.lastReportAt >= DEMAND_REPORT_MILLISECONDS) this.post({ kind: 'demandRose' })
+  }
+
+  /** On a planned stop, once no request waits: gives all grants back and reports that at once. */
+  returnGrants (): void {
+    this.post({ kind: 'leave' })
+  }
+
   protected override handle (message: SlotMessage): void {
     switch (message.kind) {
       case 'tick':
+      case 'demandRose':
+        this.report()
+        return
+      case 'leave':
+        this.leaving = true
+        this.holder.returnAll()
         this.report()
         return
       case 'ownerChanged':
-        this.allocator = message.isOwner ? this.createAllocator() : undefined
+        if (message.isOwner) this.prepareAllocator()
         return
       case 'report':
-        this.answerReport(holderKey(message.from), message.report, grants => this.links.send(message.from.instance, grants))
+        this.onReport(message.from.instance, holderKey(message.from), message.report)
         return
       case 'grants':
         if (message.from === this.ownership.owner?.instance) this.applyGrants(message.grants)
@@ -68,51 +94,81 @@
     this.context.logger.error('handling a slot message failed', { code: message.kind, reason: describeError(error) })
   }
 
-  private createAllocator (): SlotAllocator {
-    const now = monotonicNow()
-    return new SlotAllocator(this.ownership.term === 1 ? -Infinity : now + GRANT_VALID_MILLISECONDS)
+  /** An owner whose lease lapsed and was extended in the same term keeps what it has granted. */
+  private prepareAllocator (): void {
+    if (this.allocatorTerm === this.ownership.term) return
+    this.allocatorTerm = this.ownership.term
+    this.allocator = new SlotAllocator(this.ownership.term === 1 ? -Infinity : monotonicNow() + GRANT_VALID_MILLISECONDS + GRANT_DRIFT_MARGIN_MILLISECONDS)
   }
 
   private report (): void {
-    const { owner } = this.ownership
+    const { owner, term } = this.ownership
     if (owner === undefined) return
-    const ownerKey = holderKey(owner)
-    if (ownerKey !== this.lastOwner) {
-      this.lastOwner = ownerKey
+    if (term !== this.lastTerm) {
+      this.lastTerm = term
       this.holder.onOwnerChanged()
     }
-    const { sequence, uses } = this.holder.startReport(monotonicNow())
+    this.lastReportAt = monotonicNow()
+    const { sequence, uses } = this.holder.startReport(this.lastReportAt)
     const report: LinkMessageOf<'slotReport'> = {
       type: 'slotReport',
       logicalTime: this.context.events.clock.tick(),
       sequence,
       appliedGrant: this.holder.appliedSequence,
-      term: this.ownership.term,
+      term,
       demand: { ...this.demandByPool() },
-      uses
+      uses,
+      leaving: this.leaving
     }
     if (owner.instance !== this.context.settings.instance) this.links.send(owner.instance, report)
-    else this.answerReport(ownerKey, report, grants => this.applyGrants(grants))
+    else this.onReport(owner.instance, holderKey(owner), report)
   }
 
-  private answerReport (holder: string, report: LinkMessageOf<'slotReport'>, answer: (grants: LinkMessageOf<'slotGrants'>) => void): void {
+  private onReport (instance: string, holder: string, report: LinkMessageOf<'slotReport'>): void {
     const text = this.configuration.inForce?.text
-    if (this.allocator === undefined || text === undefined || report.term !== this.ownership.term || !this.ownership.isOwner()) return
+    if (this.allocator === undefined || text === undefined || report.term !== this.allocatorTerm || !this.mayGrant()) return
     this.allocator.setExecutors(executorLimits(text, this.membership, this.context.settings.failureDomain))
-    const { sequence, grants } = this.allocator.onReport(holder, report, monotonicNow())
-    answer({
+    this.instanceOfHolder.set(holder, instance)
+    this.noteEndedProcesses(instance, holder)
+    for (const decision of this.allocator.onReport(holder, report, monotonicNow())) {
+      if (this.mayGrant()) this.sendGrants(decision)
+    }
+  }
+
+  private mayGrant (): boolean {
+    return this.allocatorTerm === this.ownership.term && this.ownership.isOwner()
+  }
+
+  private sendGrants (decision: HolderGrants): void {
+    const message: LinkMessageOf<'slotGrants'> = {
       type: 'slotGrants',
       logicalTime: this.context.events.clock.tick(),
-      term: this.ownership.term,
-      sequence,
-      answersReport: report.sequence,
+      term: this.allocatorTerm,
+      sequence: decision.sequence,
+      answersReport: decision.answersReport,
       validMilliseconds: GRANT_VALID_MILLISECONDS,
-      grants
-    })
+      grants: decision.grants
+    }
+    const instance = this.instanceOfHolder.get(decision.holder)
+    if (instance === this.context.settings.instance) this.applyGrants(message)
+    else if (instance !== undefined) this.links.send(instance, message)
+  }
+
+  /** A process has ended if its successor reports or the instance list no longer shows its instance. */
+  private noteEndedProcesses (reporter: string, holder: string): void {
+    const listIsFresh = this.membership.ageMilliseconds(monotonicNow()) < LIST_FRESHNESS_MILLISECONDS
+    const remaining = new Set(this.allocator?.holderKeys())
+    for (const [key, instance] of this.instanceOfHolder) {
+      const replaced = instance === reporter && key !== holder
+      const unlisted = listIsFresh && key !== holder && this.membership.find(instance) === undefined
+      if (replaced || unlisted) this.allocator?.onProcessEnded(key)
+      if (!remaining.has(key) && key !== holder) this.instanceOfHolder.delete(key)
+    }
   }
 
   private applyGrants (grants: LinkMessageOf<'slotGrants'>): void {
-    if (grants.term === this.ownership.term && this.holder.applyGrants(grants)) this.didChange.fire()
+    if (grants.term !== this.ownership.term || grants.term !== this.lastTerm || !this.holder.applyGrants(grants)) return
+    this.didChange.fire()
   }
 }
 
--- a/src/links/executorClient.ts
+++ b/src/links/executorClient.ts
@@ -1,7 +1,7 @@
 import type { Readable } from 'node:stream'
-import { Pool } from 'undici'
 import { DisposableObject, toDisposable } from '../base/disposable.js'
-import { isConnectFailure } from './workerClient.js'
+import { Emitter, type Event } from '../base/emitter.js'
+import { ConnectionSet } from './connectionSet.js'
 
 /** A request as it goes to an executor: hop-by-hop headers are removed. */
 export interface OutgoingRequest {
@@ -9,7 +9,7 @@
   /** Path and query. */
   readonly path: string
   readonly headers: Readonly<Record<string, string | string[]>>
-  readonly body: Buffer | undefined
+  readonly body: Buffer | Readable | undefined
 }
 
 /** Head of an executor's answer with its body to be read. */
@@ -26,56 +26,75 @@
 
 export type ExecutorResult = { readonly kind: 'answer', readonly answer: ExecutorAnswer } | ExecutorFailure
 
+/** Connections to an address that are open, opening or closing. */
+export interface ConnectionCount {
+  readonly address: string
+  readonly open: number
+}
+
 /** Header by which an executor states that it has not run the request that it refuses. */
 export const NOT_RUN_HEADER = 'request-not-run'
 
 /** Sends requests to executors of the own failure domain. */
 export abstract class ExecutorClient extends DisposableObject {
-  /** Does not reject. Resolves once the head of the answer is there; `timeoutMilliseconds` bounds the wait for it. */
-  abstract send (address: string, request: OutgoingRequest, timeoutMilliseconds: number, connections: number, signal: AbortSignal): Promise<ExecutorResult>
+  protected readonly didChangeConnections = this.register(new Emitter<ConnectionCount>())
+  readonly onDidChangeConnections: Event<ConnectionCount> = this.didChangeConnections.event
+
+  /**
+   * Does not reject. Resolves once the head of the answer is there; `timeoutMilliseconds` bounds the wait for it.
+   * `connections` is the most that may be open to the address. `mayStart` is asked right before the first byte goes out.
+   */
+  abstract send (address: string, request: OutgoingRequest, timeoutMilliseconds: number, connections: number, signal: AbortSignal, mayStart: () => boolean): Promise<ExecutorResult>
+
+  /** Lowers the connections that may be open to an address; idle ones above the limit are closed at once. */
+  limitConnections (_address: string, _connections: number): void {}
 }
 
-const IDLE_MILLISECONDS = 4000
-const CONNECT_TIMEOUT_MILLISECONDS = 500
+class TimedOutError extends Error {}
 
-/** HTTP/1.1 with one pool of connections an executor and no pipelining. */
+/** HTTP/1.1 without pipelining. */
 export class HttpExecutorClient extends ExecutorClient {
-  private readonly pools = new Map<string, { pool: Pool, connections: number }>()
+  private readonly sets = new Map<string, ConnectionSet>()
 
   constructor () {
     super()
     this.register(toDisposable(() => {
-      for (const { pool } of this.pools.values()) pool.destroy()
+      for (const set of this.sets.values()) set.dispose()
     }))
   }
 
-  override async send (address: string, request: OutgoingRequest, timeoutMilliseconds: number, connections: number, signal: AbortSignal): Promise<ExecutorResult> {
-    let bytesMayHaveBeenSent = false
+  override async send (address: string, request: OutgoingRequest, timeoutMilliseconds: number, connections: number, signal: AbortSignal, mayStart: () => boolean): Promise<ExecutorResult> {
+    const set = this.setFor(address)
+    set.limit(connections)
+    const connection = set.take()
+    if (connection === undefined) return { kind: 'notSent', reason: 'no connection is free' }
+    const timeout = new AbortController()
+    const timer = setTimeout(() => timeout.abort(new TimedOutError('no answer in time')), timeoutMilliseconds)
+    let started = false
+    const gate = { mayStart, onStart: () => { started = true } }
     try {
-      const answer = await this.poolFor(address, connections).request({
-        method: request.method as 'GET',
-        path: request.path,
-        headers: request.headers as Record<string, string | string[]>,
-        body: request.body,
-        headersTimeout: timeoutMilliseconds,
-        bodyTimeout: timeoutMilliseconds,
-        signal,
-        onInfo: () => { bytesMayHaveBeenSent = true }
-      })
+      const answer = await connection.request(request, timeoutMilliseconds, AbortSignal.any([signal, timeout.signal]), gate)
       return { kind: 'answer', answer: { status: answer.statusCode, headers: answer.headers as Record<string, string | string[]>, body: answer.body } }
     } catch (error) {
-      if (!bytesMayHaveBeenSent && isConnectFailure(error)) return { kind: 'notSent', reason: String(error) }
-      const timedOut = (error as { code?: string }).code === 'UND_ERR_HEADERS_TIMEOUT'
-      return { kind: 'mayHaveRun', reason: String(error), timedOut }
+      if (!started) return { kind: 'notSent', reason: String(error) }
+      return { kind: 'mayHaveRun', reason: String(error), timedOut: timeout.signal.aborted }
+    } finally {
+      clearTimeout(timer)
     }
   }
 
-  private poolFor (address: string, connections: number): Pool {
-    const existing = this.pools.get(address)
-    if (existing !== undefined && existing.connections === connections) return existing.pool
-    existing?.pool.close()
-    const pool = new Pool(address, { connections, pipelining: 1, keepAliveTimeout: IDLE_MILLISECONDS, connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS } })
-    this.pools.set(address, { pool, connections })
-    return pool
+  override limitConnections (address: string, connections: number): void {
+    this.sets.get(address)?.limit(connections)
+  }
+
+  private setFor (address: string): ConnectionSet {
+    const existing = this.sets.get(address)
+    if (existing !== undefined) return existing
+    const set = new ConnectionSet(address, open => {
+      if (open === 0) this.sets.delete(address)
+      this.didChangeConnections.fire({ address, open })
+    })
+    this.sets.set(address, set)
+    return set
   }
 }
--- a/src/programs/wiring.ts
+++ b/src/programs/wiring.ts
@@ -92,7 +92,7 @@
   const ownership = own(new OwnershipTask(context, ownershipFollower, ownershipAppender, links, membership.membership))
   const slots = own(new SlotTask(context, ownership, configuration, membership.membership, links, () => frontDoor.demand()))
   const executorClient = own(connections.executors)
-  const frontDoor: FrontDoor = own(new FrontDoor(context, configuration, membership.membership, slots.holder, executorClient, new LeastExpectedTimeChooser()))
+  const frontDoor: FrontDoor = own(new FrontDoor(context, configuration, membership.membership, slots.holder, executorClient, new LeastExpectedTimeChooser(), () => slots.requestSlots()))
   own(slots.onDidChangeGrants(() => frontDoor.dispatchAll()))
   const jobs = own(new JobTask(context, configuration, jobFollower, createAppender))
   const placement = own(new PlacementTask(context, ownership, configuration, membership.membership, jobs, connections.workers))
--- a/src/requests/slotAllocator.ts
+++ b/src/requests/slotAllocator.ts
@@ -1,4 +1,5 @@
-import type { LinkMessageOf, SlotGrant } from '../contracts/linkMessages.js'
+import type { LinkMessageOf, SlotGrant, SlotUse } from '../contracts/linkMessages.js'
+import { divideProportionally, hashOf } from './proportionalDivision.js'
 
 /** Limits of one executor as the site text states them. */
 export interface ExecutorLimits {
@@ -10,128 +11,243 @@
   readonly maximumRunMilliseconds: number
 }
 
+/** A holder's report as the allocator reads it. */
+export type HolderReport = Pick<LinkMessageOf<'slotReport'>, 'sequence' | 'appliedGrant' | 'demand' | 'uses' | 'leaving'>
+
+/** Grants to be sent to one holder. */
+export interface HolderGrants {
+  readonly holder: string
+  readonly sequence: number
+  readonly answersReport: number
+  readonly grants: SlotGrant[]
+}
+
 /** How long a grant is valid, measured by its holder from before it sent the report that the grant answers. */
 export const GRANT_VALID_MILLISECONDS = 10_000
-/** Added by the owner when it waits for a grant to end. */
-const GRANT_DRIFT_MARGIN_MILLISECONDS = 500
+/** Added by the owner when it waits for a grant to end: 1 % clock drift over a grant, and scheduling delay. */
+export const GRANT_DRIFT_MARGIN_MILLISECONDS = 500
+/** A holder that has not reported for this long gets no share of what becomes free. */
+const SILENT_MILLISECONDS = 2000
+/** Unconfirmed grants remembered one by one; older ones are merged into their maximum. */
+const MAXIMUM_UNCONFIRMED = 32
+
+interface Amount {
+  readonly slots: number
+  readonly connections: number
+}
 
+/** What a holder may be using of one executor. */
 interface Commitment {
-  /** Slots that the holder may be using. */
   slots: number
-  granted: number
+  connections: number
+  /** Grants sent that the holder has not confirmed, oldest first. */
+  unconfirmed: Array<Amount & { sequence: number }>
+  /** Last amount sent. */
+  granted: Amount
   expiresAt: number
+  /** Greatest maximum run time while the commitment lasted. */
+  maximumRunMilliseconds: number
 }
 
 interface HolderState {
   readonly commitments: Map<string, Commitment>
   demand: Readonly<Record<string, number>>
+  running: Readonly<Record<string, number>>
+  leaving: boolean
   lastReportAt: number
-  lastSequence: number
+  lastReport: number
 }
 
+const NOTHING: Amount = { slots: 0, connections: 0 }
+
 /**
- * The owner's division of executor slots among the entry instances of its failure domain.
- * The sum of what holders may be using never exceeds an executor's slots. Times are monotonic milliseconds.
+ * The owner's division of executor slots and connections among the entry instances of its failure domain.
+ * The sum of what holders may be using never exceeds an executor's limits. Times are monotonic milliseconds.
  */
 export class SlotAllocator {
   private readonly holders = new Map<string, HolderState>()
+  /** Slots and connections by executor that holders brought from an earlier owner's grants. */
+  private readonly brought = new Map<string, Amount>()
+  /** Holders that have reported; a holder brings earlier grants only with its first report. */
+  private readonly seen = new Set<string>()
   private executors = new Map<string, ExecutorLimits>()
   private sequence = 0
 
-  /** @param unknownHoldersUntilGrantEnd Time from which grants of an earlier owner have ended; -Infinity if there was none. */
+  /** @param earlierGrantsEnd Time from which all grants of an earlier owner have ended; -Infinity if there was none. */
   constructor (private readonly earlierGrantsEnd: number) {}
 
   setExecutors (executors: readonly ExecutorLimits[]): void {
     this.executors = new Map(executors.map(executor => [executor.name, executor]))
   }
 
-  /** Handles a holder's report and returns its new grants. `holder` differs between incarnations. */
-  onReport (holder: string, report: Pick<LinkMessageOf<'slotReport'>, 'appliedGrant' | 'demand' | 'uses'>, now: number): { sequence: number, grants: SlotGrant[] } {
-    const state = this.holders.get(holder) ?? { commitments: new Map<string, Commitment>(), demand: {}, lastReportAt: now, lastSequence: -1 }
+  /**
+   * Handles a holder's report. Returns the grants that answer it, then new grants of other holders where slots
+   * are to move at once. A report that is not newer than the last one is ignored. `holder` differs between incarnations.
+   */
+  onReport (holder: string, report: HolderReport, now: number): HolderGrants[] {
+    this.dropEnded(now)
+    const known = this.holders.get(holder)
+    if (known !== undefined && report.sequence <= known.lastReport) return []
+    const state = known ?? { commitments: new Map<string, Commitment>(), demand: {}, running: {}, leaving: false, lastReportAt: now, lastReport: 0 }
     this.holders.set(holder, state)
     state.demand = report.demand
+    state.leaving = report.leaving
     state.lastReportAt = now
-    const acknowledged = report.appliedGrant === state.lastSequence
-    for (const use of report.uses) this.noteUse(state, use.executor, use.held, use.inFlight, acknowledged, now)
-    this.dropEnded(now)
-    return this.grantTo(holder, state, now)
+    state.lastReport = report.sequence
+    this.noteUses(state, report, !this.seen.has(holder), now)
+    this.seen.add(holder)
+    return this.decide(holder, now)
   }
 
-  /** Forgets a holder that has returned all its grants on a planned stop. */
-  onReturned (holder: string): void {
-    this.holders.delete(holder)
+  /** Forgets the connections of holders whose process has certainly ended, which closed them. */
+  onProcessEnded (holder: string): void {
+    for (const commitment of this.holders.get(holder)?.commitments.values() ?? []) commitment.connections = 0
+  }
+
+  /** Holders that have not been forgotten. */
+  holderKeys (): string[] {
+    return [...this.holders.keys()]
   }
 
   /** Slots of an executor that holders may be using at `now`. */
   committedSlots (executor: string, now: number): number {
     this.dropEnded(now)
-    let sum = 0
-    for (const state of this.holders.values()) sum += state.commitments.get(executor)?.slots ?? 0
-    return sum
+    return this.committed(executor).slots
+  }
+
+  private noteUses (state: HolderState, report: HolderReport, isFirst: boolean, now: number): void {
+    const uses = new Map(report.uses.map(use => [use.executor, use]))
+    const running: Record<string, number> = {}
+    for (const executor of new Set([...state.commitments.keys(), ...uses.keys()])) {
+      const use = uses.get(executor) ?? { executor, held: 0, inFlight: 0, connections: 0 }
+      const commitment = this.noteUse(state, use, report.appliedGrant, now)
+      if (isFirst) this.noteBrought(executor, commitment)
+      const pool = this.executors.get(executor)?.pool
+      if (pool !== undefined) running[pool] = (running[pool] ?? 0) + use.inFlight
+    }
+    state.running = running
+  }
+
+  /** A leaving holder has returned everything and applies no grant any more. Another may use what it reports and whatever grant it has not confirmed; confirmed older grants no longer count. */
+  private noteUse (state: HolderState, use: SlotUse, appliedGrant: number, now: number): Commitment {
+    const commitment = state.commitments.get(use.executor) ?? this.emptyCommitment(use.executor, now)
+    state.commitments.set(use.executor, commitment)
+    commitment.unconfirmed = state.leaving ? [] : commitment.unconfirmed.filter(grant => grant.sequence > appliedGrant)
+    commitment.slots = Math.max(use.held, use.inFlight, ...commitment.unconfirmed.map(grant => grant.slots))
+    commitment.connections = Math.max(use.connections, ...commitment.unconfirmed.map(grant => grant.connections))
+    commitment.expiresAt = now + GRANT_VALID_MILLISECONDS + GRANT_DRIFT_MARGIN_MILLISECONDS
+    commitment.maximumRunMilliseconds = Math.max(commitment.maximumRunMilliseconds, this.executors.get(use.executor)?.maximumRunMilliseconds ?? 0)
+    return commitment
+  }
+
+  private emptyCommitment (executor: string, now: number): Commitment {
+    return { slots: 0, connections: 0, unconfirmed: [], granted: NOTHING, expiresAt: now, maximumRunMilliseconds: this.executors.get(executor)?.maximumRunMilliseconds ?? 0 }
+  }
+
+  private noteBrought (executor: string, commitment: Commitment): void {
+    const before = this.brought.get(executor) ?? NOTHING
+    this.brought.set(executor, { slots: before.slots + commitment.slots, connections: before.connections + commitment.connections })
   }
 
-  private noteUse (state: HolderState, executor: string, held: number, inFlight: number, acknowledged: boolean, now: number): void {
-    const commitment = state.commitments.get(executor)
-    if (commitment === undefined) {
-      state.commitments.set(executor, { slots: Math.max(held, inFlight), granted: held, expiresAt: now + GRANT_VALID_MILLISECONDS + GRANT_DRIFT_MARGIN_MILLISECONDS })
-      return
+  /** Answers the reporter; others get new grants only when a holder with waiting requests gains from it. */
+  private decide (reporter: string, now: number): HolderGrants[] {
+    const shares = new Map<string, Map<string, number>>()
+    const live = [...this.holders].filter(([, state]) => !state.leaving && now - state.lastReportAt < SILENT_MILLISECONDS)
+    for (const executor of this.executors.values()) shares.set(executor.name, shareOf(executor, live))
+    const hungry = live.some(([, state]) => isHungry(state))
+    const decisions: HolderGrants[] = []
+    const others = live.filter(([name]) => name !== reporter)
+    for (const [name, state] of [...live.filter(([name]) => name === reporter), ...others]) {
+      if (name === reporter || (hungry && this.isChanged(state, name, shares, live.length, now))) decisions.push(this.grantTo(name, state, shares, live.length, now))
     }
-    commitment.slots = acknowledged ? Math.max(commitment.granted, inFlight) : Math.max(commitment.slots, held, inFlight)
+    return decisions
   }
 
-  private grantTo (holder: string, state: HolderState, now: number): { sequence: number, grants: SlotGrant[] } {
+  /** Whether new grants take slots from a holder that does not need them or give slots to one that waits for them. */
+  private isChanged (state: HolderState, holder: string, shares: ReadonlyMap<string, ReadonlyMap<string, number>>, holders: number, now: number): boolean {
+    const hungry = isHungry(state)
+    for (const executor of this.executors.values()) {
+      const { slots } = this.amountFor(executor, state, shares.get(executor.name)?.get(holder) ?? 0, holders, now)
+      const before = state.commitments.get(executor.name)?.granted.slots ?? 0
+      if (hungry ? slots > before : slots < before) return true
+    }
+    return false
+  }
+
+  private grantTo (holder: string, state: HolderState, shares: ReadonlyMap<string, ReadonlyMap<string, number>>, holders: number, now: number): HolderGrants {
     this.sequence += 1
-    state.lastSequence = this.sequence
     const grants: SlotGrant[] = []
     for (const executor of this.executors.values()) {
-      const commitment = state.commitments.get(executor.name) ?? { slots: 0, granted: 0, expiresAt: now }
-      const slots = Math.min(this.share(executor, holder), commitment.slots + this.available(executor, now))
-      commitment.slots = Math.max(commitment.slots, slots)
-      commitment.granted = slots
-      commitment.expiresAt = now + GRANT_VALID_MILLISECONDS + GRANT_DRIFT_MARGIN_MILLISECONDS
+      const amount = this.amountFor(executor, state, shares.get(executor.name)?.get(holder) ?? 0, holders, now)
+      const commitment = state.commitments.get(executor.name) ?? this.emptyCommitment(executor.name, now)
       state.commitments.set(executor.name, commitment)
-      grants.push({ executor: executor.name, slots, connections: Math.max(slots, Math.floor(executor.connections / Math.max(1, this.holders.size))) })
+      commitment.slots = Math.max(commitment.slots, amount.slots)
+      commitment.connections = Math.max(commitment.connections, amount.connections)
+      commitment.granted = amount
+      commitment.unconfirmed.push({ sequence: this.sequence, ...amount })
+      if (commitment.unconfirmed.length > MAXIMUM_UNCONFIRMED) mergeOldest(commitment.unconfirmed)
+      commitment.expiresAt = state.lastReportAt + GRANT_VALID_MILLISECONDS + GRANT_DRIFT_MARGIN_MILLISECONDS
+      commitment.maximumRunMilliseconds = Math.max(commitment.maximumRunMilliseconds, executor.maximumRunMilliseconds)
+      grants.push({ executor: executor.name, ...amount })
     }
-    return { sequence: this.sequence, grants }
-  }
-
-  /** Slots that nobody may be using. While an earlier owner's grants may be valid, slots that no holder has reported are not available. */
-  private available (executor: ExecutorLimits, now: number): number {
-    if (now < this.earlierGrantsEnd + executor.maximumRunMilliseconds) return 0
-    return executor.slots - this.committedSlots(executor.name, now)
-  }
-
-  /** The holder's share of an executor by reported demand, by largest remainder; the shares add up to the slots. */
-  private share (executor: ExecutorLimits, holder: string): number {
-    const names = [...this.holders.keys()].sort()
-    const weights = names.map(name => 1 + (this.holders.get(name)?.demand[executor.pool] ?? 0))
-    const total = weights.reduce((sum, weight) => sum + weight, 0)
-    const exact = weights.map(weight => executor.slots * weight / total)
-    const shares = exact.map(Math.floor)
-    const order = exact.map((value, index) => ({ index, remainder: value - Math.floor(value) })).sort((left, right) => right.remainder - left.remainder || left.index - right.index)
-    const offset = hashOf(executor.name) % names.length
-    let left = executor.slots - shares.reduce((sum, value) => sum + value, 0)
-    for (let step = 0; left > 0; step += 1) {
-      const { index } = order[(step + offset) % order.length] as { index: number }
-      shares[index] = (shares[index] ?? 0) + 1
-      left -= 1
+    return { holder, sequence: this.sequence, answersReport: state.lastReport, grants }
+  }
+
+  private amountFor (executor: ExecutorLimits, state: HolderState, share: number, holders: number, now: number): Amount {
+    const usable = this.usable(executor, now)
+    const committed = this.committed(executor.name)
+    const own = state.commitments.get(executor.name) ?? NOTHING
+    const slots = Math.max(0, Math.min(share, own.slots + usable.slots - committed.slots))
+    const spare = Math.max(0, Math.floor((executor.connections - executor.slots) / Math.max(1, holders)))
+    const connections = Math.max(0, Math.min(slots + spare, own.connections + usable.connections - committed.connections))
+    return { slots: Math.min(slots, connections), connections }
+  }
+
+  /** While requests of an earlier owner's grants may run, only what its holders have brought is divided. */
+  private usable (executor: ExecutorLimits, now: number): Amount {
+    if (now >= this.earlierGrantsEnd + executor.maximumRunMilliseconds) return executor
+    const brought = this.brought.get(executor.name) ?? NOTHING
+    return { slots: Math.min(executor.slots, brought.slots), connections: Math.min(executor.connections, brought.connections) }
+  }
+
+  private committed (executor: string): Amount {
+    let slots = 0
+    let connections = 0
+    for (const state of this.holders.values()) {
+      slots += state.commitments.get(executor)?.slots ?? 0
+      connections += state.commitments.get(executor)?.connections ?? 0
     }
-    return shares[names.indexOf(holder)] ?? 0
+    return { slots, connections }
   }
 
+  /** A paused process keeps its connections open, so that those outlast its grants until it reports or has ended. */
   private dropEnded (now: number): void {
     for (const [name, state] of this.holders) {
       for (const [executor, commitment] of state.commitments) {
-        const maximumRun = this.executors.get(executor)?.maximumRunMilliseconds ?? 0
-        if (now >= commitment.expiresAt + maximumRun) state.commitments.delete(executor)
+        if (now >= commitment.expiresAt + commitment.maximumRunMilliseconds) commitment.slots = 0
+        if (commitment.slots === 0 && commitment.connections === 0 && now >= commitment.expiresAt) state.commitments.delete(executor)
       }
-      if (state.commitments.size === 0 && now - state.lastReportAt > GRANT_VALID_MILLISECONDS) this.holders.delete(name)
+      if (state.commitments.size === 0 && now - state.lastReportAt > GRANT_VALID_MILLISECONDS + GRANT_DRIFT_MARGIN_MILLISECONDS) this.holders.delete(name)
     }
   }
 }
 
-function hashOf (text: string): number {
-  let hash = 0
-  for (let index = 0; index < text.length; index += 1) hash = (hash * 31 + text.charCodeAt(index)) >>> 0
-  return hash
+/** Whether requests wait at a holder for lack of slots. */
+function isHungry (state: HolderState): boolean {
+  return Object.entries(state.demand).some(([pool, demand]) => demand > (state.running[pool] ?? 0))
+}
+
+/** Shares of an executor's slots by reported demand. */
+function shareOf (executor: ExecutorLimits, live: ReadonlyArray<[string, HolderState]>): Map<string, number> {
+  const sorted = [...live].sort(([left], [right]) => left < right ? -1 : 1)
+  const weights = sorted.map(([, state]) => 1 + (state.demand[executor.pool] ?? 0))
+  const shares = divideProportionally(executor.slots, weights, hashOf(executor.name))
+  return new Map(sorted.map(([name], index) => [name, shares[index] ?? 0]))
+}
+
+function mergeOldest (unconfirmed: Array<Amount & { sequence: number }>): void {
+  const first = unconfirmed.shift()
+  const second = unconfirmed[0]
+  if (first === undefined || second === undefined) return
+  unconfirmed[0] = { sequence: second.sequence, slots: Math.max(first.slots, second.slots), connections: Math.max(first.connections, second.connections) }
 }
--- a/src/requests/slotHolder.ts
+++ b/src/requests/slotHolder.ts
@@ -1,18 +1,24 @@
-import type { LinkMessageOf, SlotGrant, SlotUse } from '../contracts/linkMessages.js'
+import type { LinkMessageOf, SlotUse } from '../contracts/linkMessages.js'
 
 interface HeldSlots {
   granted: number
   connections: number
   inFlight: number
+  /** Connections that are open, opening or closing. */
+  open: number
 }
 
-/** Slots that this entry instance holds on the executors of its failure domain. Times are monotonic milliseconds. */
+/** Reports whose time is remembered, so that a late grant can be dated. */
+const REMEMBERED_REPORTS = 1000
+
+/** Slots and connections that this entry instance holds on the executors of its failure domain. Times are monotonic milliseconds. */
 export class SlotHolder {
   private readonly held = new Map<string, HeldSlots>()
   private readonly reportTimes = new Map<number, number>()
   private reportSequence = 0
   private appliedGrant = -1
   private validUntil = -Infinity
+  private returned = false
 
   /** Grant sequence that was applied last. */
   get appliedSequence (): number {
@@ -23,23 +29,33 @@
   startReport (now: number): { sequence: number, uses: SlotUse[] } {
     this.reportSequence += 1
     this.reportTimes.set(this.reportSequence, now)
-    this.reportTimes.delete(this.reportSequence - 100)
+    this.reportTimes.delete(this.reportSequence - REMEMBERED_REPORTS)
     const expired = now >= this.validUntil
-    const uses = [...this.held].map(([executor, slots]) => ({ executor, held: expired ? 0 : slots.granted, inFlight: slots.inFlight }))
+    const uses = [...this.held].map(([executor, slots]) => ({
+      executor,
+      held: expired ? 0 : slots.granted,
+      inFlight: slots.inFlight,
+      connections: Math.max(slots.open, expired ? 0 : slots.connections)
+    }))
     return { sequence: this.reportSequence, uses }
   }
 
-  /** Applies grants; returns false for those that answer an unknown report or are older than the applied ones. */
+  /** Applies grants; returns false for those that answer an unknown report or are not newer than the applied ones, and after `returnAll`. */
   applyGrants (message: Pick<LinkMessageOf<'slotGrants'>, 'sequence' | 'answersReport' | 'validMilliseconds' | 'grants'>): boolean {
     const reportedAt = this.reportTimes.get(message.answersReport)
-    if (reportedAt === undefined) return false
+    if (reportedAt === undefined || message.sequence <= this.appliedGrant || this.returned) return false
     this.appliedGrant = message.sequence
     this.validUntil = reportedAt + message.validMilliseconds
-    for (const slots of this.held.values()) slots.granted = 0
-    for (const grant of message.grants) this.applyGrant(grant)
-    for (const [executor, slots] of this.held) {
-      if (slots.granted === 0 && slots.inFlight === 0) this.held.delete(executor)
+    for (const slots of this.held.values()) {
+      slots.granted = 0
+      slots.connections = 0
     }
+    for (const grant of message.grants) {
+      const slots = this.entry(grant.executor)
+      slots.granted = grant.slots
+      slots.connections = grant.connections
+    }
+    this.forgetUnused()
     return true
   }
 
@@ -49,6 +65,16 @@
     this.appliedGrant = -1
   }
 
+  /** Gives every grant back for good, on a planned stop. What is in flight keeps counting until it has ended. */
+  returnAll (): void {
+    this.returned = true
+    for (const slots of this.held.values()) {
+      slots.granted = 0
+      slots.connections = 0
+    }
+    this.forgetUnused()
+  }
+
   /** Free slots on an executor; 0 once the grants have ended. */
   free (executor: string, now: number): number {
     if (now >= this.validUntil) return 0
@@ -61,32 +87,53 @@
     return now < this.validUntil && [...this.held.values()].some(slots => slots.granted > 0)
   }
 
-  connections (executor: string): number {
-    return Math.max(1, this.held.get(executor)?.connections ?? 1)
+  /** Connections that may be open to an executor; 0 once the grants have ended. */
+  connections (executor: string, now: number): number {
+    return now >= this.validUntil ? 0 : this.held.get(executor)?.connections ?? 0
   }
 
   inFlight (executor: string): number {
     return this.held.get(executor)?.inFlight ?? 0
   }
 
-  /** Takes a slot. To be called right before bytes go out; returns false if none is held any more. */
+  /** Takes a slot; returns false if none is held any more. */
   acquire (executor: string, now: number): boolean {
     if (this.free(executor, now) === 0) return false
-    const slots = this.held.get(executor) as HeldSlots
-    slots.inFlight += 1
+    this.entry(executor).inFlight += 1
     return true
   }
 
+  /**
+   * Whether a request that has acquired a slot may start. To be asked right before bytes go out, since the grants may
+   * end while a connection is opened. A grant that was only lowered meanwhile is no obstacle: reports count the slot.
+   */
+  mayStart (now: number): boolean {
+    return now < this.validUntil
+  }
+
   /** Gives a slot back once the request is known to have ended. */
   release (executor: string): void {
     const slots = this.held.get(executor)
-    if (slots !== undefined && slots.inFlight > 0) slots.inFlight -= 1
+    if (slots === undefined || slots.inFlight === 0) return
+    slots.inFlight -= 1
+    this.forgetUnused()
+  }
+
+  /** Notes how many connections to an executor are open, opening or closing. */
+  noteConnections (executor: string, open: number): void {
+    this.entry(executor).open = open
+    this.forgetUnused()
   }
 
-  private applyGrant (grant: SlotGrant): void {
-    const slots = this.held.get(grant.executor) ?? { granted: 0, connections: 1, inFlight: 0 }
-    slots.granted = grant.slots
-    slots.connections = grant.connections
-    this.held.set(grant.executor, slots)
+  private entry (executor: string): HeldSlots {
+    const slots = this.held.get(executor) ?? { granted: 0, connections: 0, inFlight: 0, open: 0 }
+    this.held.set(executor, slots)
+    return slots
+  }
+
+  private forgetUnused (): void {
+    for (const [executor, slots] of this.held) {
+      if (slots.granted === 0 && slots.connections === 0 && slots.inFlight === 0 && slots.open === 0) this.held.delete(executor)
+    }
   }
 }
--- /dev/null
+++ b/test/links/executorClient.test.ts
@@ -0,0 +1,160 @@
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { describe, it } from 'node:test'
+import { HttpExecutorClient, type ExecutorResult, type OutgoingRequest } from '../../src/links/executorClient.js'
+
+const REQUEST: OutgoingRequest = { method: 'POST', path: '/', headers: {}, body: Buffer.from('body') }
+const NEVER = new AbortController().signal
+
+interface Peer {
+  readonly address: string
+  readonly sockets: Set<Socket>
+  received: string
+  mostSockets: number
+  close (): void
+}
+
+async function listen (onData: (socket: Socket, text: string, peer: Peer) => void): Promise<Peer> {
+  const server: Server = createServer(socket => {
+    peer.sockets.add(socket)
+    peer.mostSockets = Math.max(peer.mostSockets, peer.sockets.size)
+    socket.on('close', () => peer.sockets.delete(socket))
+    socket.on('error', () => {})
+    socket.on('data', data => {
+      peer.received += data.toString()
+      onData(socket, data.toString(), peer)
+    })
+  })
+  const peer: Peer = { address: '', sockets: new Set(), received: '', mostSockets: 0, close: () => {} }
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return Object.assign(peer, {
+    address: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    close: () => {
+      for (const socket of peer.sockets) socket.destroy()
+      server.close()
+    }
+  })
+}
+
+function answer (socket: Socket): void {
+  socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok')
+}
+
+async function read (result: ExecutorResult): Promise<string> {
+  if (result.kind !== 'answer') return result.kind
+  let text = ''
+  for await (const chunk of result.answer.body) text += String(chunk)
+  return text
+}
+
+interface Case {
+  readonly name: string
+  readonly onData: (socket: Socket, text: string, peer: Peer) => void
+  readonly run: (client: HttpExecutorClient, peer: Peer) => Promise<void>
+}
+
+/** Each case guards against a wrong statement that a request was not sent, or against connections above the limit. */
+const CASES: readonly Case[] = [
+  {
+    name: 'a reused connection that its peer closes after the request gives mayHaveRun',
+    onData: (socket, _text, peer) => {
+      if (peer.received.split('POST').length > 2) socket.destroy()
+      else answer(socket)
+    },
+    run: async (client, peer) => {
+      assert.equal(await read(await client.send(peer.address, REQUEST, 1000, 1, NEVER, () => true)), 'ok')
+      const second = await client.send(peer.address, REQUEST, 1000, 1, NEVER, () => true)
+      assert.equal(second.kind, 'mayHaveRun')
+      assert.equal(peer.received.split('POST').length, 3)
+    }
+  },
+  {
+    name: 'a request whose grant has ended while the connection was opened is not sent',
+    onData: socket => answer(socket),
+    run: async (client, peer) => {
+      const result = await client.send(peer.address, REQUEST, 1000, 1, NEVER, () => false)
+      assert.equal(result.kind, 'notSent')
+      assert.equal(peer.received, '')
+    }
+  },
+  {
+    name: 'an abort before the request is sent gives notSent',
+    onData: socket => answer(socket),
+    run: async (client, peer) => {
+      const result = await client.send(peer.address, REQUEST, 1000, 1, AbortSignal.abort(), () => true)
+      assert.equal(result.kind, 'notSent')
+      assert.equal(peer.received, '')
+    }
+  },
+  {
+    name: 'an abort after the request was sent gives mayHaveRun',
+    onData: () => {},
+    run: async (client, peer) => {
+      const caller = new AbortController()
+      const pending = client.send(peer.address, REQUEST, 5000, 1, caller.signal, () => true)
+      while (peer.received === '') await new Promise(resolve => setImmediate(resolve))
+      caller.abort()
+      const result = await pending
+      assert.deepEqual([result.kind, result.kind === 'mayHaveRun' && result.timedOut], ['mayHaveRun', false])
+    }
+  },
+  {
+    name: 'an answer that does not come in time gives mayHaveRun, timed out',
+    onData: () => {},
+    run: async (client, peer) => {
+      const result = await client.send(peer.address, REQUEST, 50, 1, NEVER, () => true)
+      assert.deepEqual([result.kind, result.kind === 'mayHaveRun' && result.timedOut], ['mayHaveRun', true])
+    }
+  },
+  {
+    name: 'a refused connection gives notSent',
+    onData: () => {},
+    run: async (client, peer) => {
+      peer.close()
+      assert.equal((await client.send(peer.address, REQUEST, 1000, 1, NEVER, () => true)).kind, 'notSent')
+    }
+  },
+  {
+    name: 'a late answer to a request that was given up reaches no other request',
+    onData: (socket, text) => {
+      if (text.includes('POST /late')) setTimeout(() => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate'), 80)
+      else answer(socket)
+    },
+    run: async (client, peer) => {
+      await client.send(peer.address, { ...REQUEST, path: '/late' }, 30, 2, NEVER, () => true)
+      for (let index = 0; index < 5; index += 1) assert.equal(await read(await client.send(peer.address, REQUEST, 1000, 2, NEVER, () => true)), 'ok')
+    }
+  },
+  {
+    name: 'connections stay within the limit, and idle ones above a lowered limit are closed',
+    onData: socket => setTimeout(() => answer(socket), 20),
+    run: async (client, peer) => {
+      const counts: number[] = []
+      client.onDidChangeConnections(({ open }) => counts.push(open))
+      const results = await Promise.all(Array.from({ length: 6 }, async () => await read(await client.send(peer.address, REQUEST, 1000, 4, NEVER, () => true))))
+      assert.deepEqual(results.sort(), ['notSent', 'notSent', 'ok', 'ok', 'ok', 'ok'])
+      assert.equal(peer.mostSockets, 4)
+      client.limitConnections(peer.address, 1)
+      while (peer.sockets.size > 1) await new Promise(resolve => setImmediate(resolve))
+      while (counts.at(-1) !== 1) await new Promise(resolve => setImmediate(resolve))
+      assert.equal(Math.max(...counts), 4)
+    }
+  }
+]
+
+describe('HttpExecutorClient', () => {
+  for (const { name, onData, run } of CASES) {
+    it(name, { timeout: 10_000 }, async () => {
+      const peer = await listen(onData)
+      const client = new HttpExecutorClient()
+      try {
+        await run(client, peer)
+      } finally {
+        client.dispose()
+        peer.close()
+      }
+    })
+  }
+})
