Hold resources of task attempts until they have certainly ended

Cause: the scheduler tied holds to the current attempt of a task. A refusal after a lost answer freed resources in use, a report that lacked a task was ignored while the task was renewed for ever, a failed report counted again on each repetition, a stop was sent once, stopping attempts were renewed, an attempt reported by a second worker was not counted, a job that became known after its tasks were reported was placed again, and one silent worker held back every start for 36 s after a change of owner.

TaskLedger now keeps one record for each attempt on each worker. It is freed by a report of its end, by a report requested after its confirmation that lacks it, by a refusal of a first start, or by a certain lapse. A 409 for a stale term ends the decisions of the owner. Finished tasks are recorded as jobProgress, at most one batch every 3 s.

--- a/src/contracts/records.ts
+++ b/src/contracts/records.ts
@@ -35,13 +35,15 @@
 const jobAccepted = z.strictObject({ type: z.literal('jobAccepted'), job: jobSchema, failureDomain: z.string() })
 const jobCancelRequested = z.strictObject({ type: z.literal('jobCancelRequested'), job: z.string() })
 const jobEnded = z.strictObject({ type: z.literal('jobEnded'), job: z.string(), outcome: jobOutcomeSchema, reason: z.string().optional(), atMilliseconds: z.number() })
+/** Finished tasks of an open job as ranges of task indexes, both ends included. Ranges of several records add up. */
+const jobProgress = z.strictObject({ type: z.literal('jobProgress'), job: z.string(), finished: z.array(z.tuple([z.number().int().nonnegative(), z.number().int().nonnegative()])) })
 const keyStarted = z.strictObject({ type: z.literal('keyStarted'), key: z.string(), request: z.string(), atMilliseconds: z.number() })
 const keyEnded = z.strictObject({ type: z.literal('keyEnded'), key: z.string(), request: z.string(), status: z.number().int(), body: z.string().optional(), contentType: z.string().optional(), atMilliseconds: z.number() })
 const keyNotRun = z.strictObject({ type: z.literal('keyNotRun'), key: z.string(), request: z.string() })
 
 export const recordBodySchema = z.discriminatedUnion('type', [
   configurationPublished, configurationRestated, instanceJoined, ownershipClaimed, ownershipRenewed, ownershipReleased,
-  jobAccepted, jobCancelRequested, jobEnded, keyStarted, keyEnded, keyNotRun
+  jobAccepted, jobCancelRequested, jobProgress, jobEnded, keyStarted, keyEnded, keyNotRun
 ])
 export type RecordBody = z.infer<typeof recordBodySchema>
 
--- a/src/contracts/resources.ts
+++ b/src/contracts/resources.ts
@@ -41,3 +41,7 @@
     demand.memoryBytes <= available.memoryBytes &&
     demand.accelerators <= available.accelerators
 }
+
+export function equalResources (left: Resources, right: Resources): boolean {
+  return left.processorsThousandths === right.processorsThousandths && left.memoryBytes === right.memoryBytes && left.accelerators === right.accelerators
+}
--- a/src/contracts/workerProtocol.ts
+++ b/src/contracts/workerProtocol.ts
@@ -5,6 +5,9 @@
 export const attemptSchema = z.strictObject({ term: z.number().int(), sequence: z.number().int() })
 export type Attempt = z.infer<typeof attemptSchema>
 
+/** Body of the 409 answer to a command with a lower term than the highest that the worker has seen. */
+export const STALE_TERM = 'stale term'
+
 /** State of a task on a worker. */
 export const taskStateSchema = z.enum(['running', 'finished', 'failed', 'stopped', 'checkpointed', 'leaseLapsed'])
 export type TaskState = z.infer<typeof taskStateSchema>
--- a/src/entry/jobTask.ts
+++ b/src/entry/jobTask.ts
@@ -9,7 +9,7 @@
 import type { LogAppender } from '../links/logAppender.js'
 import type { LogFollower } from '../links/logFollower.js'
 import { JobBook } from '../scheduling/jobBook.js'
-import { couldEverFit } from '../scheduling/scheduler.js'
+import { couldEverFit } from '../scheduling/capacity.js'
 import type { ConfigurationTask } from './configurationTask.js'
 import type { EntryContext } from './entryContext.js'
 
@@ -32,7 +32,7 @@
   constructor (
     private readonly context: EntryContext,
     private readonly configuration: ConfigurationTask,
-    follower: LogFollower,
+    private readonly follower: LogFollower,
     private readonly createAppender: (stream: string) => LogAppender
   ) {
     super()
@@ -72,6 +72,16 @@
     return { kind: 'accepted', job: identity, failureDomain }
   }
 
+  /** Whether all records that were in the stream at the start have been read. */
+  get hasCaughtUp (): boolean {
+    return this.follower.hasCaughtUp
+  }
+
+  /** Appends finished tasks of an open job. */
+  async recordProgress (body: Extract<RecordBody, { type: 'jobProgress' }>, identity: string): Promise<boolean> {
+    return await this.append(this.context.settings.failureDomain, body, `progress:${identity}`)
+  }
+
   /** Appends the end of a job. */
   async end (identity: string, body: Extract<RecordBody, { type: 'jobEnded' }>): Promise<boolean> {
     return await this.append(this.context.settings.failureDomain, body, `end:${identity}`)
--- a/src/entry/placementTask.ts
+++ b/src/entry/placementTask.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto'
 import { describeError } from '../base/logger.js'
 import { Task } from '../base/task.js'
 import type { RecordBody } from '../contracts/records.js'
@@ -5,7 +6,10 @@
 import type { CommandOutcome, WorkerClient } from '../links/workerClient.js'
 import type { Membership } from '../machines/membership.js'
 import { BestFitPolicy } from '../scheduling/placementPolicy.js'
-import { Scheduler, TASK_LEASE_MARGIN_MILLISECONDS, TASK_LEASE_MILLISECONDS, type RenewalPlan, type SchedulingDecision } from '../scheduling/scheduler.js'
+import { indexesOf, rangesOf } from '../scheduling/jobBook.js'
+import { jobOfTask } from '../scheduling/jobState.js'
+import { Scheduler, type RenewalPlan, type SchedulingDecision } from '../scheduling/scheduler.js'
+import { TASK_LEASE_MARGIN_MILLISECONDS, TASK_LEASE_MILLISECONDS } from '../scheduling/holdTimers.js'
 import type { ConfigurationTask } from './configurationTask.js'
 import { monotonicNow, type EntryContext } from './entryContext.js'
 import type { JobTask } from './jobTask.js'
@@ -15,10 +19,14 @@
   | { readonly kind: 'tick' }
   | { readonly kind: 'ownerChanged', readonly isOwner: boolean }
   | { readonly kind: 'jobChanged', readonly body: RecordBody }
-  | { readonly kind: 'report', readonly worker: string, readonly term: number, readonly report: WorkerReport }
+  | { readonly kind: 'report', readonly worker: string, readonly term: number, readonly report: WorkerReport, readonly requestedAt: number }
   | { readonly kind: 'startOutcome', readonly decision: Extract<SchedulingDecision, { kind: 'start' }>, readonly outcome: CommandOutcome }
 
 const TICK_MILLISECONDS = 100
+/** Finished tasks of open jobs are recorded in the log this often, in milliseconds. */
+const PROGRESS_PERIOD_MILLISECONDS = 3000
+/** Time after a takeover for reading the records of jobs that workers report, in milliseconds. */
+const ORPHAN_GRACE_MILLISECONDS = 10_000
 const STARTS_PER_TICK = 200
 /** Most renewals sent a second; with more workers than that, each is renewed less often. */
 const RENEWALS_PER_SECOND = 100
@@ -29,6 +37,8 @@
   private scheduler: Scheduler | undefined
   private term = 0
   private renewedAt = -Infinity
+  private ownerSince = -Infinity
+  private progressAt = -Infinity
   private readonly renewing = new Set<string>()
 
   constructor (
@@ -60,7 +70,7 @@
         this.onJobChanged(message.body, now)
         return
       case 'report':
-        if (message.term === this.term) this.scheduler?.onReport(message.worker, message.report, now)
+        if (message.term === this.term) this.scheduler?.onReport(message.worker, message.report, now, message.requestedAt)
         return
       case 'startOutcome':
         this.onStartOutcome(message.decision, message.outcome, now)
@@ -80,11 +90,13 @@
       return
     }
     this.term = this.ownership.term
+    this.ownerSince = now
     const firstOwner = this.term === 1
     const lapseAt = firstOwner ? now : now + silentWorkerBoundMilliseconds(TASK_LEASE_MILLISECONDS, TASK_LEASE_MARGIN_MILLISECONDS)
     this.scheduler = new Scheduler(this.term, lapseAt, new BestFitPolicy())
     for (const booked of this.jobs.book.open()) {
-      this.scheduler.addJob(booked.job, now)
+      this.scheduler.addJob(booked.job, now, !firstOwner)
+      this.scheduler.onProgress(booked.job.identity, booked.finished, now)
       if (booked.cancelRequested) this.scheduler.cancelJob(booked.job.identity)
     }
   }
@@ -92,8 +104,9 @@
   private onJobChanged (body: RecordBody, now: number): void {
     const { scheduler } = this
     if (scheduler === undefined) return
-    if (body.type === 'jobAccepted' && this.jobs.book.find(body.job.identity)?.outcome === undefined) scheduler.addJob(body.job, now)
+    if (body.type === 'jobAccepted' && this.jobs.book.find(body.job.identity)?.outcome === undefined) scheduler.addJob(body.job, now, this.term > 1 && !this.jobs.hasCaughtUp)
     if (body.type === 'jobCancelRequested') scheduler.cancelJob(body.job)
+    if (body.type === 'jobProgress') scheduler.onProgress(body.job, indexesOf(body.finished, this.jobs.book.find(body.job)?.job.tasks ?? 0), now)
     if (body.type === 'jobEnded') scheduler.forgetJob(body.job)
   }
 
@@ -117,7 +130,23 @@
     scheduler.setWorkers(listed)
     this.renewLeases(scheduler, listed.length, now)
     if (listed.length === 0) return
+    if (this.jobs.hasCaughtUp && now - this.ownerSince > ORPHAN_GRACE_MILLISECONDS) scheduler.settleOrphans(now)
     for (const decision of scheduler.decide(now, STARTS_PER_TICK)) this.perform(decision)
+    if (now - this.progressAt >= PROGRESS_PERIOD_MILLISECONDS) this.recordProgress(scheduler, now)
+  }
+
+  /** Records finished tasks of open jobs, all jobs in one append, so that a later owner does not run them again. */
+  private recordProgress (scheduler: Scheduler, now: number): void {
+    this.progressAt = now
+    for (const [job, finished] of scheduler.takeProgress()) this.appendProgress(job, finished)
+  }
+
+  private async appendProgress (job: string, finished: readonly number[]): Promise<void> {
+    const body = { type: 'jobProgress' as const, job, finished: rangesOf(finished) }
+    const identity = randomUUID()
+    while (!this.isDisposed && this.scheduler !== undefined) {
+      if (await this.jobs.recordProgress(body, identity)) return
+    }
   }
 
   private renewLeases (scheduler: Scheduler, workerCount: number, now: number): void {
@@ -131,6 +160,7 @@
     const { name, address } = plan.worker
     if (this.renewing.has(name) || !this.ownership.isOwner()) return
     this.renewing.add(name)
+    const requestedAt = monotonicNow()
     const { term } = this
     try {
       const report = await this.workers.renew(address, {
@@ -141,7 +171,7 @@
         logicalTime: this.context.events.clock.tick()
       })
       this.context.events.clock.observe(report.logicalTime)
-      this.post({ kind: 'report', worker: name, term, report })
+      this.post({ kind: 'report', worker: name, term, report, requestedAt })
     } catch (error) {
       this.context.logger.debug('renewing leases failed', { worker: name, reason: describeError(error) })
     } finally {
@@ -159,6 +189,9 @@
         return
       case 'jobEnded':
         this.endJob(decision)
+        return
+      case 'taskLost':
+        this.context.events.record('taskLost', { task: decision.task, job: jobOfTask(decision.task), worker: decision.worker })
     }
   }
 
--- a/src/links/workerClient.ts
+++ b/src/links/workerClient.ts
@@ -1,5 +1,5 @@
 import { request, type Agent } from 'undici'
-import { workerReportSchema, type RenewLeases, type StartTask, type TaskAction, type TaskActionName, type WorkerReport } from '../contracts/workerProtocol.js'
+import { STALE_TERM, workerReportSchema, type RenewLeases, type StartTask, type TaskAction, type TaskActionName, type WorkerReport } from '../contracts/workerProtocol.js'
 
 const CALL_TIMEOUT_MILLISECONDS = 2000
 
@@ -7,6 +7,8 @@
 export type CommandOutcome =
   | { readonly kind: 'done' }
   | { readonly kind: 'refused', readonly reason: string }
+  /** The worker has seen a newer term. */
+  | { readonly kind: 'stale', readonly reason: string }
   | { readonly kind: 'notSent', readonly reason: string }
   | { readonly kind: 'unknown', readonly reason: string }
 
@@ -44,6 +46,7 @@
       const answer = await request(url, { method, body: JSON.stringify(body), ...this.options() })
       const text = await answer.body.text()
       if (answer.statusCode < 300) return { kind: 'done' }
+      if (answer.statusCode === 409 && text === STALE_TERM) return { kind: 'stale', reason: text }
       if (answer.statusCode < 500) return { kind: 'refused', reason: text }
       return { kind: 'unknown', reason: `status ${answer.statusCode}` }
     } catch (error) {
--- a/src/machines/worker.ts
+++ b/src/machines/worker.ts
@@ -1,15 +1,23 @@
-import { addResources, fitsWithin, NO_RESOURCES, subtractResources, type Resources } from '../contracts/resources.js'
+import { addResources, equalResources, fitsWithin, NO_RESOURCES, subtractResources, type Resources } from '../contracts/resources.js'
 import type { Attempt } from '../contracts/workerProtocol.js'
 
 /** State of a task's resources on a worker. All of them count against its capacity. */
 export type HoldState = 'starting' | 'running' | 'stopping' | 'unknown'
 
-/** Resources that one attempt of a task holds on a worker. */
+/** Resources that one attempt of a task holds on a worker. Times are monotonic milliseconds. */
 export interface Hold {
   readonly task: string
+  readonly job: string
   readonly attempt: Attempt
   readonly resources: Resources
   state: HoldState
+  /** Latest time at which the attempt's lease may have been renewed. */
+  renewedAt: number
+  /** Time at which the worker was first known to have the attempt; a report requested later must list it. */
+  confirmedAt: number | undefined
+  /** Time at which the latest answer to a start was lost. A refusal of a repeated start proves nothing from then on. */
+  uncertainAt: number | undefined
+  released: boolean
 }
 
 /** Static description of a worker. */
@@ -26,9 +34,12 @@
 export class Worker {
   private readonly holds = new Map<string, Hold>()
   private usedResources = NO_RESOURCES
+  private freeResources: Resources
   leaving = false
 
-  constructor (readonly description: WorkerDescription) {}
+  constructor (public description: WorkerDescription) {
+    this.freeResources = description.capacity
+  }
 
   get name (): string {
     return this.description.name
@@ -38,26 +49,38 @@
     return this.usedResources
   }
 
+  /** What is left; negative where adopted attempts or a smaller capacity exceed it. */
   get free (): Resources {
-    return subtractResources(this.description.capacity, this.usedResources)
+    return this.freeResources
   }
 
-  get held (): readonly Hold[] {
-    return [...this.holds.values()]
+  get held (): Iterable<Hold> {
+    return this.holds.values()
   }
 
-  /** Reserves resources for an attempt. Returns false, and changes nothing, if they do not fit or the task is held already. */
-  hold (task: string, attempt: Attempt, resources: Resources): boolean {
-    if (this.holds.has(task) || !fitsWithin(resources, this.free)) return false
-    this.adopt(task, attempt, resources, 'starting')
-    return true
+  get heldCount (): number {
+    return this.holds.size
+  }
+
+  /** Takes over a changed size or address; what is held stays held. */
+  describe (description: WorkerDescription): void {
+    this.description = description
+    this.freeResources = subtractResources(description.capacity, this.usedResources)
+  }
+
+  /** Reserves resources for an attempt. Returns undefined, and changes nothing, if they do not fit or the task is held already. */
+  hold (task: string, job: string, attempt: Attempt, resources: Resources, now: number): Hold | undefined {
+    if (this.holds.has(task) || !fitsWithin(resources, this.freeResources)) return undefined
+    return this.adopt(task, job, attempt, resources, 'starting', now)
   }
 
   /** Counts an attempt that is already on the worker, whether it fits or not. */
-  adopt (task: string, attempt: Attempt, resources: Resources, state: HoldState): void {
+  adopt (task: string, job: string, attempt: Attempt, resources: Resources, state: HoldState, now: number): Hold {
     this.release(task)
-    this.holds.set(task, { task, attempt, resources, state })
-    this.usedResources = addResources(this.usedResources, resources)
+    const hold: Hold = { task, job, attempt, resources, state, renewedAt: now, confirmedAt: undefined, uncertainAt: undefined, released: false }
+    this.holds.set(task, hold)
+    this.setUsed(addResources(this.usedResources, resources))
+    return hold
   }
 
   find (task: string): Hold | undefined {
@@ -68,8 +91,19 @@
   release (task: string): boolean {
     const hold = this.holds.get(task)
     if (hold === undefined) return false
+    hold.released = true
     this.holds.delete(task)
-    this.usedResources = subtractResources(this.usedResources, hold.resources)
+    this.setUsed(subtractResources(this.usedResources, hold.resources))
     return true
   }
+
+  private setUsed (used: Resources): void {
+    this.usedResources = used
+    this.freeResources = subtractResources(this.description.capacity, used)
+  }
+}
+
+/** Whether two descriptions name the same address, place and capacity. */
+export function sameDescription (left: WorkerDescription, right: WorkerDescription): boolean {
+  return left.address === right.address && left.rack === right.rack && left.pool === right.pool && equalResources(left.capacity, right.capacity)
 }
--- a/src/scheduling/jobBook.ts
+++ b/src/scheduling/jobBook.ts
@@ -6,6 +6,8 @@
   readonly job: Job
   readonly failureDomain: string
   cancelRequested: boolean
+  /** Indexes of tasks that have finished. */
+  readonly finished: Set<number>
   outcome: JobOutcome | undefined
   reason: string | undefined
 }
@@ -23,13 +25,18 @@
     switch (body.type) {
       case 'jobAccepted':
         if (this.jobs.has(body.job.identity)) return
-        this.jobs.set(body.job.identity, { job: body.job, failureDomain: body.failureDomain, cancelRequested: false, outcome: undefined, reason: undefined })
+        this.jobs.set(body.job.identity, { job: body.job, failureDomain: body.failureDomain, cancelRequested: false, finished: new Set(), outcome: undefined, reason: undefined })
         return
       case 'jobCancelRequested': {
         const booked = this.jobs.get(body.job)
         if (booked !== undefined && booked.outcome === undefined) booked.cancelRequested = true
         return
       }
+      case 'jobProgress': {
+        const booked = this.jobs.get(body.job)
+        for (const index of booked === undefined ? [] : indexesOf(body.finished, booked.job.tasks)) booked?.finished.add(index)
+        return
+      }
       case 'jobEnded':
         this.end(body.job, body.outcome, body.reason)
     }
@@ -58,3 +65,23 @@
     this.jobs.delete(this.ended.shift() as string)
   }
 }
+
+/** Task indexes of inclusive ranges, below `tasks`. */
+export function indexesOf (ranges: ReadonlyArray<readonly [number, number]>, tasks: number): number[] {
+  const indexes: number[] = []
+  for (const [first, last] of ranges) {
+    for (let index = first; index <= Math.min(last, tasks - 1); index += 1) indexes.push(index)
+  }
+  return indexes
+}
+
+/** Inclusive ranges of task indexes. */
+export function rangesOf (indexes: Iterable<number>): Array<[number, number]> {
+  const ranges: Array<[number, number]> = []
+  for (const index of [...indexes].sort((left, right) => left - right)) {
+    const last = ranges.at(-1)
+    if (last !== undefined && index <= last[1] + 1) last[1] = Math.max(last[1], index)
+    else ranges.push([index, index])
+  }
+  return ranges
+}
--- /dev/null
+++ b/src/scheduling/jobState.ts
@@ -0,0 +1,85 @@
+import type { Job, JobState } from '../contracts/jobs.js'
+import type { Attempt } from '../contracts/workerProtocol.js'
+
+export type TaskPhase = 'waiting' | 'starting' | 'running' | 'stopping' | 'finished'
+
+/** One task of a job. `attempt` and `worker` name its current attempt while it is starting, running or stopping. */
+export interface TaskEntry {
+  readonly job: JobEntry
+  readonly task: string
+  readonly index: number
+  phase: TaskPhase
+  attempt: Attempt | undefined
+  worker: string | undefined
+  /** Workers that hold any attempt of the task. It is placed only when there are none. */
+  places: number
+  checkpointMilliseconds: number
+}
+
+/** An open job and its tasks, with counts by phase that are kept up to date at each change. */
+export class JobEntry {
+  readonly tasks: readonly TaskEntry[]
+  /** Tasks that may be placed: waiting and held by no worker. */
+  readonly placeable: Set<TaskEntry>
+  readonly counts: Record<TaskPhase, number> = { waiting: 0, starting: 0, running: 0, stopping: 0, finished: 0 }
+  /** Workers that hold an attempt of any task. */
+  places = 0
+  cancelled = false
+  endDecided = false
+  failures = 0
+
+  /**
+   * @param mayBePlaced Whether an earlier owner may have placed tasks, so that placing waits for the inventory of every worker.
+   */
+  constructor (readonly job: Job, readonly addedAt: number, readonly mayBePlaced: boolean) {
+    this.tasks = Array.from({ length: job.tasks }, (_, index): TaskEntry => ({
+      job: this, task: taskName(job.identity, index), index, phase: 'waiting', attempt: undefined, worker: undefined, places: 0, checkpointMilliseconds: 0
+    }))
+    this.placeable = new Set(this.tasks)
+    this.counts.waiting = job.tasks
+  }
+
+  setPhase (task: TaskEntry, phase: TaskPhase): void {
+    this.counts[task.phase] -= 1
+    this.counts[phase] += 1
+    task.phase = phase
+    this.notePlaceable(task)
+  }
+
+  /** Notes that one more (1) or one fewer (-1) worker holds an attempt of the task. */
+  changePlaces (task: TaskEntry, change: 1 | -1): void {
+    task.places += change
+    this.places += change
+    this.notePlaceable(task)
+  }
+
+  get state (): JobState {
+    if (this.counts.running > 0) return 'running'
+    return this.counts.starting > 0 ? 'starting' : 'waiting'
+  }
+
+  private notePlaceable (task: TaskEntry): void {
+    if (task.phase === 'waiting' && task.places === 0) this.placeable.add(task)
+    else this.placeable.delete(task)
+  }
+}
+
+/** Name of a job's task. */
+export function taskName (job: string, index: number): string {
+  return `${job}#${index}`
+}
+
+/** Job that a task's name names. */
+export function jobOfTask (task: string): string {
+  return task.slice(0, task.lastIndexOf('#'))
+}
+
+/** Index within its job that a task's name names. */
+export function indexOfTask (task: string): number {
+  return Number(task.slice(task.lastIndexOf('#') + 1))
+}
+
+/** Negative if `left` is the earlier attempt, positive if it is the later, 0 if they are the same. */
+export function compareAttempts (left: Attempt, right: Attempt): number {
+  return left.term - right.term || left.sequence - right.sequence
+}
--- /dev/null
+++ b/src/scheduling/taskLedger.ts
@@ -0,0 +1,397 @@
+import type { Job } from '../contracts/jobs.js'
+import type { Attempt, ReportedTask, WorkerReport } from '../contracts/workerProtocol.js'
+import { sameDescription, type Hold, type WorkerDescription } from '../machines/worker.js'
+import { HoldTimers, type HeldAttempt } from './holdTimers.js'
+import { compareAttempts, indexOfTask, JobEntry, jobOfTask, type TaskEntry } from './jobState.js'
+import type { LedgerObserver, StartOutcome } from './ledgerObserver.js'
+import { WorkerEntry } from './workerEntry.js'
+
+/** Attempts of one task that may fail before its job fails. */
+export const MAXIMUM_TASK_FAILURES = 3
+/** A worker that could not be reached, or refused a start, gets no start for this long, in milliseconds. */
+const AVOID_AFTER_REFUSAL_MILLISECONDS = 1000
+/**
+ * Which attempt of which task is on which worker, as far as the owner knows. Resources of an attempt stay held until its end is
+ * reported, a later report lacks it, its start was certainly not carried out, or its lease has certainly lapsed.
+ */
+export class TaskLedger {
+  readonly workers = new Map<string, WorkerEntry>()
+  readonly jobs = new Map<string, JobEntry>()
+  /** A worker has seen a newer term: another instance owns the failure domain. */
+  superseded = false
+  /** Tasks that have finished since the caller last emptied it, by job. */
+  newlyFinished = new Map<string, number[]>()
+  /** Worker of each start command without an outcome, by the attempt's number. */
+  private readonly startsInFlight = new Map<number, WorkerEntry>()
+  private unreported = 0
+  private readonly timers = new HoldTimers()
+  /** Workers that hold or report attempts of jobs that are not known here. */
+  private readonly orphans = new Map<string, Set<WorkerEntry>>()
+
+  constructor (private readonly term: number, private readonly observer: LedgerObserver) {}
+
+  /** Whether every worker has reported to this owner. */
+  get everyWorkerReported (): boolean {
+    return this.unreported === 0
+  }
+
+  setWorkers (workers: ReadonlyArray<WorkerDescription & { leaving: boolean }>): void {
+    const listed = new Set<string>()
+    for (const listing of workers) {
+      listed.add(listing.name)
+      this.setWorker(listing)
+    }
+    for (const [name, entry] of this.workers) {
+      if (listed.has(name)) continue
+      if (entry.listed) {
+        entry.listed = false
+        this.observer.onWorkerChanged(entry)
+      }
+      if (entry.worker.heldCount > 0) continue
+      this.workers.delete(name)
+      if (entry.reportedAt === undefined) this.unreported -= 1
+    }
+  }
+
+  addJob (job: Job, now: number, mayBePlaced: boolean): JobEntry | undefined {
+    if (this.jobs.has(job.identity)) return undefined
+    const added = new JobEntry(job, now, mayBePlaced)
+    this.jobs.set(job.identity, added)
+    const places = this.orphans.get(job.identity) ?? []
+    this.orphans.delete(job.identity)
+    for (const entry of places) this.adoptOrphans(entry, added, now)
+    return added
+  }
+
+  /** Forgets a job whose end is in the log; its ended attempts may then be forgotten by their workers. */
+  forgetJob (identity: string): void {
+    const job = this.jobs.get(identity)
+    if (job === undefined) return
+    for (const task of job.tasks) {
+      if (task.phase === 'finished') this.acknowledgeFinished(task)
+    }
+    for (const entry of job.places === 0 ? [] : this.workers.values()) {
+      for (const hold of entry.worker.held) {
+        if (hold.job === identity) this.beginStop(entry, hold, 0)
+      }
+    }
+    this.jobs.delete(identity)
+  }
+
+  /** Marks a task as finished that the log says to be. */
+  finishTask (job: string, index: number, now: number): void {
+    const task = this.jobs.get(job)?.tasks[index]
+    if (task === undefined) return
+    if (task.phase === 'finished') {
+      this.acknowledgeFinished(task)
+      return
+    }
+    this.stopCurrent(task, now)
+    task.job.setPhase(task, 'finished')
+    task.attempt = undefined
+    task.worker = undefined
+    this.observer.onJobChanged(task.job)
+  }
+
+  /** Reserves resources for a new attempt. Returns false if they do not fit. */
+  place (task: TaskEntry, entry: WorkerEntry, attempt: Attempt, now: number): boolean {
+    const hold = entry.worker.hold(task.task, task.job.job.identity, attempt, task.job.job.resources, now)
+    if (hold === undefined) return false
+    this.timers.track(entry, hold)
+    task.attempt = attempt
+    task.worker = entry.worker.name
+    task.job.setPhase(task, 'starting')
+    task.job.changePlaces(task, 1)
+    this.observer.onWorkerChanged(entry)
+    return true
+  }
+
+  /** Takes back a placement whose command was not sent. */
+  unplace (task: TaskEntry): void {
+    const entry = task.worker === undefined ? undefined : this.workers.get(task.worker)
+    const hold = entry?.worker.find(task.task)
+    if (entry !== undefined && hold !== undefined) this.release(entry, hold)
+  }
+
+  /** Notes that a start command is on its way. */
+  noteStart (entry: WorkerEntry, attempt: Attempt): void {
+    this.startsInFlight.set(attempt.sequence, entry)
+  }
+
+  /** Whether a start command for the attempt has no outcome yet. It is not acknowledged then, or a late command would run it again. */
+  startInFlight (attempt: Attempt): boolean {
+    return attempt.term === this.term && this.startsInFlight.has(attempt.sequence)
+  }
+
+  /** Takes note of the outcome of a start command. */
+  onStartOutcome (task: string, attempt: Attempt, outcome: StartOutcome, now: number): void {
+    const entry = this.startsInFlight.get(attempt.sequence)
+    if (entry === undefined || attempt.term !== this.term) return
+    this.startsInFlight.delete(attempt.sequence)
+    if (outcome === 'stale') this.superseded = true
+    if (outcome === 'notSent' || outcome === 'refused') this.avoid(entry, now)
+    const hold = entry.worker.find(task)
+    if (hold === undefined || compareAttempts(hold.attempt, attempt) !== 0) return
+    hold.renewedAt = Math.max(hold.renewedAt, now)
+    if (hold.confirmedAt !== undefined) return
+    if (outcome === 'done') {
+      hold.confirmedAt = now
+      this.setRunning(entry, hold)
+      return
+    }
+    if ((outcome === 'refused' || outcome === 'notSent') && hold.uncertainAt === undefined) {
+      this.release(entry, hold)
+      return
+    }
+    hold.uncertainAt = now
+    if (hold.state !== 'stopping') hold.state = 'unknown'
+  }
+
+  /**
+   * Takes note of a worker's report.
+   * @param requestedAt Time at which the request for it was sent. Whatever was confirmed before must be in it.
+   */
+  onReport (name: string, report: WorkerReport, now: number, requestedAt: number): void {
+    const entry = this.workers.get(name)
+    if (report.term > this.term) this.superseded = true
+    if (entry === undefined || report.term !== this.term || requestedAt < entry.reportRequestedAt) return
+    if (entry.reportedAt === undefined) this.unreported -= 1
+    const first = entry.reportedAt === undefined
+    entry.reportedAt = now
+    entry.reportRequestedAt = requestedAt
+    entry.endedOrphans.clear()
+    const listed = new Map<string, Attempt>()
+    for (const reported of report.tasks) {
+      listed.set(reported.task, reported.attempt)
+      this.onReportedTask(entry, reported, now)
+    }
+    for (const hold of [...entry.worker.held]) {
+      if (listed.has(hold.task)) continue
+      if (hold.confirmedAt === undefined) this.repeatStart(entry, hold, now, requestedAt)
+      else if (hold.confirmedAt < requestedAt) this.lose(entry, hold)
+    }
+    for (const [task, attempt] of entry.acknowledge) {
+      const reported = listed.get(task)
+      if (reported === undefined || compareAttempts(reported, attempt) !== 0) entry.acknowledge.delete(task)
+    }
+    if (first) this.observer.onWorkerChanged(entry)
+  }
+
+  /** Orders the attempt that a task has at present to be stopped. */
+  stopCurrent (task: TaskEntry, now: number): void {
+    const entry = task.worker === undefined ? undefined : this.workers.get(task.worker)
+    const hold = entry?.worker.find(task.task)
+    if (entry !== undefined && hold !== undefined) this.beginStop(entry, hold, now)
+  }
+
+  /** Releases what is held by attempts whose lease has certainly lapsed. */
+  releaseLapsed (now: number): void {
+    for (let held = this.timers.takeLapsed(now); held !== undefined; held = this.timers.takeLapsed(now)) this.lose(held.entry, held.hold)
+  }
+
+  /** Returns at most `limit` holds whose stop is to be sent or whose start is to be repeated now. */
+  takeCommands (now: number, limit: number): HeldAttempt[] {
+    return this.timers.takeCommands(now, limit)
+  }
+
+  /** Stops running attempts of jobs that are not known, and lets workers forget ended ones. To be called only when all open jobs are known. */
+  settleOrphans (now: number): void {
+    for (const [job, places] of this.orphans) {
+      for (const entry of places) {
+        for (const [task, reported] of entry.endedOrphans) {
+          if (jobOfTask(task) === job) entry.acknowledge.set(task, reported.attempt)
+        }
+        for (const hold of entry.worker.held) {
+          if (hold.job === job) this.beginStop(entry, hold, now)
+        }
+      }
+    }
+    this.orphans.clear()
+  }
+
+  findTask (task: string): TaskEntry | undefined {
+    return this.jobs.get(jobOfTask(task))?.tasks[indexOfTask(task)]
+  }
+
+  /** Repeats a start of unknown outcome at a worker that answers and does not have it. A silent worker gets none, so that the lease lapses. */
+  private repeatStart (entry: WorkerEntry, hold: Hold, now: number, requestedAt: number): void {
+    const stillWanted = hold.state === 'unknown' && entry.listed && !entry.worker.leaving
+    if (!stillWanted || hold.uncertainAt === undefined || hold.uncertainAt >= requestedAt) return
+    hold.state = 'starting'
+    hold.renewedAt = now
+    this.timers.planCommand(entry, hold, now)
+  }
+
+  private lose (entry: WorkerEntry, hold: Hold): void {
+    this.observer.onTaskLost(hold.task, entry.worker.name)
+    this.release(entry, hold)
+  }
+
+  private setWorker (listing: WorkerDescription & { leaving: boolean }): void {
+    const { leaving, ...description } = listing
+    const known = this.workers.get(description.name)
+    if (known === undefined) {
+      const entry = new WorkerEntry(description)
+      entry.worker.leaving = leaving
+      this.workers.set(description.name, entry)
+      this.unreported += 1
+      this.observer.onWorkerChanged(entry)
+      return
+    }
+    const { worker } = known
+    const same = known.listed && worker.leaving === leaving && sameDescription(worker.description, description)
+    if (same) return
+    known.listed = true
+    worker.leaving = leaving
+    worker.describe(description)
+    this.observer.onWorkerChanged(known)
+  }
+
+  private onReportedTask (entry: WorkerEntry, reported: ReportedTask, now: number): void {
+    const task = this.findTask(reported.task)
+    if (task !== undefined) task.checkpointMilliseconds = Math.max(task.checkpointMilliseconds, reported.checkpointMilliseconds)
+    if (reported.state === 'running') this.onReportedRunning(entry, task, reported, now)
+    else this.onReportedEnd(entry, task, reported, now)
+  }
+
+  private onReportedRunning (entry: WorkerEntry, task: TaskEntry | undefined, reported: ReportedTask, now: number): void {
+    let hold = entry.worker.find(reported.task)
+    if (hold !== undefined && compareAttempts(reported.attempt, hold.attempt) < 0) return
+    if (hold === undefined || compareAttempts(reported.attempt, hold.attempt) > 0) hold = this.adopt(entry, task, reported, now)
+    hold.confirmedAt ??= now
+    if (task === undefined) {
+      this.noteOrphan(jobOfTask(reported.task), entry)
+      return
+    }
+    this.setRunning(entry, hold)
+    const newer = task.attempt === undefined || compareAttempts(reported.attempt, task.attempt) > 0
+    if (task.phase === 'finished' || (!newer && task.worker !== entry.worker.name)) {
+      this.beginStop(entry, hold, now)
+      return
+    }
+    if (!newer) return
+    this.stopCurrent(task, now)
+    task.attempt = reported.attempt
+    task.worker = entry.worker.name
+    task.job.setPhase(task, hold.state === 'stopping' ? 'stopping' : 'running')
+    this.observer.onJobChanged(task.job)
+  }
+
+  private onReportedEnd (entry: WorkerEntry, task: TaskEntry | undefined, reported: ReportedTask, now: number): void {
+    const hold = entry.worker.find(reported.task)
+    if (hold !== undefined && compareAttempts(hold.attempt, reported.attempt) > 0) {
+      if (task !== undefined && reported.state === 'finished') this.onFinished(entry, task, reported, now)
+      return
+    }
+    if (task === undefined) {
+      if (hold !== undefined) this.release(entry, hold)
+      entry.endedOrphans.set(reported.task, reported)
+      this.noteOrphan(jobOfTask(reported.task), entry)
+      return
+    }
+    const acknowledged = entry.acknowledge.get(reported.task)
+    const seen = acknowledged !== undefined && compareAttempts(acknowledged, reported.attempt) === 0
+    if (reported.state === 'finished') {
+      this.onFinished(entry, task, reported, now)
+    } else {
+      entry.acknowledge.set(reported.task, reported.attempt)
+      if (reported.state === 'failed' && !seen) task.job.failures += 1
+    }
+    if (hold !== undefined) this.release(entry, hold)
+    this.observer.onJobChanged(task.job)
+  }
+
+  /** The report of a finished task stays at its worker until the log tells of it, for an owner that comes later. */
+  private onFinished (entry: WorkerEntry, task: TaskEntry, reported: ReportedTask, now: number): void {
+    if (task.phase === 'finished') {
+      const same = task.attempt !== undefined && compareAttempts(task.attempt, reported.attempt) === 0
+      if (!same) entry.acknowledge.set(reported.task, reported.attempt)
+      return
+    }
+    if (task.attempt !== undefined && compareAttempts(task.attempt, reported.attempt) !== 0) this.stopCurrent(task, now)
+    task.attempt = reported.attempt
+    task.worker = entry.worker.name
+    task.job.setPhase(task, 'finished')
+    const finished = this.newlyFinished.get(task.job.job.identity)
+    if (finished === undefined) this.newlyFinished.set(task.job.job.identity, [task.index])
+    else finished.push(task.index)
+  }
+
+  private acknowledgeFinished (task: TaskEntry): void {
+    if (task.worker === undefined || task.attempt === undefined) return
+    this.workers.get(task.worker)?.acknowledge.set(task.task, task.attempt)
+    task.worker = undefined
+    task.attempt = undefined
+  }
+
+  private adoptOrphans (entry: WorkerEntry, job: JobEntry, now: number): void {
+    const { identity } = job.job
+    for (const hold of [...entry.worker.held]) {
+      const task = hold.job === identity ? job.tasks[indexOfTask(hold.task)] : undefined
+      if (task === undefined) continue
+      job.changePlaces(task, 1)
+      this.onReportedRunning(entry, task, { task: hold.task, attempt: hold.attempt, job: identity, taskIndex: task.index, state: 'running', resources: hold.resources, usage: hold.resources, checkpointMilliseconds: 0 }, now)
+    }
+    for (const [task, reported] of [...entry.endedOrphans]) {
+      if (jobOfTask(task) !== identity) continue
+      entry.endedOrphans.delete(task)
+      this.onReportedTask(entry, reported, now)
+    }
+  }
+
+  private adopt (entry: WorkerEntry, task: TaskEntry | undefined, reported: ReportedTask, now: number): Hold {
+    const previous = entry.worker.find(reported.task)
+    if (previous !== undefined) this.release(entry, previous)
+    const hold = entry.worker.adopt(reported.task, jobOfTask(reported.task), reported.attempt, reported.resources, 'unknown', now)
+    this.timers.track(entry, hold)
+    task?.job.changePlaces(task, 1)
+    this.observer.onWorkerChanged(entry)
+    return hold
+  }
+
+  private setRunning (entry: WorkerEntry, hold: Hold): void {
+    if (hold.state === 'stopping') return
+    hold.state = 'running'
+    const task = this.findTask(hold.task)
+    if (task === undefined || task.phase !== 'starting' || !isCurrent(task, entry, hold)) return
+    task.job.setPhase(task, 'running')
+    this.observer.onJobChanged(task.job)
+  }
+
+  private beginStop (entry: WorkerEntry, hold: Hold, now: number): void {
+    if (hold.state === 'stopping') return
+    hold.state = 'stopping'
+    this.timers.planCommand(entry, hold, now)
+    const task = this.findTask(hold.task)
+    if (task !== undefined && task.phase !== 'finished' && isCurrent(task, entry, hold)) task.job.setPhase(task, 'stopping')
+  }
+
+  private release (entry: WorkerEntry, hold: Hold): void {
+    entry.worker.release(hold.task)
+    this.observer.onWorkerChanged(entry)
+    const task = this.findTask(hold.task)
+    if (task === undefined) return
+    task.job.changePlaces(task, -1)
+    if (task.phase !== 'finished' && isCurrent(task, entry, hold)) {
+      task.attempt = undefined
+      task.worker = undefined
+      task.job.setPhase(task, 'waiting')
+    }
+    this.observer.onJobChanged(task.job)
+  }
+
+  private avoid (entry: WorkerEntry, now: number): void {
+    entry.avoidUntil = now + AVOID_AFTER_REFUSAL_MILLISECONDS
+    this.observer.onWorkerChanged(entry)
+  }
+
+  private noteOrphan (job: string, entry: WorkerEntry): void {
+    const places = this.orphans.get(job)
+    if (places === undefined) this.orphans.set(job, new Set([entry]))
+    else places.add(entry)
+  }
+}
+
+function isCurrent (task: TaskEntry, entry: WorkerEntry, hold: Hold): boolean {
+  return task.worker === entry.worker.name && task.attempt !== undefined && compareAttempts(task.attempt, hold.attempt) === 0
+}
--- /dev/null
+++ b/src/scheduling/workerEntry.ts
@@ -0,0 +1,27 @@
+import type { Attempt, ReportedTask } from '../contracts/workerProtocol.js'
+import { Worker, type WorkerDescription } from '../machines/worker.js'
+
+/** What the owner knows about one worker besides its resources. Times are monotonic milliseconds of the owner. */
+export class WorkerEntry {
+  readonly worker: Worker
+  /** Arrival of the latest report; undefined before the first. */
+  reportedAt: number | undefined
+  /** Time at which the request for the latest report was sent. */
+  reportRequestedAt = -Infinity
+  /** The worker is not used for starts before this time. */
+  avoidUntil = -Infinity
+  listed = true
+  /** Ended attempts that the worker may forget. */
+  readonly acknowledge = new Map<string, Attempt>()
+  /** Ended attempts of jobs that are not known here, or not yet. */
+  readonly endedOrphans = new Map<string, ReportedTask>()
+
+  constructor (description: WorkerDescription) {
+    this.worker = new Worker(description)
+  }
+
+  /** Whether tasks may be started on it at `now`. */
+  usable (now: number): boolean {
+    return this.reportedAt !== undefined && this.listed && !this.worker.leaving && now >= this.avoidUntil
+  }
+}
--- a/src/standins/workerStandin.ts
+++ b/src/standins/workerStandin.ts
@@ -1,7 +1,7 @@
 import { H3, type H3Event } from 'h3'
 import { toDisposable } from '../base/disposable.js'
 import { addResources, fitsWithin, NO_RESOURCES, type Resources } from '../contracts/resources.js'
-import { renewLeasesSchema, startTaskSchema, taskActionSchema, type Attempt, type ReportedTask, type StartTask, type TaskActionName, type TaskState, type WorkerReport } from '../contracts/workerProtocol.js'
+import { STALE_TERM, renewLeasesSchema, startTaskSchema, taskActionSchema, type Attempt, type ReportedTask, type StartTask, type TaskActionName, type TaskState, type WorkerReport } from '../contracts/workerProtocol.js'
 import { brokenAnswer, HttpStandin } from './httpServer.js'
 import type { StandinContext } from './standinContext.js'
 
@@ -74,7 +74,7 @@
     const parsed = startTaskSchema.safeParse(await event.req.json().catch(() => undefined))
     if (!parsed.success) return new Response('malformed start', { status: 400 })
     const command = parsed.data
-    if (command.term < this.term) return new Response('stale term', { status: 409 })
+    if (command.term < this.term) return new Response(STALE_TERM, { status: 409 })
     this.term = command.term
     this.context.events.clock.observe(command.logicalTime)
     const name = decodeURIComponent(event.context.params?.task ?? '')
@@ -89,7 +89,7 @@
     if (this.faults.silent) return brokenAnswer()
     const parsed = taskActionSchema.safeParse(await event.req.json().catch(() => undefined))
     if (!parsed.success) return new Response('malformed action', { status: 400 })
-    if (parsed.data.term < this.term) return new Response('stale term', { status: 409 })
+    if (parsed.data.term < this.term) return new Response(STALE_TERM, { status: 409 })
     this.context.events.clock.observe(parsed.data.logicalTime)
     const task = this.tasks.get(decodeURIComponent(event.context.params?.task ?? ''))
     if (task === undefined || compareAttempts(parsed.data.attempt, task.command.attempt) !== 0) return new Response('unknown attempt', { status: 404 })
@@ -103,7 +103,7 @@
     const parsed = renewLeasesSchema.safeParse(await event.req.json().catch(() => undefined))
     if (!parsed.success) return new Response('malformed renewal', { status: 400 })
     const renewal = parsed.data
-    if (renewal.term < this.term) return new Response('stale term', { status: 409 })
+    if (renewal.term < this.term) return new Response(STALE_TERM, { status: 409 })
     this.term = renewal.term
     this.context.events.clock.observe(renewal.logicalTime)
     for (const { task, attempt } of renewal.tasks) {
