Complete the operators' commands, the time line and the request history

Cause: the option parser's own messages named neither the expected argument nor the place, a missing log file ended with status 1, unknown settings keys were reported at their parent, status told nothing about lag or failure domains, explain knew jobs only, and messages on links, to executors and from workers did not advance the receiver's logical time.

Options are checked by schema and every refusal is one line with status 2. status exits with 0 only if every instance is reachable, ready, at the newest revision and every failure domain has one owner. publish names the winner of a race and waits until the revision is in force. Executors and workers of the stand-in have logical clocks of their own, and timeline checks that effects come after causes.

Before: a faulty key was reported as 'services.order: Unrecognized key'; after: 'services.order.colour: unknown key' at its own line, and the test is as strict with exact line and column.

--- a/src/base/jsonWithComments.ts
+++ b/src/base/jsonWithComments.ts
@@ -34,8 +34,15 @@
   }
   const checked = schema.safeParse(getNodeValue(root))
   if (checked.success) return { kind: 'valid', value: checked.data, locate }
-  const findings = checked.error.issues.map(issue => locate(issue.path as KeyPath, issue.message))
-  return { kind: 'invalid', findings }
+  return { kind: 'invalid', findings: checked.error.issues.flatMap(issue => findingsOf(issue, locate)) }
+}
+
+/** Each unknown key is a finding of its own, at its place. */
+function findingsOf (issue: z.core.$ZodIssue, locate: (path: KeyPath, message: string) => Finding): Finding[] {
+  const path = issue.path as KeyPath
+  if (issue.code === 'unrecognized_keys') return issue.keys.map(key => locate([...path, key], 'unknown key; remove it or correct its name'))
+  if (issue.code === 'invalid_type' && issue.message.endsWith('received undefined')) return [locate(path, `the key is missing; expected ${issue.expected}`)]
+  return [locate(path, issue.message)]
 }
 
 /** Formats a finding as `file:line:column: key: message`. */
--- a/src/base/logger.ts
+++ b/src/base/logger.ts
@@ -56,7 +56,8 @@
   }
 }
 
-/** Returns the message of an unknown thrown value. */
+/** Returns the message of an unknown thrown value; its code if the message is empty, as with failed connections to several addresses. */
 export function describeError (error: unknown): string {
-  return error instanceof Error ? error.message : String(error)
+  if (!(error instanceof Error)) return String(error)
+  return error.message === '' ? String((error as { code?: unknown }).code ?? error.name) : error.message
 }
--- a/src/base/logicalClock.ts
+++ b/src/base/logicalClock.ts
@@ -1,3 +1,6 @@
+/** A greater time would leave the clock no room to count on exactly. */
+const MAXIMUM_RECEIVED = 2 ** 52
+
 /** Lamport clock: orders events of several processes consistently with causality. */
 export class LogicalClock {
   private time = 0
@@ -8,9 +11,9 @@
     return this.time
   }
 
-  /** Takes note of a logical time received in a message. */
+  /** Takes note of a logical time received in a message. Anything but a whole number that leaves room to count on is ignored. */
   observe (received: number): void {
-    if (received > this.time) this.time = received
+    if (Number.isSafeInteger(received) && received < MAXIMUM_RECEIVED && received > this.time) this.time = received
   }
 
   get now (): number {
--- a/src/contracts/eventLog.ts
+++ b/src/contracts/eventLog.ts
@@ -1,9 +1,14 @@
-import type { LogicalClock } from '../base/logicalClock.js'
+import { Emitter, type Event } from '../base/emitter.js'
+import { LogicalClock } from '../base/logicalClock.js'
 import type { LineSink } from '../base/logger.js'
 import type { EventFields, EventKind, SystemEvent } from './events.js'
 
 /** Writes the events of one process for the time line, one JSON object a line. */
 export class EventLog {
+  private readonly didRecord = new Emitter<SystemEvent>()
+  /** Fires after an event has been written. */
+  readonly onDidRecord: Event<SystemEvent> = this.didRecord.event
+
   constructor (
     private readonly process: string,
     private readonly incarnation: string,
@@ -22,5 +27,11 @@
       ...fields
     }
     this.sink(JSON.stringify(event))
+    this.didRecord.fire(event)
+  }
+
+  /** Log of another machine that writes to the same sink and has a clock of its own. */
+  forMachine (name: string): EventLog {
+    return new EventLog(name, this.incarnation, new LogicalClock(), this.sink)
   }
 }
--- a/src/contracts/events.ts
+++ b/src/contracts/events.ts
@@ -1,14 +1,14 @@
 import { z } from 'zod'
 
-/** Kinds of events on the time line. */
+/** Kinds of events on the time line. `callerAnswered` is recorded by the load tool, `executorStarted`, `executorEnded`, `leaseLapsed` and `faultSwitched` by stand-ins. */
 export const EVENT_KINDS = [
   'instanceStarted', 'instanceReady', 'instanceStopping', 'instanceStopped',
   'configurationPublished', 'configurationRefused', 'configurationInForce',
   'ownershipClaimed', 'ownershipLost', 'ownershipTaken', 'ownershipExtended', 'ownershipReleased',
   'linkOpened', 'linkClosed',
-  'requestAccepted', 'requestDispatched', 'requestRetried', 'requestForwarded', 'requestAnswered', 'requestRefused', 'requestFailed',
+  'requestAccepted', 'requestDispatched', 'requestRetried', 'requestForwarded', 'requestAnswered', 'requestRefused', 'requestFailed', 'callerAnswered',
   'executorStarted', 'executorEnded',
-  'jobAccepted', 'jobPlaced', 'jobEnded', 'jobCancelRequested',
+  'jobSubmitted', 'jobAccepted', 'jobPlaced', 'jobEnded', 'jobCancelRequested',
   'taskStarting', 'taskStarted', 'taskEnded', 'taskLost', 'taskPreempted', 'taskThrottled', 'leaseLapsed',
   'workerQuarantined', 'workerReleased',
   'faultSwitched'
@@ -29,10 +29,13 @@
   worker: z.string().optional(),
   executor: z.string().optional(),
   service: z.string().optional(),
+  urgency: z.string().optional(),
   peer: z.string().optional(),
   term: z.number().optional(),
   revision: z.number().optional(),
-  detail: z.string().optional()
+  /** Stable code and verdict of an error, or what else distinguishes the event. */
+  detail: z.string().optional(),
+  reason: z.string().optional()
 })
 export type SystemEvent = z.infer<typeof eventSchema>
 export type EventKind = SystemEvent['kind']
--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -22,6 +22,15 @@
 })
 export type EntrySettings = z.infer<typeof entrySettingsSchema>
 
+/** Settings of the operators' tool. */
+export const operatorSettingsSchema = z.strictObject({
+  platformAddress: z.url(),
+  /** Addresses of entry instances for callers, as http origins. */
+  entryAddresses: z.array(z.url()).min(1),
+  operatorToken: secret
+})
+export type OperatorSettings = z.infer<typeof operatorSettingsSchema>
+
 /** Settings of the stand-in of platform, workers and executors. */
 export const standinSettingsSchema = z.strictObject({
   platform: listen,
--- a/src/contracts/workerProtocol.ts
+++ b/src/contracts/workerProtocol.ts
@@ -55,6 +55,9 @@
 export const workerReportSchema = z.object({ worker: z.string(), incarnation: z.string(), term: z.number().int(), tasks: z.array(reportedTaskSchema), logicalTime: z.number().int() })
 export type WorkerReport = z.infer<typeof workerReportSchema>
 
+/** Answer to a command that was carried out. */
+export const commandAnswerSchema = z.object({ logicalTime: z.number().int().nonnegative() })
+
 /** Body of `POST /tasks/{task}/{action}`. */
 export const taskActionSchema = z.object({ term: z.number().int(), attempt: attemptSchema, throttlePercent: z.number().int().min(0).max(100).optional(), logicalTime: z.number().int().nonnegative() })
 export type TaskAction = z.infer<typeof taskActionSchema>
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -55,6 +55,13 @@
   }
 
   private async onRequest (event: H3Event): Promise<Response> {
+    const identity = randomUUID()
+    const response = await this.onIdentifiedRequest(event, identity)
+    response.headers.set(CALLER_HEADERS.request, identity)
+    return response
+  }
+
+  private async onIdentifiedRequest (event: H3Event, identity: string): Promise<Response> {
     const serviceName = event.context.params?.service ?? ''
     const service = this.configuration.inForce?.text.services[serviceName]
     if (this.configuration.inForce !== undefined && service === undefined) {
@@ -68,7 +75,7 @@
     const body = await readBody(event.req, this.bodyLimit())
     if (body === 'tooLarge') return errorResponse({ code: 'bodyTooLarge', verdict: 'notRun', message: `the body is larger than ${this.bodyLimit()} bytes` })
     const answer = await this.frontDoor.serve({
-      identity: randomUUID(),
+      identity,
       service: serviceName,
       method: event.req.method,
       path: (event.url.pathname.slice(`/services/${serviceName}`.length) || '/') + event.url.search,
--- a/src/entry/frontDoor.ts
+++ b/src/entry/frontDoor.ts
@@ -99,7 +99,7 @@
     if (service === undefined) return refusal('unknownService', `there is no service '${request.service}'`)
     if (monotonicNow() >= request.deadline) return refusal('deadlineExpired', 'the deadline has passed')
     this.activeCount += 1
-    this.context.events.record('requestAccepted', { request: request.identity, service: request.service })
+    this.context.events.record('requestAccepted', { request: request.identity, service: request.service, urgency: request.urgency })
     const answer = await new Promise<CallerAnswer>(resolve => {
       const queued: QueuedRequest = { identity: request.identity, urgency: request.urgency, deadline: request.deadline, request, service, tried: new Set(), attempts: 0, settle: resolve }
       this.enqueue(queued, text.limits.queuedRequests)
@@ -203,6 +203,7 @@
     answer.body.on('error', error => this.context.logger.debug('the answer of an executor was cut short', { executor: executor.name, reason: error.message }))
     const headers = endToEndHeaders(Object.entries(answer.headers))
     headers[CALLER_HEADERS.request] = queued.identity
+    this.context.events.clock.observe(Number(answer.headers[CALLER_HEADERS.logicalTime] ?? 0))
     queued.settle({ kind: 'answer', status: answer.status, headers, body: answer.body })
   }
 
@@ -225,6 +226,7 @@
     const headers = endToEndHeaders(request.headers, ['host', 'content-length', 'expect'])
     headers[CALLER_HEADERS.request] = request.identity
     headers[CALLER_HEADERS.urgency] = request.urgency
+    headers[CALLER_HEADERS.logicalTime] = String(this.context.events.clock.tick())
     return { method: request.method, path: request.path, headers, body: request.body }
   }
 
@@ -245,10 +247,11 @@
   private noteAnswer (request: CallerRequest, answer: CallerAnswer): void {
     if (answer.kind === 'error') {
       this.activeCount -= 1
-      this.context.events.record('requestFailed', { request: request.identity, detail: `${answer.error.code} ${answer.error.verdict}` })
+      this.context.events.record('requestFailed', { request: request.identity, detail: `${answer.error.code} ${answer.error.verdict}`, reason: answer.error.message })
       return
     }
     this.context.events.record('requestAnswered', { request: request.identity, detail: String(answer.status) })
+    answer.headers[CALLER_HEADERS.logicalTime] = String(this.context.events.clock.tick())
     answer.body.once('close', () => { this.activeCount -= 1 })
   }
 
--- a/src/entry/jobTask.ts
+++ b/src/entry/jobTask.ts
@@ -54,6 +54,7 @@
     if (failureDomain === undefined) return failure({ code: 'jobNeverFits', verdict: 'notRun', message: neverFitsMessage(submission) })
     const identity = `${failureDomain}.${seed}`
     const job: Job = { ...submission, identity, acceptedAtMilliseconds: Date.now() }
+    this.context.events.record('jobSubmitted', { job: identity, failureDomain })
     const confirmed = await this.append(failureDomain, { type: 'jobAccepted', job, failureDomain }, `job:${identity}`)
     if (!confirmed) return failure({ code: 'logUnavailable', verdict: 'notRun', message: 'the job could not be recorded; submit it again with the same idempotency key', retryAfterSeconds: 2 })
     this.context.events.record('jobAccepted', { job: identity, failureDomain })
--- a/src/entry/operatorApi.ts
+++ b/src/entry/operatorApi.ts
@@ -10,6 +10,7 @@
 import type { MetricsRegistry } from './metricsRegistry.js'
 import type { OwnershipTask } from './ownershipTask.js'
 import type { PlacementTask } from './placementTask.js'
+import type { RequestHistory } from './requestHistory.js'
 
 /** HTTP for operators' commands; every route needs a token of the settings. */
 export class OperatorApi {
@@ -22,7 +23,9 @@
     private readonly frontDoor: FrontDoor,
     private readonly membership: Membership,
     private readonly links: LinkTransport,
-    private readonly metrics: MetricsRegistry
+    private readonly metrics: MetricsRegistry,
+    private readonly requests: RequestHistory,
+    private readonly isReady: () => boolean
   ) {}
 
   route (app: H3): void {
@@ -45,11 +48,13 @@
   private status (): Response {
     const { instance, failureDomain, region } = this.context.settings
     const utilization = this.placement.current?.utilization()
+    const listAge = this.membership.ageMilliseconds(monotonicNow())
     return Response.json({
       instance,
       incarnation: this.context.incarnation,
       failureDomain,
       region,
+      ready: this.isReady(),
       revision: this.configuration.inForce?.revision ?? 0,
       owner: this.ownership.owner?.instance,
       term: this.ownership.term,
@@ -57,21 +62,25 @@
       activeRequests: this.frontDoor.active,
       openJobs: this.jobs.book.open().length,
       peers: this.links.peers().map(peer => peer.instance),
-      instanceListAgeMilliseconds: Math.round(this.membership.ageMilliseconds(monotonicNow())),
+      instanceListAgeMilliseconds: Number.isFinite(listAge) ? Math.round(listAge) : null,
       used: utilization?.used,
-      capacity: utilization?.capacity
+      capacity: utilization?.capacity,
+      allowedCapacityPercent: this.configuration.inForce?.text.failureDomains[failureDomain]?.allowedCapacityPercent
     })
   }
 
   private explain (subject: string): Response {
+    const { instance } = this.context.settings
+    const request = this.requests.explain(subject)
+    if (request !== undefined) return Response.json({ subject, subjectKind: 'request', instance, explanation: request })
     const booked = this.jobs.book.find(subject)
     if (booked === undefined) return errorResponse({ code: 'unknownJob', verdict: 'notRun', message: `'${subject}' is not known to this instance` })
-    if (booked.outcome !== undefined) return Response.json({ subject, explanation: `the job has ended: ${booked.outcome}${booked.reason === undefined ? '' : ` (${booked.reason})`}` })
+    if (booked.outcome !== undefined) return Response.json({ subject, subjectKind: 'job', instance, explanation: `the job has ended: ${booked.outcome}${booked.reason === undefined ? '' : ` (${booked.reason})`}` })
     const scheduler = this.placement.current
     if (scheduler === undefined) {
-      return Response.json({ subject, owner: this.ownership.owner?.instance, explanation: `ask the owner of ${booked.failureDomain}: ${this.ownership.owner?.instance ?? 'none at present'}` })
+      return Response.json({ subject, subjectKind: 'job', instance, owner: this.ownership.owner?.instance ?? 'none', explanation: `ask the owner of ${booked.failureDomain}: ${this.ownership.owner?.instance ?? 'none at present'}` })
     }
-    return Response.json({ subject, owner: this.context.settings.instance, explanation: scheduler.explain(subject, monotonicNow()) })
+    return Response.json({ subject, subjectKind: 'job', instance, owner: instance, explanation: scheduler.explain(subject, monotonicNow()) })
   }
 }
 
--- a/src/entry/placementTask.ts
+++ b/src/entry/placementTask.ts
@@ -99,6 +99,7 @@
 
   private onStartOutcome (decision: Extract<SchedulingDecision, { kind: 'start' }>, outcome: CommandOutcome, now: number): void {
     this.scheduler?.onStartOutcome(decision.task, decision.attempt, outcome.kind, now)
+    if (outcome.kind === 'done') this.context.events.clock.observe(outcome.logicalTime ?? 0)
     const fields = { task: decision.task, job: decision.job.identity, worker: decision.worker.name }
     if (outcome.kind === 'done') this.context.events.record('taskStarted', fields)
     else this.context.logger.warn('a start did not succeed', { task: decision.task, worker: decision.worker.name, code: outcome.kind, reason: outcome.reason })
--- a/src/links/workerClient.ts
+++ b/src/links/workerClient.ts
@@ -1,11 +1,11 @@
 import { request, type Agent } from 'undici'
-import { workerReportSchema, type RenewLeases, type StartTask, type TaskAction, type TaskActionName, type WorkerReport } from '../contracts/workerProtocol.js'
+import { commandAnswerSchema, workerReportSchema, type RenewLeases, type StartTask, type TaskAction, type TaskActionName, type WorkerReport } from '../contracts/workerProtocol.js'
 
 const CALL_TIMEOUT_MILLISECONDS = 2000
 
 /** Outcome of a command to a worker. `unknown` means that it may have taken effect. */
 export type CommandOutcome =
-  | { readonly kind: 'done' }
+  | { readonly kind: 'done', readonly logicalTime?: number }
   | { readonly kind: 'refused', readonly reason: string }
   | { readonly kind: 'notSent', readonly reason: string }
   | { readonly kind: 'unknown', readonly reason: string }
@@ -43,7 +43,7 @@
     try {
       const answer = await request(url, { method, body: JSON.stringify(body), ...this.options() })
       const text = await answer.body.text()
-      if (answer.statusCode < 300) return { kind: 'done' }
+      if (answer.statusCode < 300) return { kind: 'done', logicalTime: commandAnswerSchema.safeParse(parseJson(text)).data?.logicalTime }
       if (answer.statusCode < 500) return { kind: 'refused', reason: text }
       return { kind: 'unknown', reason: `status ${answer.statusCode}` }
     } catch (error) {
@@ -56,6 +56,14 @@
   }
 }
 
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
 const CONNECT_FAILURES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
 
 /** Whether a request failed before a connection stood, so that no byte of it was sent. */
--- a/src/programs/vanillaturn.ts
+++ b/src/programs/vanillaturn.ts
@@ -1,29 +1,46 @@
 #!/usr/bin/env node
-import { readFileSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
-import Table from 'cli-table3'
 import { z } from 'zod'
-import { OperatorClient } from '../operator/operatorClient.js'
-import { filterEvents, formatTimeLine, mergeEvents, parseEvents, renderTimeLinePage, type TimeLineFilter } from '../operator/timeLine.js'
-import { readSettings, readSiteText, runCommandLine, UsageError, writeLine } from './commandLine.js'
-
-const operatorSettingsSchema = z.strictObject({
-  platformAddress: z.url(),
-  entryAddresses: z.array(z.url()).min(1),
-  operatorToken: z.string().min(16)
-})
+import { EVENT_KINDS } from '../contracts/events.js'
+import { OperatorClient, type InstanceAnswer, type PublishResult } from '../operator/operatorClient.js'
+import { assessStatus, formatStatus } from '../operator/statusReport.js'
+import { checkOrder, filterEvents, formatTimeLine, mergeEvents, parseEvents, renderTimeLinePage } from '../operator/timeLine.js'
+import { checkOptions, EXIT_FAILURE, readSettings, readSiteText, readText, runCommandLine, textOption, UsageError, wholeNumberOption, writeLine, writeText } from './commandLine.js'
+import { operatorSettingsSchema } from '../contracts/settings.js'
 
 const DEFAULT_SETTINGS_FILE = 'vanillaturn.jsonc'
+const DEFAULT_WAIT_SECONDS = '13'
+const MAXIMUM_WAIT_SECONDS = 600
 
-interface CommandOptions extends TimeLineFilter {
-  readonly settings: string
-  readonly base?: number
-  readonly publisher: string
-  readonly html?: string
+const settingsOption = { settings: textOption }
+const timeOption = textOption.transform((text, context) => {
+  const time = Date.parse(text)
+  if (Number.isNaN(time)) context.addIssue({ code: 'custom', message: 'expected a time such as 2026-05-04T13:00:00Z' })
+  return time
+})
+const commandOptions = {
+  publish: z.object({
+    ...settingsOption,
+    base: wholeNumberOption('the revision that the text was made from'),
+    publisher: textOption,
+    wait: wholeNumberOption('a number of seconds').refine(seconds => seconds <= MAXIMUM_WAIT_SECONDS, `expected at most ${MAXIMUM_WAIT_SECONDS} seconds`)
+  }),
+  show: z.object({ ...settingsOption, revision: wholeNumberOption('a revision').optional() }),
+  plain: z.object(settingsOption),
+  timeline: z.object({
+    job: textOption.optional(),
+    request: textOption.optional(),
+    worker: textOption.optional(),
+    instance: textOption.optional(),
+    kind: z.enum(EVENT_KINDS, 'expected a kind of event, such as requestAccepted').optional(),
+    since: timeOption.optional(),
+    until: timeOption.optional(),
+    html: textOption.optional()
+  })
 }
 
-async function withClient (options: CommandOptions, use: (client: OperatorClient) => Promise<void>): Promise<void> {
-  const settings = readSettings(options.settings, operatorSettingsSchema)
+async function withClient (settingsFile: string, use: (client: OperatorClient) => Promise<void>): Promise<void> {
+  const settings = readSettings(settingsFile, operatorSettingsSchema)
   const client = new OperatorClient(settings.platformAddress, settings.entryAddresses, settings.operatorToken)
   try {
     await use(client)
@@ -32,6 +49,33 @@
   }
 }
 
+function describePublish (result: PublishResult, base: number): string {
+  switch (result.kind) {
+    case 'accepted':
+      return `published as revision ${result.revision}`
+    case 'lostRace':
+      if (base > result.currentRevision) return `not published: the text was made from revision ${base}, and the log has decided only ${result.currentRevision}`
+      return `not published: revision ${result.currentRevision} by ${result.wonBy} has won, and the text was made from revision ${base}; see 'show --revision ${result.currentRevision}', merge and publish with --base ${result.currentRevision}`
+    case 'invalid':
+      return `not published: ${result.reason}`
+    case 'undecided':
+      return 'not decided: the log no longer keeps the revision that the text was made from'
+    case 'notSent':
+      return `not published: ${result.reason}`
+    case 'unknown':
+      return `unknown whether published: ${result.reason}; see 'show' before publishing again`
+  }
+}
+
+/** Picks the answers that say most: of a request every one, of a job that of the owner. */
+function chooseExplanations (answers: readonly InstanceAnswer[]): string[] {
+  const known = answers.filter(answer => answer.status === 200).map(answer => answer.body ?? {})
+  const requests = known.filter(body => body.subjectKind === 'request')
+  if (requests.length > 0) return requests.map(body => `${body.instance}: ${body.explanation}`)
+  const best = known.find(body => body.owner !== undefined && body.owner === body.instance) ?? known.find(body => body.owner === undefined) ?? known[0]
+  return best === undefined ? [] : [String(best.explanation)]
+}
+
 const program = cac('vanillaturn')
 program.option('--settings <file>', 'Settings of the operators\' tool (JSON with comments)', { default: DEFAULT_SETTINGS_FILE })
 
@@ -44,49 +88,63 @@
   .command('publish <file>', 'Publish a site text made from a base revision')
   .option('--base <revision>', 'Revision that the text was made from')
   .option('--publisher <name>', 'Name recorded with the publish', { default: 'operator' })
-  .action(async (file: string, options: CommandOptions) => {
-    if (typeof options.base !== 'number' || !Number.isInteger(options.base) || options.base < 0) throw new UsageError('--base: expected the revision that the text was made from, a whole number')
-    const base = options.base
+  .option('--wait <seconds>', 'Longest wait until the revision is in force at every reachable instance', { default: DEFAULT_WAIT_SECONDS })
+  .action(async (file: string, given: Record<string, unknown>) => {
+    const options = checkOptions(given, commandOptions.publish)
     const { source } = readSiteText(file)
-    await withClient(options, async client => {
-      const result = await client.publish(source, base, options.publisher)
-      if (result.kind === 'accepted') {
-        writeLine(`published as revision ${result.revision}`)
+    await withClient(options.settings, async client => {
+      const result = await client.publish(source, options.base, options.publisher)
+      writeLine(describePublish(result, options.base))
+      if (result.kind !== 'accepted') {
+        process.exitCode = EXIT_FAILURE
         return
       }
-      process.exitCode = 1
-      if (result.kind === 'lostRace') writeLine(`not published: revision ${result.currentRevision} by ${result.wonBy} is in force, and the text was made from revision ${base}`)
-      else writeLine(`not published: ${'reason' in result ? result.reason : 'the outcome is undecided'}`)
+      if (options.wait === 0) return
+      const answers = await client.waitInForce(result.revision, options.wait * 1000)
+      const reached = answers.flatMap(answer => answer.status ?? [])
+      const behind = reached.filter(status => status.revision < result.revision)
+      for (const { address, status, reason } of answers) {
+        if (status === undefined) writeLine(`${address}: ${reason}`)
+      }
+      for (const status of behind) writeLine(`${status.instance}: still has revision ${status.revision}`)
+      writeLine(`in force at ${reached.length - behind.length} of ${answers.length} instances`)
+      if (behind.length > 0 || reached.length === 0) process.exitCode = EXIT_FAILURE
     })
   })
 
-program.command('show', 'Show the site text that the log has decided').action(async (options: CommandOptions) => {
-  await withClient(options, async client => {
-    const { revision, source } = await client.readConfiguration()
-    writeLine(`// revision ${revision}`)
-    writeLine(source)
+program
+  .command('show', 'Show the site text that the log has decided')
+  .option('--revision <revision>', 'Show this revision instead of the newest')
+  .action(async (given: Record<string, unknown>) => {
+    const options = checkOptions(given, commandOptions.show)
+    await withClient(options.settings, async client => {
+      const published = await client.readConfiguration(options.revision)
+      if (published === undefined) throw new Error(`the log has no revision ${options.revision}`)
+      writeLine(`// revision ${published.revision}`)
+      if (published.source !== '') writeLine(published.source.trimEnd())
+    })
   })
-})
 
-program.command('status', 'Show the state of every entry instance').action(async (options: CommandOptions) => {
-  await withClient(options, async client => {
-    const answers = await client.askAll('/operator/status')
-    const latest = Math.max(0, ...answers.map(answer => Number(answer.body?.revision ?? 0)))
-    const table = new Table({ head: ['instance', 'failure domain', 'revision', 'owner', 'term', 'active requests', 'open jobs'], style: { head: [], border: [] } })
-    for (const { address, body } of answers) {
-      if (body === undefined) table.push([address, 'unreachable', '', '', '', '', ''])
-      else table.push([body.instance, body.failureDomain, `${body.revision}${Number(body.revision) < latest ? ' (lags)' : ''}`, body.owner ?? '-', body.term, body.activeRequests, body.openJobs].map(String))
-    }
-    writeLine(table.toString())
+program.command('status', 'Show the state of every entry instance; exits with 0 if all is well').action(async (given: Record<string, unknown>) => {
+  const options = checkOptions(given, commandOptions.plain)
+  await withClient(options.settings, async client => {
+    const [answers, decided] = await Promise.all([client.readStatus(), client.readConfiguration().catch(() => undefined)])
+    const site = assessStatus(answers, decided?.revision)
+    writeLine(formatStatus(site))
+    if (site.problems.length > 0) process.exitCode = EXIT_FAILURE
   })
 })
 
-program.command('explain <subject>', 'Say why a job or request waits or was refused').action(async (subject: string, options: CommandOptions) => {
-  await withClient(options, async client => {
-    const known = (await client.askAll(`/operator/explain/${encodeURIComponent(subject)}`)).filter(answer => answer.status === 200)
-    const best = known.find(answer => answer.body?.owner === answer.body?.instance) ?? known.find(answer => !String(answer.body?.explanation).startsWith('ask the owner')) ?? known[0]
-    if (best === undefined) throw new Error(`no entry instance knows '${subject}'`)
-    writeLine(String(best.body?.explanation))
+program.command('explain <subject>', 'Say what happened to a job or request, and why it waits or was refused').action(async (subject: string, given: Record<string, unknown>) => {
+  const options = checkOptions(given, commandOptions.plain)
+  await withClient(options.settings, async client => {
+    const answers = await client.askAll(`/operator/explain/${encodeURIComponent(subject)}`)
+    const explanations = chooseExplanations(answers)
+    for (const line of explanations) writeLine(line)
+    if (explanations.length > 0) return
+    const silent = answers.filter(answer => answer.status !== 404)
+    const unanswered = silent.map(answer => `\n${answer.address}: ${answer.reason ?? (answer.status === 401 ? 'the operator token is refused' : `status ${answer.status}`)}`)
+    throw new Error(`no entry instance that answered knows '${subject}'${unanswered.join('')}`)
   })
 })
 
@@ -96,12 +154,20 @@
   .option('--request <request>', 'Only events of this request')
   .option('--worker <worker>', 'Only events of this worker')
   .option('--instance <instance>', 'Only events of this process')
+  .option('--kind <kind>', 'Only events of this kind')
+  .option('--since <time>', 'Only events at or after this time (ISO 8601)')
+  .option('--until <time>', 'Only events at or before this time (ISO 8601)')
   .option('--html <file>', 'Write a self-contained page instead of text')
-  .action((files: string[], options: CommandOptions) => {
-    const lines = files.flatMap(file => readFileSync(file, 'utf8').split('\n'))
-    const events = filterEvents(mergeEvents(parseEvents(lines)), options)
-    if (options.html === undefined) writeLine(formatTimeLine(events))
-    else writeFileSync(options.html, renderTimeLinePage(events))
+  .action((files: string[], given: Record<string, unknown>) => {
+    if (files.length === 0) throw new UsageError('an argument is missing; expected timeline <...files>; see --help')
+    const { html, since, until, ...filter } = checkOptions(given, commandOptions.timeline)
+    const all = parseEvents(files.flatMap(file => readText(file).split('\n')))
+    const events = filterEvents(mergeEvents(all), { ...filter, sinceMilliseconds: since, untilMilliseconds: until })
+    if (html !== undefined) writeText(html, renderTimeLinePage(events))
+    else if (events.length > 0) writeLine(formatTimeLine(events))
+    const faults = checkOrder(all)
+    for (const fault of faults) process.stderr.write(`vanillaturn: the order is not causal: ${fault}\n`)
+    if (faults.length > 0) process.exitCode = EXIT_FAILURE
   })
 
 await runCommandLine(program)
--- a/src/programs/wiring.ts
+++ b/src/programs/wiring.ts
@@ -20,6 +20,7 @@
 import { OperatorApi } from '../entry/operatorApi.js'
 import { OwnershipTask } from '../entry/ownershipTask.js'
 import { PlacementTask } from '../entry/placementTask.js'
+import { RequestHistory } from '../entry/requestHistory.js'
 import { SlotTask } from '../entry/slotTask.js'
 import { HttpExecutorClient, type ExecutorClient } from '../links/executorClient.js'
 import { HttpInstanceList, type InstanceList } from '../links/instanceList.js'
@@ -80,8 +81,16 @@
 
   own(toDisposable(() => { agent.destroy() }))
   const follow = (stream: string): LogFollower => own(new LogFollower(stream, log, clock, logger, random))
-  const createAppender = (stream: string): LogAppender => new LogAppender(stream, settings.instance, log, clock, logger, random)
+  const appenders: LogAppender[] = []
+  const createAppender = (stream: string): LogAppender => {
+    const appender = new LogAppender(stream, settings.instance, log, clock, logger, random)
+    appenders.push(appender)
+    return appender
+  }
   const links = own(connections.links)
+  // Registered before any other listener, so that everything a message causes gets a later logical time.
+  own(links.onDidReceive(({ message }) => clock.observe(message.logicalTime)))
+  const requests = own(new RequestHistory(context.events))
   const configurationFollower = follow(CONFIGURATION_STREAM)
   const ownershipFollower = follow(domainStream('ownership', settings.failureDomain))
   const jobFollower = follow(domainStream('jobs', settings.failureDomain))
@@ -104,8 +113,9 @@
   metrics.addGauge('link_bytes', 'Bytes sent and received on links', () => links.bytesExchanged)
   metrics.addGauge('processor_seconds', 'Processor time used by the process', () => process.cpuUsage().user / 1e6 + process.cpuUsage().system / 1e6)
   metrics.addGauge('resident_bytes', 'Resident memory of the process', () => process.memoryUsage.rss())
+  metrics.addGauge('log_appends', 'Appends sent to the platform\'s log', () => appenders.reduce((sum, appender) => sum + appender.appendsSent, 0))
   metrics.addGauge('malformed_frames', 'Malformed frames received on links', () => links.malformedFrames)
-  const operators = new OperatorApi(context, configuration, ownership, placement, jobs, frontDoor, membership.membership, links, metrics)
+  const operators = new OperatorApi(context, configuration, ownership, placement, jobs, frontDoor, membership.membership, links, metrics, requests, () => instance.isReady)
   const jobApi = new JobApi(context, jobs, placement, membership.membership, agent)
   const server = own(new CallerServer(configuration, frontDoor, jobApi, operators, () => instance.isReady))
   const followers = [configurationFollower, ownershipFollower, jobFollower]
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -7,6 +7,7 @@
   urgency: 'vanillaturn-urgency',
   deadlineMilliseconds: 'vanillaturn-deadline-milliseconds',
   request: 'vanillaturn-request',
+  logicalTime: 'vanillaturn-logical-time',
   forwardedFrom: 'vanillaturn-forwarded-from'
 } as const
 
--- a/src/standins/executorStandin.ts
+++ b/src/standins/executorStandin.ts
@@ -20,6 +20,8 @@
 /** One request that an executor ran. */
 export interface ExecutorRun {
   readonly request: string
+  /** Idempotency key that the request carried. */
+  readonly key: string | undefined
   readonly method: string
   readonly path: string
 }
@@ -33,7 +35,7 @@
   private concurrent = 0
   private mostConcurrent = 0
 
-  constructor (private readonly context: StandinContext, readonly name: string, readonly slots: number, private readonly serviceMilliseconds: number) {
+  constructor (private readonly context: StandinContext, readonly name: string, readonly slots: number, readonly connections: number, private readonly serviceMilliseconds: number) {
     super()
   }
 
@@ -50,18 +52,20 @@
 
   private async onRequest (event: H3Event): Promise<Response> {
     const request = event.req.headers.get('vanillaturn-request') ?? ''
+    const key = event.req.headers.get('idempotency-key') ?? undefined
+    this.context.events.clock.observe(Number(event.req.headers.get('vanillaturn-logical-time') ?? 0))
     if (this.faults.failEverything) return new Response('failing on purpose', { status: 500 })
     if (this.faults.refuse) return new Response('refusing on purpose', { status: 503, headers: { 'request-not-run': '1' } })
     const body = await event.req.text()
     this.concurrent += 1
     this.mostConcurrent = Math.max(this.mostConcurrent, this.concurrent)
-    this.runs.push({ request, method: event.req.method, path: event.url.pathname })
+    this.runs.push({ request, key, method: event.req.method, path: event.url.pathname })
     this.context.events.record('executorStarted', { request, executor: this.name })
     await delay(this.context.random.exponential(this.serviceMilliseconds * this.faults.slowFactor))
     this.concurrent -= 1
     this.context.events.record('executorEnded', { request, executor: this.name })
     if (this.faults.loseAnswers) return brokenAnswer()
     if (this.faults.cutBodies) return brokenAnswer('{"request":')
-    return Response.json({ request, executor: this.name, path: event.url.pathname, echo: body.slice(0, BODY_PREVIEW_CHARACTERS) })
+    return Response.json({ request, executor: this.name, path: event.url.pathname, echo: body.slice(0, BODY_PREVIEW_CHARACTERS) }, { headers: { 'vanillaturn-logical-time': String(this.context.events.clock.tick()) } })
   }
 }
--- a/src/standins/siteStandin.ts
+++ b/src/standins/siteStandin.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import { DisposableObject } from '../base/disposable.js'
 import type { ListedInstance } from '../contracts/platformProtocol.js'
+import type { StandinLedger } from '../contracts/standinLedger.js'
 import type { SiteText } from '../contracts/siteText.js'
 import { ExecutorStandin } from './executorStandin.js'
 import { PlatformStandin, type PlatformOptions } from './platformStandin.js'
@@ -84,14 +85,19 @@
   }
 
   /** What the executors and workers ran. */
-  ledger () {
+  ledger (): StandinLedger {
     return {
-      executors: this.executors.map(executor => ({ name: executor.name, slots: executor.slots, maximumConcurrent: executor.maximumConcurrent, maximumConnections: executor.maximumConnections, runs: executor.runs })),
+      executors: this.executors.map(executor => ({ name: executor.name, slots: executor.slots, connections: executor.connections, maximumConcurrent: executor.maximumConcurrent, maximumConnections: executor.maximumConnections, runs: executor.runs })),
       workers: this.workers.map(worker => ({ name: worker.name, capacity: worker.capacity, mostUsed: worker.mostUsed, overcommittedStarts: worker.overcommittedStarts, runs: worker.runs })),
       appends: this.platform.appendCount
     }
   }
 
+  /** Each machine has events and a logical time of its own, as it would as a process of its own. */
+  private contextOf (machine: string): StandinContext {
+    return { ...this.context, events: this.context.events.forMachine(machine) }
+  }
+
   private async startExecutors (): Promise<void> {
     const total = Object.values(this.text.executorPools).flatMap(pool => Object.values(pool.executors)).reduce((sum, count) => sum + count, 0)
     for (const [poolName, pool] of Object.entries(this.text.executorPools)) {
@@ -99,7 +105,7 @@
         for (let index = 0; index < count; index += 1) {
           const name = `${poolName}-${failureDomain}-${index}`
           const factor = EXECUTOR_SPEED_SPREAD ** ((this.executors.length % Math.max(1, total)) / Math.max(1, total - 1) - 0.5)
-          const executor = this.register(new ExecutorStandin(this.context, name, pool.slots, this.options.serviceMilliseconds * factor))
+          const executor = this.register(new ExecutorStandin(this.contextOf(name), name, pool.slots, pool.connections, this.options.serviceMilliseconds * factor))
           await executor.listen(this.options.host, 0)
           this.executors.push(executor)
           this.list({ kind: 'executor', name, failureDomain, pool: poolName, address: executor.address, state: 'live' })
@@ -115,7 +121,7 @@
         for (let index = 0; index < count; index += 1) {
           const name = `${poolName}-${failureDomain}-${index}`
           const rack = `${failureDomain}-rack-${Math.floor(index / pool.workersPerRack)}`
-          const worker = this.register(new WorkerStandin(this.context, name, `${name}.1`, { processorsThousandths, memoryBytes, accelerators }))
+          const worker = this.register(new WorkerStandin(this.contextOf(name), name, `${name}.1`, { processorsThousandths, memoryBytes, accelerators }))
           await worker.listen(this.options.host, 0)
           this.workers.push(worker)
           this.list({ kind: 'worker', name, failureDomain, pool: poolName, rack, address: worker.address, state: 'live' })
--- a/src/standins/workerStandin.ts
+++ b/src/standins/workerStandin.ts
@@ -82,7 +82,7 @@
     if (known !== undefined && compareAttempts(command.attempt, known.command.attempt) < 0) return new Response('stale attempt', { status: 409 })
     if (known === undefined || compareAttempts(command.attempt, known.command.attempt) > 0) this.run(name, command)
     if (this.faults.loseAnswers) return brokenAnswer()
-    return Response.json({})
+    return Response.json({ logicalTime: this.context.events.clock.tick() })
   }
 
   private async onAction (event: H3Event): Promise<Response> {
@@ -95,7 +95,7 @@
     if (task === undefined || compareAttempts(parsed.data.attempt, task.command.attempt) !== 0) return new Response('unknown attempt', { status: 404 })
     this.act(task, event.context.params?.action as TaskActionName, parsed.data.throttlePercent)
     if (this.faults.loseAnswers) return brokenAnswer()
-    return Response.json({})
+    return Response.json({ logicalTime: this.context.events.clock.tick() })
   }
 
   private async onRenew (event: H3Event): Promise<Response> {
--- a/test/contracts/siteText.test.ts
+++ b/test/contracts/siteText.test.ts
@@ -20,7 +20,7 @@
 /** Each case guards against a faulty text being accepted, or reported without its place. */
 const CASES: ReadonlyArray<{ readonly name: string, readonly change: (text: Mutable) => void, readonly expected: RegExp | undefined }> = [
   { name: 'a valid text', change: () => {}, expected: undefined },
-  { name: 'an unknown key', change: text => { text.services!.order!.colour = 1 }, expected: /^text:\d+:\d+: services\.order: .*colour/ },
+  { name: 'an unknown key', change: text => { text.services!.order!.colour = 1 }, expected: /^text:18:7: services\.order\.colour: unknown key/ },
   { name: 'an unknown dependency', change: text => { text.services!.order!.dependsOn = ['missing'] }, expected: /services\.order\.dependsOn\.0: unknown service 'missing'/ },
   { name: 'an unknown executor pool', change: text => { text.services!.order!.executorPool = 'missing' }, expected: /unknown executor pool 'missing'; expected one of 'pool'/ },
   { name: 'an unknown failure domain', change: text => { text.workerPools!.general!.workers = { 'zone-b': 1 } }, expected: /unknown failure domain 'zone-b'/ },
--- /dev/null
+++ b/test/operator/timeLine.test.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { SystemEvent } from '../../src/contracts/events.js'
+import { checkOrder, filterEvents, formatTimeLine, mergeEvents, parseEvents, renderTimeLinePage, type TimeLineFilter } from '../../src/operator/timeLine.js'
+
+function event (process: string, logicalTime: number, kind: SystemEvent['kind'], fields: Partial<SystemEvent> = {}): SystemEvent {
+  return { type: 'event', kind, process, incarnation: '1', logicalTime, time: '2026-05-04T13:00:00.000Z', ...fields }
+}
+
+/** One request over caller, entry instance and executor, in the order in which each wrote. */
+const REQUEST = [
+  event('entry', 4, 'requestAccepted', { request: 'r', service: 'order' }),
+  event('entry', 5, 'requestDispatched', { request: 'r', executor: 'e' }),
+  event('entry', 12, 'requestAnswered', { request: 'r', detail: '200' }),
+  event('executor', 7, 'executorStarted', { request: 'r', time: '2026-05-04T12:59:00.000Z' }),
+  event('executor', 8, 'executorEnded', { request: 'r', time: '2026-05-04T12:59:01.000Z' }),
+  event('load', 14, 'callerAnswered', { request: 'r' })
+]
+
+/** Each case guards against an order that contradicts causality and is not reported. */
+const ORDERS: ReadonlyArray<{ readonly name: string, readonly events: readonly SystemEvent[], readonly expected: readonly RegExp[] }> = [
+  { name: 'a causal order', events: REQUEST, expected: [] },
+  { name: 'a process whose logical time does not grow', events: [event('a', 2, 'linkOpened'), event('a', 2, 'linkClosed')], expected: [/^a: linkClosed has logical time 2 after 2$/] },
+  { name: 'a restarted process counts anew', events: [event('a', 9, 'instanceStopped'), event('a', 1, 'instanceStarted', { incarnation: '2' })], expected: [] },
+  { name: 'a request whose message to the executor carried no time', events: [event('entry', 5, 'requestDispatched', { request: 'r' }), event('executor', 1, 'executorStarted', { request: 'r' })], expected: [/request r: executorStarted at executor has logical time 1, not after requestDispatched at entry with 5/] },
+  { name: 'an answer that carried no time', events: [event('executor', 7, 'executorEnded', { request: 'r' }), event('entry', 6, 'requestAnswered', { request: 'r' })], expected: [/requestAnswered at entry/] },
+  { name: 'a log record that carried no time', events: [event('entry', 7, 'jobSubmitted', { job: 'j' }), event('owner', 3, 'taskStarting', { job: 'j', task: 't' })], expected: [/job j: taskStarting at owner/] },
+  { name: 'a start command that carried no time', events: [event('owner', 7, 'taskStarting', { task: 't' }), event('worker', 2, 'taskStarted', { task: 't' })], expected: [/task t: taskStarted at worker/] }
+]
+
+/** Each case guards against a filter that shows too much or too little. */
+const FILTERS: ReadonlyArray<{ readonly name: string, readonly filter: TimeLineFilter, readonly expected: readonly number[] }> = [
+  { name: 'nothing', filter: {}, expected: [4, 5, 7, 8, 12, 14] },
+  { name: 'a request', filter: { request: 'other' }, expected: [] },
+  { name: 'a process', filter: { instance: 'executor' }, expected: [7, 8] },
+  { name: 'a kind', filter: { kind: 'requestAnswered' }, expected: [12] },
+  { name: 'a start', filter: { sinceMilliseconds: Date.parse('2026-05-04T12:59:01Z') }, expected: [4, 5, 8, 12, 14] },
+  { name: 'an end', filter: { untilMilliseconds: Date.parse('2026-05-04T12:59:00Z') }, expected: [7] }
+]
+
+describe('the time line', () => {
+  for (const { name, events, expected } of ORDERS) {
+    it(`checks ${name}`, () => {
+      const faults = checkOrder(events)
+      assert.equal(faults.length, expected.length, faults.join('\n'))
+      for (const [index, pattern] of expected.entries()) assert.match(faults[index] as string, pattern)
+    })
+  }
+
+  for (const { name, filter, expected } of FILTERS) {
+    it(`filters by ${name}`, () => {
+      assert.deepEqual(filterEvents(mergeEvents(REQUEST), filter).map(({ logicalTime }) => logicalTime), expected)
+    })
+  }
+
+  it('orders ties by process, whatever the wall clocks say', () => {
+    const merged = mergeEvents([event('b', 3, 'linkOpened', { time: '2026-05-04T12:00:00.000Z' }), event('a', 3, 'linkOpened')])
+    assert.deepEqual(merged.map(({ process }) => process), ['a', 'b'])
+  })
+
+  it('skips lines that are not events', () => {
+    const lines = ['', 'noise', '{"broken', '{"type":"log"}', JSON.stringify(REQUEST[0])]
+    assert.deepEqual(parseEvents(lines), [REQUEST[0]])
+  })
+
+  it('shows a request from acceptance to end over three processes, in text and page', () => {
+    const kinds = ['requestAccepted', 'requestDispatched', 'executorStarted', 'executorEnded', 'requestAnswered', 'callerAnswered']
+    const lines = formatTimeLine(mergeEvents(REQUEST)).split('\n')
+    assert.deepEqual(lines.map(line => kinds.find(kind => line.includes(kind))), kinds)
+    const page = renderTimeLinePage(mergeEvents(REQUEST))
+    for (const name of ['entry', 'executor', 'load']) assert.ok(page.includes(`<th>${name}</th>`))
+  })
+
+  it('escapes what it shows and loads nothing', () => {
+    const page = renderTimeLinePage([event('<b>"x\'&', 1, 'linkOpened', { detail: '</td><script>alert(1)</script>' })])
+    assert.ok(!page.includes('<script') && !page.includes('<b>"x'))
+    assert.doesNotMatch(page, /(src|href)=|url\(|@import/)
+  })
+})
