Complete the load tool and share the check of outcomes with the embedded site

Cause: a submission or poll that failed ended the run, faults could not be part of a scenario, polls went to instances that do not know what has started, and the check against the stand-in's record existed only in the embedded site.

Scenarios have faults at stated times, idempotency keys on a share of the requests and re-submission after unknown outcomes. Random choices depend on the seed alone, one generator a stream.

--- a/src/load/loadResult.ts
+++ b/src/load/loadResult.ts
@@ -1,17 +1,49 @@
 import Table from 'cli-table3'
 import type { Histogram } from 'hdr-histogram-js'
 
-/** Waiting time and outcomes of one urgency class. Times are milliseconds. */
-export interface ClassResult {
+/** Percentiles in milliseconds. */
+export interface Percentiles {
+  readonly p50: number
+  readonly p90: number
+  readonly p99: number
+  readonly maximum: number
+}
+
+/** Outcomes and answer times of one urgency class. Times count from when a request was due, over all its submissions. */
+export interface ClassResult extends Percentiles {
   readonly sent: number
+  readonly resubmitted: number
   readonly answered: number
   readonly notRun: number
   readonly mayHaveRun: number
+  readonly ran: number
   readonly broken: number
-  readonly p50: number
-  readonly p90: number
-  readonly p99: number
-  readonly maximum: number
+}
+
+/** Time from submission to start of the jobs of one kind and urgency class. */
+export interface JobClassResult extends Percentiles {
+  readonly jobs: number
+  readonly started: number
+}
+
+/** One job as last read. `waitedMilliseconds` has the resolution of the polling, 100 ms. */
+export interface JobResult {
+  readonly job: string
+  readonly name: string
+  readonly kind: string
+  readonly urgency: string
+  readonly tasks: number
+  readonly state: string
+  readonly waitedMilliseconds: number | undefined
+}
+
+/** Cost of control of one entry instance over the run. */
+export interface ControlResult {
+  readonly instance: string
+  readonly processorSeconds: number
+  readonly residentBytes: number
+  readonly linkBytesPerSecond: number
+  readonly appends: number
 }
 
 /** Result of one run of the load tool. */
@@ -19,29 +51,39 @@
   readonly seed: number
   readonly durationMilliseconds: number
   readonly classes: Readonly<Record<string, ClassResult>>
-  readonly jobs: ReadonlyArray<{ readonly job: string, readonly name: string, readonly state: string, readonly waitedMilliseconds: number | undefined }>
-  /** Share of the workers' processors in use, sampled while jobs were open. */
-  readonly packing: { readonly mean: number, readonly maximum: number }
-  /** Cost of control per entry instance. */
-  readonly control: ReadonlyArray<{ readonly instance: string, readonly processorSeconds: number, readonly residentBytes: number, readonly linkBytesPerSecond: number }>
+  readonly jobs: readonly JobResult[]
+  readonly jobClasses: Readonly<Record<string, JobClassResult>>
+  /** Share of the workers' processors in use while jobs waited for a start, and the number of samples. */
+  readonly packing: { readonly mean: number, readonly maximum: number, readonly samples: number }
+  readonly control: readonly ControlResult[]
+  /** Faults that could not be switched. */
+  readonly notes: readonly string[]
+  /** By second of the run: the 99th percentile of answer times by urgency class in milliseconds, and the share of processors in use. */
+  readonly series: { readonly seconds: readonly number[], readonly answerTimes: Readonly<Record<string, ReadonlyArray<number | null>>>, readonly used: ReadonlyArray<number | null> }
 }
 
 /** Summary of a histogram of microseconds in milliseconds. */
-export function summarize (histogram: Histogram): Pick<ClassResult, 'p50' | 'p90' | 'p99' | 'maximum'> {
+export function summarize (histogram: Histogram): Percentiles {
   const at = (percentile: number): number => Math.round(histogram.getValueAtPercentile(percentile)) / 1000
   return { p50: at(50), p90: at(90), p99: at(99), maximum: histogram.totalCount === 0 ? 0 : histogram.maxValue / 1000 }
 }
 
 /** Renders a result as plain tables. */
 export function formatResult (result: LoadResult): string {
-  const requests = new Table({ head: ['urgency', 'sent', 'answered', 'notRun', 'mayHaveRun', 'broken', 'p50 ms', 'p90 ms', 'p99 ms', 'max ms'], style: { head: [], border: [] } })
+  const style = { head: [], border: [] }
+  const percentileHead = ['p50 ms', 'p90 ms', 'p99 ms', 'max ms']
+  const percentiles = (row: Percentiles): string[] => [row.p50, row.p90, row.p99, row.maximum].map(value => value.toFixed(1))
+  const requests = new Table({ head: ['urgency', 'sent', 'answered', 'notRun', 'mayHaveRun', 'ran', 'broken', 'resubmitted', ...percentileHead], style })
   for (const [urgency, row] of Object.entries(result.classes)) {
-    requests.push([urgency, row.sent, row.answered, row.notRun, row.mayHaveRun, row.broken, ...[row.p50, row.p90, row.p99, row.maximum].map(value => value.toFixed(1))])
+    requests.push([urgency, row.sent, row.answered, row.notRun, row.mayHaveRun, row.ran, row.broken, row.resubmitted, ...percentiles(row)])
   }
-  const jobs = new Table({ head: ['job', 'state', 'waited ms'], style: { head: [], border: [] } })
+  const classes = new Table({ head: ['jobs by kind and urgency', 'jobs', 'started', ...percentileHead], style })
+  for (const [name, row] of Object.entries(result.jobClasses)) classes.push([name, row.jobs, row.started, ...percentiles(row)])
+  const jobs = new Table({ head: ['job', 'state', 'waited ms'], style })
   for (const job of result.jobs) jobs.push([job.name, job.state, job.waitedMilliseconds?.toFixed(0) ?? '-'])
-  const control = new Table({ head: ['instance', 'processor s', 'resident MB', 'link bytes/s'], style: { head: [], border: [] } })
-  for (const row of result.control) control.push([row.instance, row.processorSeconds.toFixed(2), (row.residentBytes / 1e6).toFixed(0), row.linkBytesPerSecond.toFixed(0)])
-  const packing = `packing: mean ${(result.packing.mean * 100).toFixed(1)} %, maximum ${(result.packing.maximum * 100).toFixed(1)} % of the workers' processors`
-  return ['waiting time', requests.toString(), 'jobs', jobs.toString(), packing, 'control cost', control.toString()].join('\n')
+  const control = new Table({ head: ['instance', 'processor s', 'resident MB', 'link bytes/s', 'appends'], style })
+  for (const row of result.control) control.push([row.instance, row.processorSeconds.toFixed(2), (row.residentBytes / 1e6).toFixed(0), row.linkBytesPerSecond.toFixed(0), row.appends])
+  const { packing } = result
+  const packed = packing.samples === 0 ? 'packing: no job waited when sampled' : `packing while jobs waited: mean ${(packing.mean * 100).toFixed(1)} %, maximum ${(packing.maximum * 100).toFixed(1)} % of the workers' processors, ${packing.samples} samples`
+  return [`answer time from when a request was due, seed ${result.seed}`, requests.toString(), 'waiting time of jobs', classes.toString(), jobs.toString(), packed, 'control cost', control.toString(), ...result.notes].join('\n')
 }
--- a/src/programs/embeddedSite.ts
+++ b/src/programs/embeddedSite.ts
@@ -1,10 +1,14 @@
+import { randomUUID } from 'node:crypto'
 import { Agent } from 'undici'
 import { delay } from '../base/delay.js'
+import { LogicalClock } from '../base/logicalClock.js'
 import type { LineSink } from '../base/logger.js'
+import { EventLog } from '../contracts/eventLog.js'
 import type { SiteText } from '../contracts/siteText.js'
 import type { EntryInstance } from '../entry/entryInstance.js'
 import { LoadRunner } from '../load/loadRunner.js'
 import type { LoadResult } from '../load/loadResult.js'
+import { checkOutcomes } from '../load/outcomeCheck.js'
 import type { Scenario } from '../load/scenario.js'
 import { OperatorClient } from '../operator/operatorClient.js'
 import type { SiteStandin } from '../standins/siteStandin.js'
@@ -49,38 +53,17 @@
   }
 
   async run (scenario: Scenario): Promise<LoadResult> {
-    const target = { callerAddresses: this.callerAddresses, operatorToken: OPERATOR_TOKEN, urgencyOf: (service: string) => this.text.services[service]?.urgency ?? 'normal' }
-    this.runner = new LoadRunner(scenario, target, this.agent, () => {})
+    const { address } = this.standin.platform
+    const target = { callerAddresses: this.callerAddresses, operatorToken: OPERATOR_TOKEN, standinAddress: address, runIdentity: randomUUID(), urgencyOf: (service: string) => this.text.services[service]?.urgency ?? 'normal' }
+    const events = new EventLog('load', randomUUID(), new LogicalClock(), this.sink)
+    this.runner = new LoadRunner(scenario, target, this.agent, events, () => {})
     return await this.runner.run()
   }
 
   /** Compares what callers were told with what executors and workers ran. Returns one line for each contradiction. */
-  check (result: LoadResult): string[] {
-    const ledger = this.standin.ledger()
-    const problems: string[] = []
-    const runs = new Map<string, number>()
-    for (const executor of ledger.executors) {
-      for (const run of executor.runs) runs.set(run.request, (runs.get(run.request) ?? 0) + 1)
-      if (executor.maximumConcurrent > executor.slots) problems.push(`executor ${executor.name} ran ${executor.maximumConcurrent} requests at once with ${executor.slots} slots`)
-    }
-    for (const outcome of this.runner?.outcomes ?? []) {
-      if (outcome.kind === 'broken' || outcome.kind === 'mayHaveRun') problems.push(`a request ended as ${outcome.kind}`)
-      if (outcome.kind === 'answered' && runs.get(outcome.request ?? '') !== 1) problems.push(`request ${outcome.request} was answered and ran ${runs.get(outcome.request ?? '') ?? 0} times`)
-    }
-    for (const job of result.jobs) {
-      if (job.state !== 'finished') problems.push(`job ${job.name} is ${job.state}`)
-    }
-    const finished = new Map<string, number>()
-    for (const worker of ledger.workers) {
-      if (worker.overcommittedStarts > 0) problems.push(`worker ${worker.name} was overcommitted by ${worker.overcommittedStarts} starts`)
-      for (const run of worker.runs) {
-        if (run.state === 'finished') finished.set(run.task, (finished.get(run.task) ?? 0) + 1)
-      }
-    }
-    for (const [task, count] of finished) {
-      if (count !== 1) problems.push(`task ${task} finished ${count} times`)
-    }
-    return problems
+  check (result: LoadResult, scenario: Scenario): string[] {
+    const isIdempotent = (service: string): boolean => this.text.services[service]?.idempotent ?? false
+    return checkOutcomes({ outcomes: this.runner?.outcomes ?? [], jobs: result.jobs, ledger: this.standin.ledger(), isIdempotent, withFaults: scenario.faults.length > 0 })
   }
 
   async stop (): Promise<void> {
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -2,18 +2,15 @@
 import { fileURLToPath } from 'node:url'
 import { mkdirSync, openSync, writeSync, closeSync } from 'node:fs'
 import { cac } from 'cac'
+import { z } from 'zod'
 import { EmbeddedSite } from './embeddedSite.js'
-import { readSettings, readSiteText, runCommandLine, writeLine } from './commandLine.js'
+import { checkOptions, describeFileProblem, readSettings, readSiteText, runCommandLine, textOption, UsageError, writeLine } from './commandLine.js'
 import { formatResult } from '../load/loadResult.js'
 import { scenarioSchema } from '../load/scenario.js'
 
 const EXAMPLES = new URL('../../../examples/', import.meta.url)
 
-interface SiteOptions {
-  readonly text: string
-  readonly scenario: string
-  readonly events: string
-}
+const optionsSchema = z.object({ text: textOption, scenario: textOption, events: textOption })
 
 const program = cac('vanillaturn-site')
 
@@ -22,11 +19,11 @@
   .option('--text <file>', 'Site text', { default: fileURLToPath(new URL('small/site.jsonc', EXAMPLES)) })
   .option('--scenario <file>', 'Load scenario', { default: fileURLToPath(new URL('small/scenario.jsonc', EXAMPLES)) })
   .option('--events <directory>', 'Directory for the log of all processes', { default: 'run' })
-  .action(async (options: SiteOptions) => {
+  .action(async (given: Record<string, unknown>) => {
+    const options = checkOptions(given, optionsSchema)
     const { source, text } = readSiteText(options.text)
     const scenario = readSettings(options.scenario, scenarioSchema)
-    mkdirSync(options.events, { recursive: true })
-    const file = openSync(`${options.events}/site.log`, 'w')
+    const file = openLog(options.events)
     const site = new EmbeddedSite(text, source, line => writeSync(file, `${line}\n`))
     try {
       writeLine(`site ${text.site}: starting stand-ins and entry instances; log in ${options.events}/site.log`)
@@ -34,7 +31,8 @@
       writeLine('configuration in force everywhere; running the load')
       const result = await site.run(scenario)
       writeLine(formatResult(result))
-      const problems = site.check(result)
+      writeLine('processor time and memory are those of the one process that holds every part')
+      const problems = site.check(result, scenario)
       for (const problem of problems) writeLine(`problem: ${problem}`)
       writeLine(problems.length === 0 ? 'every accepted request was answered once and every job finished once' : `${problems.length} problems`)
       process.exitCode = problems.length === 0 ? 0 : 1
@@ -44,4 +42,13 @@
     }
   })
 
+function openLog (directory: string): number {
+  try {
+    mkdirSync(directory, { recursive: true })
+    return openSync(`${directory}/site.log`, 'w')
+  } catch (error) {
+    throw new UsageError(`cannot write ${directory}/site.log: ${describeFileProblem(error)}`)
+  }
+}
+
 await runCommandLine(program)
