Add fakes of the surroundings and a fuzzer of entry instances

The proof needs several instances of the real code on a paused clock, with faults of the log, the instance list, workers, executors and links.

--- /dev/null
+++ b/test/fakes/fakeExecutors.ts
@@ -0,0 +1,166 @@
+import { Readable } from 'node:stream'
+import { ExecutorClient, NOT_RUN_HEADER, type ExecutorResult, type OutgoingRequest } from '../../src/links/executorClient.js'
+import type { Network } from './network.js'
+import type { SimulatedProcess } from './pausedClock.js'
+
+/** Header by which tests name a submission of a request; it is passed on end to end. */
+export const SUBMISSION_HEADER = 'test-submission'
+/** What an executor does with the next requests. */
+export type ExecutorFault = 'refuse' | 'loseAnswer' | 'cutBody' | 'late'
+/** An executor ends a request that runs for longer than this, in milliseconds. */
+export const MAXIMUM_RUN_MILLISECONDS = 2000
+
+const IDLE_CONNECTION_MILLISECONDS = 4000
+const BODY_PADDING = '.'.repeat(500)
+
+/** One request that an executor ran; `endedAt` is undefined while it runs. */
+export interface RequestRun {
+  readonly submission: string
+  readonly from: SimulatedProcess
+  readonly startedAt: number
+  readonly fault: ExecutorFault | undefined
+  endedAt: number | undefined
+}
+
+/** An arrival at an executor, whether it was run or not. */
+export interface RequestArrival {
+  readonly from: SimulatedProcess
+  readonly at: number
+}
+
+/** Body that names the submission which it answers. */
+export function expectedBody (submission: string): string {
+  return `answer to ${submission} ${BODY_PADDING}`
+}
+
+/** An executor that runs requests on arrival and records what it ran. */
+export class FakeExecutor {
+  readonly runs: RequestRun[] = []
+  readonly arrivals: RequestArrival[] = []
+  readonly faults: ExecutorFault[] = []
+  serviceMilliseconds = 50
+  concurrent = 0
+  maximumConcurrent = 0
+  connections = 0
+  maximumConnections = 0
+
+  constructor (readonly name: string, readonly failureDomain: string) {}
+
+  openConnection (): void {
+    this.connections += 1
+    this.maximumConnections = Math.max(this.maximumConnections, this.connections)
+  }
+
+  /** Runs a request; `onEnd` follows when it has ended. */
+  run (network: Network, submission: string, from: SimulatedProcess, fault: ExecutorFault | undefined, onEnd: () => void): void {
+    const run: RequestRun = { submission, from, startedAt: performance.now(), fault, endedAt: undefined }
+    this.runs.push(run)
+    this.concurrent += 1
+    this.maximumConcurrent = Math.max(this.maximumConcurrent, this.concurrent)
+    const duration = fault === 'late' ? MAXIMUM_RUN_MILLISECONDS : Math.min(MAXIMUM_RUN_MILLISECONDS, 1 + network.random.integerBelow(2 * this.serviceMilliseconds))
+    network.clock.after(duration, () => {
+      this.concurrent -= 1
+      run.endedAt = performance.now()
+      onEnd()
+    })
+  }
+}
+
+/** One process's connections to the executors; an executor's address is its name. */
+export class FakeExecutorClient extends ExecutorClient {
+  private readonly idle = new Map<FakeExecutor, Set<NodeJS.Timeout>>()
+  private readonly open = new Map<FakeExecutor, number>()
+
+  constructor (private readonly executors: ReadonlyMap<string, FakeExecutor>, private readonly network: Network, private readonly self: SimulatedProcess) {
+    super()
+    this.register({ dispose: () => this.closeAll() })
+  }
+
+  override async send (address: string, request: OutgoingRequest, timeoutMilliseconds: number, _connections: number, signal: AbortSignal): Promise<ExecutorResult> {
+    const executor = this.executors.get(address) as FakeExecutor
+    const submission = String(request.headers[SUBMISSION_HEADER])
+    this.takeConnection(executor)
+    return await new Promise<ExecutorResult>(resolve => {
+      let settled = false
+      const settle = (result: ExecutorResult, keep: boolean): void => {
+        if (settled) return
+        settled = true
+        clearTimeout(timer)
+        this.returnConnection(executor, keep)
+        this.self.deliver(() => resolve(result))
+      }
+      const fail = (reason: string, timedOut: boolean): void => settle({ kind: 'mayHaveRun', reason, timedOut }, false)
+      const timer = this.network.clock.after(timeoutMilliseconds, () => fail('timed out', true))
+      signal.addEventListener('abort', () => fail('aborted', false), { once: true })
+      this.network.clock.after(this.network.delayMilliseconds(), () => {
+        executor.arrivals.push({ from: this.self, at: performance.now() })
+        const fault = executor.faults.shift()
+        if (fault === 'refuse') {
+          settle({ kind: 'answer', answer: { status: 503, headers: { [NOT_RUN_HEADER]: '1' }, body: Readable.from([]) } }, true)
+          return
+        }
+        executor.run(this.network, submission, this.self, fault, () => {
+          this.network.clock.after(this.network.delayMilliseconds(), () => {
+            if (fault === 'loseAnswer') fail('the connection broke', false)
+            else if (!settled) settle({ kind: 'answer', answer: { status: 200, headers: { 'content-type': 'text/plain' }, body: this.body(expectedBody(submission), fault) } }, fault !== 'cutBody')
+          })
+        })
+      })
+    })
+  }
+
+  /** Closes every connection at once, as the end of the process does. */
+  closeAll (): void {
+    for (const [executor, count] of this.open) executor.connections -= count
+    this.open.clear()
+    for (const timers of this.idle.values()) for (const timer of timers) clearTimeout(timer)
+    this.idle.clear()
+  }
+
+  private body (text: string, fault: ExecutorFault | undefined): Readable {
+    const body = new Readable({ read () {} })
+    const half = Math.floor(text.length / 2)
+    body.push(text.slice(0, half))
+    this.network.clock.after(this.network.delayMilliseconds(), () => this.self.deliver(() => {
+      if (fault === 'cutBody') {
+        body.destroy(new Error('other side closed'))
+        return
+      }
+      body.push(text.slice(half))
+      body.push(null)
+    }))
+    return body
+  }
+
+  private takeConnection (executor: FakeExecutor): void {
+    const idle = this.idle.get(executor)
+    const [reused] = idle ?? []
+    if (reused !== undefined) {
+      clearTimeout(reused)
+      idle?.delete(reused)
+      return
+    }
+    executor.openConnection()
+    this.open.set(executor, (this.open.get(executor) ?? 0) + 1)
+  }
+
+  private returnConnection (executor: FakeExecutor, keep: boolean): void {
+    if ((this.open.get(executor) ?? 0) === 0) return
+    if (!keep) {
+      this.closeOne(executor)
+      return
+    }
+    const idle = this.idle.get(executor) ?? new Set()
+    this.idle.set(executor, idle)
+    const timer = this.network.clock.after(IDLE_CONNECTION_MILLISECONDS, () => {
+      idle.delete(timer)
+      this.closeOne(executor)
+    })
+    idle.add(timer)
+  }
+
+  private closeOne (executor: FakeExecutor): void {
+    executor.connections -= 1
+    this.open.set(executor, (this.open.get(executor) ?? 0) - 1)
+  }
+}
--- /dev/null
+++ b/test/fakes/pausedClock.ts
@@ -0,0 +1,132 @@
+import { AsyncLocalStorage } from 'node:async_hooks'
+import FakeTimers from '@sinonjs/fake-timers'
+
+type TimerFunction = (callback: (...given: unknown[]) => void, milliseconds?: number, ...given: unknown[]) => object
+type TimerHandle = object
+
+const storage = new AsyncLocalStorage<SimulatedProcess | undefined>()
+/** Captured before the timers are replaced. */
+const runtimeSetImmediate = setImmediate
+
+/** One process on the shared clock. While paused its timers and deliveries are withheld; after a crash they are dropped. */
+export class SimulatedProcess {
+  private state: 'running' | 'paused' | 'crashed' = 'running'
+  private readonly deferred: Array<() => void> = []
+  readonly timers = new Set<TimerHandle>()
+  /** Monotonic time until which the process was last paused. */
+  wokeAt = -Infinity
+
+  constructor (readonly name: string, readonly failureDomain: string) {}
+
+  get isCrashed (): boolean {
+    return this.state === 'crashed'
+  }
+
+  get isPaused (): boolean {
+    return this.state === 'paused'
+  }
+
+  /** Runs work of the process. Timers that it sets belong to the process. */
+  run<T> (work: () => T): T {
+    return storage.run(this, work)
+  }
+
+  /** Runs work that comes from outside, now or after the pause. */
+  deliver (work: () => void): void {
+    if (this.state === 'crashed') return
+    if (this.state === 'paused') this.deferred.push(work)
+    else this.run(work)
+  }
+
+  pause (): void {
+    if (this.state === 'running') this.state = 'paused'
+  }
+
+  wake (): void {
+    if (this.state !== 'paused') return
+    this.state = 'running'
+    this.wokeAt = performance.now()
+    for (const work of this.deferred.splice(0)) this.deliver(work)
+  }
+
+  crash (): void {
+    this.state = 'crashed'
+    this.deferred.length = 0
+    for (const timer of this.timers) clearTimeout(timer as NodeJS.Timeout)
+    this.timers.clear()
+  }
+}
+
+/** The runtime's clock, paused. Timers set by a simulated process pass through its pauses and end with its crash. */
+export class PausedClock {
+  private readonly clock: ReturnType<typeof FakeTimers.install>
+  private readonly cleared = new WeakSet<TimerHandle>()
+  private readonly owners = new WeakMap<TimerHandle, SimulatedProcess>()
+
+  constructor () {
+    this.clock = FakeTimers.install({ now: 1_700_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'] })
+    const { setTimeout: fakeTimeout, setInterval: fakeInterval, clearTimeout: fakeClearTimeout, clearInterval: fakeClearInterval } = globalThis
+    const clearWith = (clear: (timer: NodeJS.Timeout) => void) => (timer: NodeJS.Timeout | undefined): void => {
+      if (timer === undefined) return
+      this.cleared.add(timer)
+      this.owners.get(timer)?.timers.delete(timer)
+      clear(timer)
+    }
+    Object.assign(globalThis, {
+      setTimeout: this.withProcess(fakeTimeout as unknown as TimerFunction, false),
+      setInterval: this.withProcess(fakeInterval as unknown as TimerFunction, true),
+      clearTimeout: clearWith(fakeClearTimeout),
+      clearInterval: clearWith(fakeClearInterval)
+    })
+  }
+
+  /** Timers that are set and have not fired. */
+  get timerCount (): number {
+    return this.clock.countTimers()
+  }
+
+  /** Runs work of the surroundings after a delay, outside every simulated process. */
+  after (milliseconds: number, work: () => void): NodeJS.Timeout {
+    return storage.run(undefined, () => setTimeout(work, milliseconds))
+  }
+
+  /** Advances in steps; promises settle after each. `onStep` runs after each step. */
+  async advance (milliseconds: number, stepMilliseconds: number, onStep: () => void = () => {}): Promise<void> {
+    for (let left = milliseconds; left > 0; left -= stepMilliseconds) {
+      this.clock.tick(Math.min(left, stepMilliseconds))
+      await this.settle()
+      onStep()
+    }
+  }
+
+  /** Lets pending promises and stream events run without advancing the clock. */
+  async settle (): Promise<void> {
+    await new Promise(resolve => runtimeSetImmediate(resolve))
+    await new Promise(resolve => runtimeSetImmediate(resolve))
+  }
+
+  uninstall (): void {
+    this.clock.uninstall()
+  }
+
+  private withProcess (create: TimerFunction, repeats: boolean): TimerFunction {
+    return (callback, milliseconds, ...given) => {
+      const owner = storage.getStore()
+      if (owner === undefined) return create(callback, milliseconds, ...given)
+      let deferred = false
+      const handle = create(() => {
+        if (!repeats) owner.timers.delete(handle)
+        if (deferred) return
+        deferred = owner.isPaused
+        owner.deliver(() => {
+          deferred = false
+          if (!this.cleared.has(handle)) callback(...given)
+        })
+      }, milliseconds)
+      this.owners.set(handle, owner)
+      if (owner.isCrashed) clearTimeout(handle as NodeJS.Timeout)
+      else owner.timers.add(handle)
+      return handle
+    }
+  }
+}
--- /dev/null
+++ b/test/fuzz/fuzzer.ts
@@ -0,0 +1,71 @@
+import fc from 'fast-check'
+import { FakeSite, type FakeSiteOptions } from '../fakes/fakeSite.js'
+import { traces, type FuzzModel } from './commands.js'
+import { assertChecks, decidedRevision, FINAL_CHECKS, NoAcceptedJobLost, watch } from './oracle.js'
+
+/** How to fuzz. */
+export interface FuzzOptions {
+  readonly seed: number
+  readonly runs: number
+  readonly commands?: number
+  /** Whether keyed requests are submitted. */
+  readonly keys?: boolean
+  readonly wrapConnections?: FakeSiteOptions['wrapConnections']
+  /** Runs before a site is built, to plant a fault; what it returns runs after the site has ended. */
+  readonly plant?: () => () => void
+  /** Whether a failing trace is made small. */
+  readonly shrink?: boolean
+}
+
+/** The first violation that was found. */
+export interface FuzzFailure {
+  readonly seed: number
+  readonly path: string
+  readonly runs: number
+  /** Name of the violated check and what was seen. */
+  readonly problem: string
+  /** Commands of the trace, one a line. */
+  readonly trace: string
+}
+
+/** A long poll whose answer was lost is repeated after 13 s; every instance has read the log by then. */
+const LEFTOVER_MILLISECONDS = 14_000
+/** Longest wait for jobs at the end: two ownership changes, the bound for silent workers, and their run time. */
+const JOBS_END_MILLISECONDS = 180_000
+
+/** Runs traces of commands against a fresh site each. Returns the first failure, or undefined. */
+export async function fuzz (options: FuzzOptions): Promise<FuzzFailure | undefined> {
+  const { seed, runs, keys = false, commands = 40 } = options
+  const property = fc.asyncProperty(fc.nat({ max: 1_000_000 }), traces(keys, commands), async (siteSeed, trace) => { await runTrace(options, siteSeed, trace) })
+  const details = await fc.check(property, { seed, numRuns: runs, endOnFailure: options.shrink === false, interruptAfterTimeLimit: options.shrink === false ? undefined : 600_000 })
+  if (!details.failed) return undefined
+  const [siteSeed, trace] = details.counterexample ?? [0, '']
+  const problem = details.errorInstance instanceof Error ? details.errorInstance.message : String(details.errorInstance)
+  return { seed, path: details.counterexamplePath ?? '', runs: details.numRuns, problem, trace: `site(${siteSeed})\n${String(trace).split(/,(?=[a-zA-Z]+\()/).join('\n')}` }
+}
+
+/** Runs one trace, heals all faults, and checks again after enough time. */
+async function runTrace (options: FuzzOptions, siteSeed: number, trace: Iterable<fc.AsyncCommand<FuzzModel, FakeSite>>): Promise<void> {
+  const restore = options.plant?.()
+  const site = new FakeSite({ seed: siteSeed, wrapConnections: options.wrapConnections }, watch)
+  try {
+    await site.begin()
+    await fc.asyncModelRun(() => ({ model: { keys: options.keys ?? false }, real: site }), trace)
+    await finish(site)
+  } finally {
+    const timers = await site.dispose()
+    restore?.()
+    if (timers > 0 && site.noticed.size === 0) site.noticed.set('Leak', `${timers} timers are left`)
+  }
+  assertChecks(site, {})
+}
+
+/** Heals all faults and lets everything end, then runs the checks of the end. */
+export async function finish (site: FakeSite): Promise<void> {
+  site.heal()
+  site.publish(decidedRevision(site), 100)
+  await site.advance(LEFTOVER_MILLISECONDS)
+  assertChecks(site)
+  for (let waited = 0; waited < JOBS_END_MILLISECONDS && NoAcceptedJobLost(site).length > 0; waited += 5000) await site.advance(5000, true)
+  assertChecks(site, FINAL_CHECKS)
+}
--- /dev/null
+++ b/test/fuzz/main.ts
@@ -0,0 +1,25 @@
+import { cac } from 'cac'
+import { fuzz } from './fuzzer.js'
+
+const DEFAULT_SEED = 1
+const DEFAULT_RUNS = 100
+
+const tool = cac('fuzz')
+tool.command('', 'fuzz the entry instances over fakes')
+  .option('--seed <seed>', 'seed of the traces', { default: DEFAULT_SEED })
+  .option('--runs <runs>', 'number of traces', { default: DEFAULT_RUNS })
+  .option('--keys', 'submit requests with idempotency keys, too')
+  .option('--commands <commands>', 'most commands of a trace', { default: 40 })
+  .option('--no-shrink', 'print the failing trace as it was found')
+  .action(async ({ seed, runs, keys, commands, shrink }: { seed: number, runs: number, keys?: boolean, commands: number, shrink: boolean }) => {
+    console.log(`fuzzing with seed ${seed}, ${runs} runs`)
+    const failure = await fuzz({ seed, runs, keys, commands, shrink })
+    if (failure === undefined) {
+      console.log('no violation found')
+      return
+    }
+    console.log(`${failure.problem}\nfound with seed ${failure.seed} in run ${failure.runs}, path ${failure.path}\n${failure.trace}`)
+    process.exitCode = 1
+  })
+tool.help()
+tool.parse()
