Scheduler: let a start that never arrived lapse

A start of unknown outcome was renewed with every lease renewal, so its hold never lapsed and the job waited for ever when the command had not reached the worker. Renewals now begin once an answer or a report shows the attempt.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -138,7 +138,9 @@
   planRenewals (now: number): RenewalPlan[] {
     return [...this.workers.values()].map(entry => {
       const silent = now - (entry.reportedAt ?? now) > SILENCE_BEFORE_LAPSE_MILLISECONDS
-      const tasks = silent ? [] : entry.worker.held.map(({ task, attempt }) => ({ task, attempt }))
+      // A start of unknown outcome is not renewed until a report shows it: if it never arrived, its lease must be able to lapse.
+      const renewable = entry.worker.held.filter(({ task }) => this.findTask(task)?.phase !== 'starting')
+      const tasks = silent ? [] : renewable.map(({ task, attempt }) => ({ task, attempt }))
       for (const { task } of tasks) this.noteRenewal(task, now)
       const acknowledged = [...entry.acknowledge].map(([task, attempt]) => ({ task, attempt }))
       return { worker: entry.worker.description, tasks, acknowledged }
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -51,4 +51,18 @@
     assert.deepEqual(starts(scheduler.decide(30_000, 10)), [])
     assert.deepEqual(starts(scheduler.decide(32_000, 10)), ['first'])
   })
+
+  it('places a task again although renewals go on, when its start never arrived', () => {
+    const scheduler = schedulerWith(1)
+    scheduler.addJob(job('first', {}), 0)
+    const [start] = scheduler.decide(0, 10)
+    if (start?.kind !== 'start') return assert.fail('nothing was started')
+    scheduler.onStartOutcome(start.task, start.attempt, 'unknown', 2000)
+    for (let now = 2500; now < 33_000; now += 500) {
+      assert.deepEqual(scheduler.planRenewals(now).flatMap(plan => plan.tasks), [])
+      scheduler.onReport('worker-0', { worker: 'worker-0', incarnation: '1', term: 1, tasks: [], logicalTime: 0 }, now)
+      assert.deepEqual(starts(scheduler.decide(now, 10)), [])
+    }
+    assert.deepEqual(starts(scheduler.decide(33_000, 10)), ['first'])
+  })
 })
