Front door: no error says notRun after an attempt of unknown outcome

A retried request that then expired in the queue, or whose retry was refused, was answered notRun although its first attempt had run.

The error is now outcomeUnknown with verdict mayHaveRun.

--- a/src/entry/frontDoor.ts
+++ b/src/entry/frontDoor.ts
@@ -39,6 +39,8 @@
   readonly service: Service
   readonly tried: Set<string>
   attempts: number
+  /** Whether an attempt has ended without its outcome being known. */
+  mayHaveRun: boolean
   readonly settle: (answer: CallerAnswer) => void
 }
 
@@ -101,7 +103,7 @@
     this.activeCount += 1
     this.context.events.record('requestAccepted', { request: request.identity, service: request.service })
     const answer = await new Promise<CallerAnswer>(resolve => {
-      const queued: QueuedRequest = { identity: request.identity, urgency: request.urgency, deadline: request.deadline, request, service, tried: new Set(), attempts: 0, settle: resolve }
+      const queued: QueuedRequest = { identity: request.identity, urgency: request.urgency, deadline: request.deadline, request, service, tried: new Set(), attempts: 0, mayHaveRun: false, settle: given => resolve(withVerdict(given, queued.mayHaveRun)) }
       this.enqueue(queued, text.limits.queuedRequests)
     })
     this.noteAnswer(request, answer)
@@ -176,6 +178,7 @@
       this.retryOr(queued, { code: 'noExecutor', verdict: 'notRun', message: 'no executor could be reached', retryAfterSeconds: 1 }, true)
       return
     }
+    queued.mayHaveRun = true
     this.releaseSlotLater(executor, sentAt + service.maximumRunMilliseconds)
     const error: ServingError = result.timedOut
       ? { code: 'executorTimeout', verdict: 'mayHaveRun', message: 'the executor did not answer in time' }
@@ -269,6 +272,13 @@
   }
 }
 
+/** An error after an attempt of unknown outcome must not say that the request has not run. */
+function withVerdict (answer: CallerAnswer, mayHaveRun: boolean): CallerAnswer {
+  if (answer.kind === 'answer' || !mayHaveRun || answer.error.verdict !== 'notRun') return answer
+  const { message, retryAfterSeconds } = answer.error
+  return { kind: 'error', error: { code: 'outcomeUnknown', verdict: 'mayHaveRun', message: `an earlier attempt may have run; ${message}`, retryAfterSeconds } }
+}
+
 function isIdempotent (service: Service, method: string): boolean {
   return service.idempotent || IDEMPOTENT_METHODS.has(method)
 }
