Ownership: an instance whose later incarnation has joined is gone

When the owner and all electors restarted within the lag of the instance list, the list showed their names without a break, no newcomer could claim, and the failure domain had no owner for good. A join record of a later incarnation now counts as proof that the earlier one has ended.

--- a/src/entry/ownershipTask.ts
+++ b/src/entry/ownershipTask.ts
@@ -156,8 +156,10 @@
     this.links.send(from.instance, { type: 'promise', logicalTime: this.context.events.clock.tick(), failureDomain: message.failureDomain, term: message.term, request: message.request, granted })
   }
 
+  /** A holder is gone when the list no longer shows its instance, or when a later incarnation of the instance has joined. */
   private isGone (holder: Holder, now: number): boolean {
-    return this.membership.ageMilliseconds(now) < LIST_FRESHNESS_MILLISECONDS && this.membership.find(holder.instance) === undefined
+    const replaced = this.rules.members.some(member => member.instance === holder.instance && member.incarnation !== holder.incarnation)
+    return replaced || (this.membership.ageMilliseconds(now) < LIST_FRESHNESS_MILLISECONDS && this.membership.find(holder.instance) === undefined)
   }
 
   private noteOwnerChange (): void {
