--- a/src/contracts/linkMessages.ts
+++ b/src/contracts/linkMessages.ts
@@ -2,13 +2,42 @@
 
 const logicalTime = z.number().int().nonnegative()
 
+const count = z.number().int().nonnegative()
+
 /** What a holder uses of one executor. `connections` is the greater of those open and those granted. */
-export const slotUseSchema = z.object({ executor: z.string(), held: z.number().int().nonnegative(), inFlight: z.number().int().nonnegative(), connections: z.number().int().nonnegative() })
-export type SlotUse = z.infer<typeof slotUseSchema>
+export interface SlotUse {
+  readonly executor: string
+  readonly held: number
+  readonly inFlight: number
+  readonly connections: number
+}
 
 /** A holder's share of one executor's slots and connections. */
-export const slotGrantSchema = z.object({ executor: z.string(), slots: z.number().int().nonnegative(), connections: z.number().int().nonnegative() })
-export type SlotGrant = z.infer<typeof slotGrantSchema>
+export interface SlotGrant {
+  readonly executor: string
+  readonly slots: number
+  readonly connections: number
+}
+
+/** Uses and grants travel without field names, which are most of their bytes. */
+const slotUseSchema = z.tuple([z.string(), count, count, count])
+const slotGrantSchema = z.tuple([z.string(), count, count])
+
+export function encodeUses (uses: readonly SlotUse[]): Array<z.infer<typeof slotUseSchema>> {
+  return uses.map(({ executor, held, inFlight, connections }) => [executor, held, inFlight, connections])
+}
+
+export function decodeUses (encoded: ReadonlyArray<z.infer<typeof slotUseSchema>>): SlotUse[] {
+  return encoded.map(([executor, held, inFlight, connections]) => ({ executor, held, inFlight, connections }))
+}
+
+export function encodeGrants (grants: readonly SlotGrant[]): Array<z.infer<typeof slotGrantSchema>> {
+  return grants.map(({ executor, slots, connections }) => [executor, slots, connections])
+}
+
+export function decodeGrants (encoded: ReadonlyArray<z.infer<typeof slotGrantSchema>>): SlotGrant[] {
+  return encoded.map(([executor, slots, connections]) => ({ executor, slots, connections }))
+}
 
 /** Messages between entry instances after the handshake. */
 export const linkMessageSchema = z.discriminatedUnion('type', [
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -8,7 +8,9 @@
 import { CALLER_HEADERS } from '../requests/headers.js'
 import type { ConfigurationTask } from './configurationTask.js'
 import { monotonicNow } from './entryContext.js'
-import type { CallerAnswer, FrontDoor } from './frontDoor.js'
+import type { CallerAnswer } from './callerRequest.js'
+import type { FrontDoor } from './frontDoor.js'
+import { RequestBody } from './requestBody.js'
 import { errorResponse } from './errorResponse.js'
 import type { JobApi } from './jobApi.js'
 import type { OperatorApi } from './operatorApi.js'
@@ -65,15 +67,15 @@
       return errorResponse({ code: 'malformedRequest', verdict: 'notRun', message: `${CALLER_HEADERS.deadlineMilliseconds}: expected a whole number of milliseconds` })
     }
     const deadline = monotonicNow() + deadlineMilliseconds
-    const body = await readBody(event.req, this.bodyLimit())
-    if (body === 'tooLarge') return errorResponse({ code: 'bodyTooLarge', verdict: 'notRun', message: `the body is larger than ${this.bodyLimit()} bytes` })
+    const body = await this.readRequestBody(event.req, deadlineMilliseconds)
+    if (!(body instanceof RequestBody)) return errorResponse(body)
     const answer = await this.frontDoor.serve({
       identity: randomUUID(),
       service: serviceName,
       method: event.req.method,
       path: (event.url.pathname.slice(`/services/${serviceName}`.length) || '/') + event.url.search,
       headers: [...event.req.headers],
-      body: body.length > 0 ? body : undefined,
+      body,
       urgency: effectiveUrgency(service?.urgency ?? 'normal', event.req.headers.get(CALLER_HEADERS.urgency)),
       deadline,
       signal: event.req.signal
@@ -81,6 +83,22 @@
     return toResponse(answer)
   }
 
+  /** Reads the part of a body that is kept in memory; a caller that sends it slowly is given up at the deadline. */
+  private async readRequestBody (request: Request, deadlineMilliseconds: number): Promise<RequestBody | ServingError> {
+    if (request.body === null) return RequestBody.EMPTY
+    const limit = this.bodyLimit()
+    const tooLarge: ServingError = { code: 'bodyTooLarge', verdict: 'notRun', message: `the body is larger than ${limit} bytes` }
+    if (Number(request.headers.get('content-length') ?? 0) > limit) return tooLarge
+    const timeout = AbortSignal.timeout(Math.max(1, deadlineMilliseconds))
+    try {
+      const body = await RequestBody.read(request.body, limit, AbortSignal.any([request.signal, timeout]))
+      return body === 'tooLarge' ? tooLarge : body
+    } catch {
+      if (timeout.aborted) return { code: 'deadlineExpired', verdict: 'notRun', message: 'the body did not arrive before the deadline' }
+      return { code: 'cancelled', verdict: 'notRun', message: 'the caller has gone' }
+    }
+  }
+
   private bodyLimit (): number {
     return this.configuration.inForce?.text.limits.requestBodyBytes ?? DEFAULT_BODY_LIMIT_BYTES
   }
--- a/src/entry/frontDoor.ts
+++ b/src/entry/frontDoor.ts
@@ -1,58 +1,46 @@
-import type { Readable } from 'node:stream'
 import { backoffMilliseconds, delay } from '../base/delay.js'
-import { DisposableObject, toDisposable } from '../base/disposable.js'
-import type { ServingError } from '../contracts/verdict.js'
-import type { Service, Urgency } from '../contracts/siteText.js'
-import { NOT_RUN_HEADER, type ExecutorAnswer, type ExecutorClient, type OutgoingRequest } from '../links/executorClient.js'
-import { Executor } from '../machines/executor.js'
+import { DisposableObject } from '../base/disposable.js'
+import type { ServingErrorCode } from '../contracts/verdict.js'
+import type { Service } from '../contracts/siteText.js'
+import type { ExecutorClient } from '../links/executorClient.js'
+import { ejectOutlier, Executor } from '../machines/executor.js'
 import type { Membership } from '../machines/membership.js'
-import { CALLER_HEADERS, endToEndHeaders } from '../requests/headers.js'
-import type { ExecutorCandidate, ExecutorChooser } from '../requests/executorChooser.js'
-import { WaitingQueue } from '../requests/waitingQueue.js'
+import type { ExecutorChooser } from '../requests/executorChooser.js'
+import { PoolDispatcher, type Refusal } from '../requests/poolDispatcher.js'
+import { RetryBudget } from '../requests/retryBudget.js'
+import type { SlotHolder } from '../requests/slotHolder.js'
+import { errorAnswer, PendingRequest, type CallerAnswer, type CallerRequest } from './callerRequest.js'
 import type { ConfigurationTask } from './configurationTask.js'
 import { monotonicNow, type EntryContext } from './entryContext.js'
-import type { SlotHolder } from '../requests/slotHolder.js'
-
-/** A caller's request after its head has been checked. Times are monotonic milliseconds. */
-export interface CallerRequest {
-  readonly identity: string
-  readonly service: string
-  readonly method: string
-  readonly path: string
-  readonly headers: ReadonlyArray<[string, string]>
-  readonly body: Buffer | undefined
-  readonly urgency: Urgency
-  readonly deadline: number
-  readonly signal: AbortSignal
-}
-
-/** What the caller gets. */
-export type CallerAnswer =
-  | { readonly kind: 'answer', readonly status: number, readonly headers: Record<string, string | string[]>, readonly body: Readable }
-  | { readonly kind: 'error', readonly error: ServingError }
-
-interface QueuedRequest {
-  readonly identity: string
-  readonly urgency: Urgency
-  readonly deadline: number
-  readonly request: CallerRequest
-  readonly service: Service
-  readonly tried: Set<string>
-  attempts: number
-  readonly settle: (answer: CallerAnswer) => void
+import { RequestSender, type FailedAttempt } from './requestSender.js'
+
+/** How the front door tells the slot task what it needs. */
+export interface SlotRequests {
+  /** Requests wait; asks the owner for slots. */
+  requestSlots (): void
+  /** Slots may have become free that the owner wants back. */
+  reportFreedSlots (): void
 }
 
 const EXPIRY_PERIOD_MILLISECONDS = 50
-const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'])
 const MAXIMUM_ATTEMPTS = 3
+/** Attempts that end before a byte goes out cost an executor nothing, so that more of them are made. */
+const MAXIMUM_UNSENT_ATTEMPTS = 6
 const RETRY_BASE_MILLISECONDS = 10
 const RETRY_MAXIMUM_MILLISECONDS = 200
 
+const REFUSAL_MESSAGES: Readonly<Record<Refusal['code'], string>> = {
+  queueFull: 'too many requests wait; send the request again later',
+  deadlineUnreachable: 'the request could not be answered before its deadline; send it again later',
+  noExecutor: 'no executor serves this failure domain at the moment'
+}
+
 /** Queues callers' requests and dispatches them to executors within the slots that this instance holds. */
 export class FrontDoor extends DisposableObject {
-  private readonly queues = new Map<string, WaitingQueue<QueuedRequest>>()
+  private readonly pools = new Map<string, PoolDispatcher<PendingRequest>>()
   private readonly executors = new Map<string, Executor>()
-  private readonly heldTimers = new Set<NodeJS.Timeout>()
+  private readonly budgets = new Map<string, RetryBudget>()
+  private readonly sender: RequestSender
   private activeCount = 0
   private stopping = false
 
@@ -63,10 +51,10 @@
     private readonly slots: SlotHolder,
     private readonly client: ExecutorClient,
     private readonly chooser: ExecutorChooser,
-    /** Asks the owner for slots because requests wait. */
-    private readonly requestSlots: () => void
+    private readonly slotRequests: SlotRequests
   ) {
     super()
+    this.sender = this.register(new RequestSender(context, slots, client, () => this.onSlotReleased(), executor => this.onExecutorFailed(executor)))
     this.registerInterval(() => this.dispatchAll(), EXPIRY_PERIOD_MILLISECONDS)
     this.register(membership.onDidChange(() => this.dispatchAll()))
     this.register(client.onDidChangeConnections(({ address, open }) => {
@@ -74,9 +62,6 @@
         if (executor.address === address) this.slots.noteConnections(executor.name, open)
       }
     }))
-    this.register(toDisposable(() => {
-      for (const timer of this.heldTimers) clearTimeout(timer)
-    }))
   }
 
   /** Requests accepted and not yet answered to their end. */
@@ -84,22 +69,27 @@
     return this.activeCount
   }
 
-  /** Refuses new requests from now on; requests in flight go on. */
-  stopAccepting (): void {
-    this.stopping = true
-  }
-
   /** Requests that wait for a slot. */
   get waiting (): number {
     let sum = 0
-    for (const queue of this.queues.values()) sum += queue.length
+    for (const pool of this.pools.values()) sum += pool.length
     return sum
   }
 
-  /** Waiting and running requests by executor pool, for the division of slots. */
+  /** Whether an urgent request waits for a slot. */
+  get urgentWaits (): boolean {
+    return [...this.pools.values()].some(pool => pool.urgentWaits)
+  }
+
+  /** Refuses new requests from now on; requests in flight go on. */
+  stopAccepting (): void {
+    this.stopping = true
+  }
+
+  /** Waiting requests, weighted by urgency, and running ones by executor pool, for the division of slots. */
   demand (): Record<string, number> {
     const demand: Record<string, number> = {}
-    for (const [pool, queue] of this.queues) demand[pool] = queue.length
+    for (const [name, pool] of this.pools) demand[name] = pool.weightedWaiting
     for (const executor of this.executors.values()) demand[executor.pool] = (demand[executor.pool] ?? 0) + this.slots.inFlight(executor.name)
     return demand
   }
@@ -108,16 +98,12 @@
   async serve (request: CallerRequest): Promise<CallerAnswer> {
     const text = this.configuration.inForce?.text
     const service = text?.services[request.service]
-    if (this.stopping) return refusal('stopping', 'the instance is stopping; send the request again', 1)
-    if (text === undefined) return refusal('notReady', 'no configuration is in force yet', 1)
-    if (service === undefined) return refusal('unknownService', `there is no service '${request.service}'`)
-    if (monotonicNow() >= request.deadline) return refusal('deadlineExpired', 'the deadline has passed')
+    if (this.stopping) return refuse(request, 'stopping', 'the instance is stopping', 1)
+    if (text === undefined) return refuse(request, 'notReady', 'no configuration is in force yet', 1)
+    if (service === undefined) return refuse(request, 'unknownService', `there is no service '${request.service}'`)
     this.activeCount += 1
     this.context.events.record('requestAccepted', { request: request.identity, service: request.service })
-    const answer = await new Promise<CallerAnswer>(resolve => {
-      const queued: QueuedRequest = { identity: request.identity, urgency: request.urgency, deadline: request.deadline, request, service, tried: new Set(), attempts: 0, settle: resolve }
-      this.enqueue(queued, text.limits.queuedRequests)
-    })
+    const answer = await new Promise<CallerAnswer>(resolve => this.enqueue(new PendingRequest(request, service, resolve), text.limits.queuedRequests))
     this.noteAnswer(request, answer)
     return answer
   }
@@ -126,148 +112,100 @@
   dispatchAll (): void {
     const now = monotonicNow()
     this.refreshExecutors()
-    for (const [pool, queue] of this.queues) {
-      for (const expired of queue.takeExpired(now)) expired.settle(refusal('deadlineExpired', 'the deadline passed while the request waited for a slot'))
-      this.dispatch(pool, queue, now)
+    for (const pool of this.pools.values()) {
+      for (const expired of pool.takeExpired(now)) {
+        const late = expired.deadline <= now
+        settleWith(expired, late ? 'deadlineExpired' : 'noExecutor', late ? 'the deadline passed while the request waited for a slot' : REFUSAL_MESSAGES.noExecutor, 1)
+      }
+      this.dispatch(pool, now)
     }
     for (const executor of this.executors.values()) this.client.limitConnections(executor.address, this.slots.connections(executor.name, now))
   }
 
-  private enqueue (queued: QueuedRequest, capacity: number): void {
-    const pool = queued.service.executorPool
-    const queue = this.queues.get(pool) ?? new WaitingQueue<QueuedRequest>(capacity)
-    queue.setCapacity(capacity)
-    this.queues.set(pool, queue)
-    const refused = queue.push(queued)
-    refused?.settle(refusal('queueFull', 'too many requests wait; send the request again later', 1))
-    queued.request.signal.addEventListener('abort', () => {
-      queue.remove(queued)
-      queued.settle({ kind: 'error', error: { code: 'cancelled', verdict: queued.attempts === 0 ? 'notRun' : 'mayHaveRun', message: 'the caller has gone' } })
-    }, { once: true })
-    this.dispatch(pool, queue, monotonicNow())
+  private enqueue (pending: PendingRequest, capacity: number): void {
+    const pool = this.poolOf(pending.service)
+    pool.setCapacity(capacity)
+    pending.request.signal.addEventListener('abort', () => this.onCallerGone(pending), { once: true })
+    this.admit(pending)
+    if (pending.request.signal.aborted) this.onCallerGone(pending)
   }
 
-  private dispatch (pool: string, queue: WaitingQueue<QueuedRequest>, now: number): void {
-    while (queue.length > 0) {
-      const candidates = this.candidates(pool, now)
-      if (candidates.length === 0) {
-        this.requestSlots()
-        return
-      }
-      const queued = queue.take()
-      if (queued === undefined) return
-      const untried = candidates.filter(candidate => !queued.tried.has(candidate.executor.name))
-      const chosen = this.chooser.choose(untried.length > 0 ? untried : candidates)
-      if (chosen === undefined || !this.slots.acquire(chosen.executor.name, now)) {
-        queue.push(queued)
-        return
-      }
-      this.send(queued, chosen.executor)
-    }
+  private admit (pending: PendingRequest): void {
+    const pool = this.poolOf(pending.service)
+    const now = monotonicNow()
+    const { refusal, evicted } = pool.admit(pending, now)
+    if (refusal !== undefined) settleWith(pending, refusal.code, REFUSAL_MESSAGES[refusal.code], refusal.retryAfterSeconds)
+    if (evicted !== undefined) settleWith(evicted, 'queueFull', REFUSAL_MESSAGES.queueFull, 1)
+    this.dispatch(pool, now)
   }
 
-  private candidates (pool: string, now: number): ExecutorCandidate[] {
-    const candidates: ExecutorCandidate[] = []
-    for (const executor of this.executors.values()) {
-      if (executor.pool !== pool || executor.leaving) continue
-      const free = this.slots.free(executor.name, now)
-      if (free > 0) candidates.push({ executor, free, inFlight: this.slots.inFlight(executor.name) })
-    }
-    return candidates
+  private onCallerGone (pending: PendingRequest): void {
+    this.poolOf(pending.service).remove(pending)
+    pending.request.body.discard()
+    pending.settle(errorAnswer({ code: 'cancelled', verdict: pending.tried.size === 0 ? 'notRun' : 'mayHaveRun', message: 'the caller has gone' }))
   }
 
-  private async send (queued: QueuedRequest, executor: Executor): Promise<void> {
-    const { request, service } = queued
-    const sentAt = monotonicNow()
-    queued.attempts += 1
-    queued.tried.add(executor.name)
-    this.context.events.record('requestDispatched', { request: request.identity, executor: executor.name })
-    const timeout = Math.max(1, Math.min(service.maximumRunMilliseconds, request.deadline - sentAt))
-    let startedAt = sentAt
-    const mayStart = (): boolean => {
-      startedAt = monotonicNow()
-      return this.slots.mayStart(startedAt)
-    }
-    const result = await this.client.send(executor.address, this.outgoing(request), timeout, this.slots.connections(executor.name, sentAt), request.signal, mayStart)
-    if (result.kind === 'answer') {
-      this.onAnswer(queued, executor, result.answer, startedAt)
-      return
-    }
-    executor.recordFailure()
-    if (result.kind === 'notSent') {
-      this.releaseSlot(executor)
-      this.retryOr(queued, { code: 'noExecutor', verdict: 'notRun', message: 'no executor could be reached', retryAfterSeconds: 1 }, true)
-      return
-    }
-    this.releaseSlotLater(executor, startedAt + service.maximumRunMilliseconds)
-    const error: ServingError = result.timedOut
-      ? { code: 'executorTimeout', verdict: 'mayHaveRun', message: 'the executor did not answer in time' }
-      : { code: 'executorFailed', verdict: 'mayHaveRun', message: 'the connection to the executor broke' }
-    this.retryOr(queued, error, isIdempotent(service, request.method))
+  private poolOf (service: Service): PoolDispatcher<PendingRequest> {
+    const existing = this.pools.get(service.executorPool)
+    if (existing !== undefined) return existing
+    const pool = new PoolDispatcher<PendingRequest>(this.slots, this.chooser, 0)
+    this.pools.set(service.executorPool, pool)
+    this.refreshExecutors()
+    return pool
   }
 
-  private onAnswer (queued: QueuedRequest, executor: Executor, answer: ExecutorAnswer, sentAt: number): void {
-    if (answer.status === 503 && answer.headers[NOT_RUN_HEADER] !== undefined) {
-      answer.body.resume()
-      answer.body.once('close', () => this.releaseSlot(executor))
-      executor.recordFailure()
-      this.retryOr(queued, { code: 'executorRefused', verdict: 'notRun', message: 'the executors refuse requests', retryAfterSeconds: 1 }, true)
-      return
-    }
-    if (answer.status >= 500) executor.recordFailure()
-    answer.body.once('close', () => {
-      if (!answer.body.readableEnded) {
-        this.releaseSlotLater(executor, sentAt + queued.service.maximumRunMilliseconds)
-        return
-      }
-      if (answer.status < 500) executor.recordSuccess(monotonicNow() - sentAt)
-      this.releaseSlot(executor)
-    })
-    answer.body.on('error', error => this.context.logger.debug('the answer of an executor was cut short', { executor: executor.name, reason: error.message }))
-    const headers = endToEndHeaders(Object.entries(answer.headers))
-    headers[CALLER_HEADERS.request] = queued.identity
-    queued.settle({ kind: 'answer', status: answer.status, headers, body: answer.body })
+  private dispatch (pool: PoolDispatcher<PendingRequest>, now: number): void {
+    for (let next = pool.next(now); next !== undefined; next = pool.next(now)) this.attempt(next.request, next.executor)
+    if (pool.length > 0) this.slotRequests.requestSlots()
   }
 
-  private async retryOr (queued: QueuedRequest, error: ServingError, allowed: boolean): Promise<void> {
-    const now = monotonicNow()
-    const wait = backoffMilliseconds(queued.attempts, RETRY_BASE_MILLISECONDS, RETRY_MAXIMUM_MILLISECONDS, this.context.random.fraction())
-    const mayRetry = allowed && !this.stopping && queued.attempts < MAXIMUM_ATTEMPTS && now + wait < queued.deadline && !queued.request.signal.aborted
-    if (!mayRetry) {
-      queued.settle({ kind: 'error', error })
+  private async attempt (pending: PendingRequest, executor: Executor): Promise<void> {
+    if (pending.attempts === 0 && pending.unsentAttempts === 0) this.budgetOf(pending).onFirstAttempt()
+    const failed = await this.sender.send(pending, executor)
+    if (failed === undefined) return
+    if (failed.error.verdict === 'mayHaveRun') pending.mayHaveRun = true
+    if (this.mayRepeat(pending, failed)) await this.repeat(pending, failed)
+    else pending.settle(errorAnswer(failed.error))
+  }
+
+  private mayRepeat (pending: PendingRequest, failed: FailedAttempt): boolean {
+    if (!failed.repeatable || pending.isSettled || this.stopping) return false
+    if (!failed.sent) return pending.unsentAttempts < MAXIMUM_UNSENT_ATTEMPTS
+    return pending.attempts < MAXIMUM_ATTEMPTS && this.budgetOf(pending).take()
+  }
+
+  private async repeat (pending: PendingRequest, failed: FailedAttempt): Promise<void> {
+    const wait = backoffMilliseconds(pending.attempts + pending.unsentAttempts, RETRY_BASE_MILLISECONDS, RETRY_MAXIMUM_MILLISECONDS, this.context.random.fraction())
+    if (monotonicNow() + wait >= pending.deadline) {
+      pending.settle(errorAnswer(failed.error))
       return
     }
-    this.context.events.record('requestRetried', { request: queued.identity })
+    this.context.events.record('requestRetried', { request: pending.identity })
     await delay(wait)
-    const queue = this.queues.get(queued.service.executorPool)
-    if (queue?.push(queued) === queued) queued.settle({ kind: 'error', error })
-    this.dispatchAll()
+    if (!pending.isSettled) this.admit(pending)
   }
 
-  private outgoing (request: CallerRequest): OutgoingRequest {
-    const headers = endToEndHeaders(request.headers, ['host', 'content-length', 'expect'])
-    headers[CALLER_HEADERS.request] = request.identity
-    headers[CALLER_HEADERS.urgency] = request.urgency
-    return { method: request.method, path: request.path, headers, body: request.body }
+  private budgetOf (pending: PendingRequest): RetryBudget {
+    const budget = this.budgets.get(pending.request.service) ?? new RetryBudget()
+    this.budgets.set(pending.request.service, budget)
+    return budget
   }
 
-  private releaseSlot (executor: Executor): void {
-    this.slots.release(executor.name)
+  private onSlotReleased (): void {
     this.dispatchAll()
+    this.slotRequests.reportFreedSlots()
   }
 
-  /** A request of unknown outcome counts until it cannot be running any more. */
-  private releaseSlotLater (executor: Executor, at: number): void {
-    const timer = setTimeout(() => {
-      this.heldTimers.delete(timer)
-      this.releaseSlot(executor)
-    }, Math.max(0, at - monotonicNow()))
-    this.heldTimers.add(timer)
+  private onExecutorFailed (executor: Executor): void {
+    executor.recordFailure()
+    const pool = [...this.executors.values()].filter(other => other.pool === executor.pool)
+    if (ejectOutlier(executor, pool, monotonicNow())) this.context.logger.warn('an executor fails and gets no requests for a while', { executor: executor.name })
   }
 
   private noteAnswer (request: CallerRequest, answer: CallerAnswer): void {
     if (answer.kind === 'error') {
       this.activeCount -= 1
+      request.body.discard()
       this.context.events.record('requestFailed', { request: request.identity, detail: `${answer.error.code} ${answer.error.verdict}` })
       return
     }
@@ -286,16 +224,22 @@
       }
       executor.leaving = entry.state === 'leaving'
     }
-    for (const name of this.executors.keys()) {
-      if (!names.has(name)) this.executors.delete(name)
+    for (const [name, executor] of this.executors) {
+      if (names.has(name)) continue
+      this.client.limitConnections(executor.address, 0)
+      this.executors.delete(name)
     }
+    for (const [name, pool] of this.pools) pool.setExecutors([...this.executors.values()].filter(executor => executor.pool === name))
   }
 }
 
-function isIdempotent (service: Service, method: string): boolean {
-  return service.idempotent || IDEMPOTENT_METHODS.has(method)
+/** Ends a waiting request. One that an earlier attempt may have run keeps that verdict. */
+function settleWith (pending: PendingRequest, code: Extract<ServingErrorCode, 'queueFull' | 'deadlineUnreachable' | 'noExecutor' | 'deadlineExpired'>, message: string, retryAfterSeconds: number): void {
+  if (pending.mayHaveRun) pending.settle(errorAnswer({ code: 'executorFailed', verdict: 'mayHaveRun', message }))
+  else pending.settle(errorAnswer({ code, verdict: 'notRun', message, retryAfterSeconds }))
 }
 
-function refusal (code: 'stopping' | 'notReady' | 'unknownService' | 'deadlineExpired' | 'queueFull', message: string, retryAfterSeconds?: number): CallerAnswer {
-  return { kind: 'error', error: { code, verdict: 'notRun', message, retryAfterSeconds } }
+function refuse (request: CallerRequest, code: 'stopping' | 'notReady' | 'unknownService', message: string, retryAfterSeconds?: number): CallerAnswer {
+  request.body.discard()
+  return errorAnswer({ code, verdict: 'notRun', message, retryAfterSeconds })
 }
--- /dev/null
+++ b/src/entry/requestBody.ts
@@ -0,0 +1,65 @@
+import { Readable } from 'node:stream'
+
+/** Largest body that is kept in memory so that it can be sent again; a larger one is streamed and sent once. */
+export const REPLAYABLE_BODY_BYTES = 64 * 1024
+
+/** Raised while a body is streamed when it grows over the limit of the site text. */
+export class BodyTooLargeError extends Error {}
+
+/** Body of a caller's request: in memory if it is small, otherwise streamed. */
+export class RequestBody {
+  private begun = false
+
+  private constructor (private readonly first: Buffer, private readonly rest: ReadableStreamDefaultReader<Uint8Array> | undefined, private readonly limitBytes: number) {}
+
+  static readonly EMPTY = new RequestBody(Buffer.alloc(0), undefined, 0)
+
+  /** Reads up to the replayable size; 'tooLarge' if the body is larger than `limitBytes` by then. Rejects if the caller breaks off or `signal` aborts. */
+  static async read (stream: ReadableStream<Uint8Array>, limitBytes: number, signal: AbortSignal): Promise<RequestBody | 'tooLarge'> {
+    const reader = stream.getReader()
+    const cancel = (): void => { reader.cancel().catch(() => {}) }
+    signal.addEventListener('abort', cancel, { once: true })
+    try {
+      const chunks: Uint8Array[] = []
+      let size = 0
+      while (size <= REPLAYABLE_BODY_BYTES) {
+        const { done, value } = await reader.read()
+        signal.throwIfAborted()
+        if (done) return new RequestBody(Buffer.concat(chunks), undefined, limitBytes)
+        size += value.length
+        if (size > limitBytes) return 'tooLarge'
+        chunks.push(value)
+      }
+      return new RequestBody(Buffer.concat(chunks), reader, limitBytes)
+    } finally {
+      signal.removeEventListener('abort', cancel)
+    }
+  }
+
+  /** Whether the body can be sent from its start. */
+  get canBeSent (): boolean {
+    return this.rest === undefined || !this.begun
+  }
+
+  /** The body for one attempt; a streamed one is read from the caller at the pace of the executor. */
+  open (): Buffer | Readable | undefined {
+    if (this.rest !== undefined) return Readable.from(this.chunks(this.rest), { objectMode: false })
+    return this.first.length === 0 ? undefined : this.first
+  }
+
+  /** Stops reading from the caller. */
+  discard (): void {
+    this.rest?.cancel().catch(() => {})
+  }
+
+  private async * chunks (rest: ReadableStreamDefaultReader<Uint8Array>): AsyncGenerator<Uint8Array> {
+    this.begun = true
+    let size = this.first.length
+    yield this.first
+    for (let next = await rest.read(); !next.done; next = await rest.read()) {
+      size += next.value.length
+      if (size > this.limitBytes) throw new BodyTooLargeError(`the body is larger than ${this.limitBytes} bytes`)
+      yield next.value
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/requestSender.ts
@@ -0,0 +1,132 @@
+import { DisposableObject, toDisposable } from '../base/disposable.js'
+import type { ServingError } from '../contracts/verdict.js'
+import { NOT_RUN_HEADER, type ExecutorAnswer, type ExecutorClient, type ExecutorResult, type OutgoingRequest } from '../links/executorClient.js'
+import { type Executor } from '../machines/executor.js'
+import { CALLER_HEADERS, endToEndHeaders } from '../requests/headers.js'
+import type { SlotHolder } from '../requests/slotHolder.js'
+import type { PendingRequest } from './callerRequest.js'
+import { monotonicNow, type EntryContext } from './entryContext.js'
+
+/** An attempt that brought no answer. `repeatable` says whether the request may be sent again without running twice. */
+export interface FailedAttempt {
+  readonly error: ServingError
+  readonly repeatable: boolean
+  /** Whether bytes reached the executor, so that another attempt counts against the retry budget. */
+  readonly sent: boolean
+}
+
+/** Sends requests to executors, and keeps a slot counted until its request can no longer be running. */
+export class RequestSender extends DisposableObject {
+  private readonly timers = new Set<NodeJS.Timeout>()
+
+  constructor (
+    private readonly context: EntryContext,
+    private readonly slots: SlotHolder,
+    private readonly client: ExecutorClient,
+    /** Called after a slot has become free. */
+    private readonly onSlotReleased: () => void,
+    private readonly onExecutorFailed: (executor: Executor) => void
+  ) {
+    super()
+    this.register(toDisposable(() => {
+      for (const timer of this.timers) clearTimeout(timer)
+    }))
+  }
+
+  /** Makes one attempt on an executor whose slot has been acquired. Settles the request, or returns how the attempt failed. */
+  async send (pending: PendingRequest, executor: Executor): Promise<FailedAttempt | undefined> {
+    const { request, service } = pending
+    const acquiredAt = monotonicNow()
+    let startedAt = acquiredAt
+    const mayStart = (): boolean => {
+      startedAt = monotonicNow()
+      return this.slots.mayStart(startedAt) && startedAt < request.deadline
+    }
+    pending.tried.add(executor.name)
+    this.context.events.record('requestDispatched', { request: request.identity, executor: executor.name })
+    const timeout = Math.max(1, Math.min(service.maximumRunMilliseconds, request.deadline - acquiredAt))
+    const result = await this.client.send(executor.address, outgoing(pending), timeout, this.slots.connections(executor.name, acquiredAt), request.signal, mayStart)
+    if (result.kind === 'answer') return this.onAnswer(pending, executor, result.answer, startedAt)
+    return this.onFailure(pending, executor, result, startedAt)
+  }
+
+  private onFailure (pending: PendingRequest, executor: Executor, failure: Exclude<ExecutorResult, { kind: 'answer' }>, startedAt: number): FailedAttempt {
+    const canBeSent = pending.request.body.canBeSent
+    if (failure.kind === 'notSent') {
+      if (failure.unreachable === true) this.onExecutorFailed(executor)
+      pending.unsentAttempts += 1
+      this.release(executor)
+      return { error: { code: 'noExecutor', verdict: 'notRun', message: 'no executor could be reached', retryAfterSeconds: 1 }, repeatable: canBeSent, sent: false }
+    }
+    pending.attempts += 1
+    if (!pending.request.signal.aborted) this.onExecutorFailed(executor)
+    this.releaseAt(executor, startedAt + pending.service.maximumRunMilliseconds)
+    const error: ServingError = failure.timedOut
+      ? { code: 'executorTimeout', verdict: 'mayHaveRun', message: 'the executor did not answer in time' }
+      : { code: 'executorFailed', verdict: 'mayHaveRun', message: 'the connection to the executor broke' }
+    return { error, repeatable: pending.isIdempotent && canBeSent, sent: true }
+  }
+
+  private onAnswer (pending: PendingRequest, executor: Executor, answer: ExecutorAnswer, startedAt: number): FailedAttempt | undefined {
+    pending.attempts += 1
+    answer.body.on('error', error => this.context.logger.debug('the answer of an executor was cut short', { executor: executor.name, reason: error.message }))
+    const runEnd = startedAt + pending.service.maximumRunMilliseconds
+    const refused = answer.status === 503 && answer.headers[NOT_RUN_HEADER] !== undefined
+    this.boundAnswer(answer, runEnd)
+    answer.body.once('close', () => {
+      if (!answer.body.readableEnded) {
+        this.releaseAt(executor, refused ? monotonicNow() : runEnd)
+        return
+      }
+      if (answer.status < 500) executor.recordSuccess(monotonicNow() - startedAt)
+      this.release(executor)
+    })
+    if (answer.status >= 500) this.onExecutorFailed(executor)
+    if (refused) {
+      answer.body.resume()
+      return { error: { code: 'executorRefused', verdict: 'notRun', message: 'the executors refuse requests', retryAfterSeconds: 1 }, repeatable: pending.request.body.canBeSent, sent: true }
+    }
+    const headers = endToEndHeaders(Object.entries(answer.headers))
+    headers[CALLER_HEADERS.request] = pending.identity
+    if (!pending.settle({ kind: 'answer', status: answer.status, headers, body: answer.body })) answer.body.destroy()
+    return undefined
+  }
+
+  /** A caller that reads slowly holds a slot and a connection no longer than the request could have run. */
+  private boundAnswer (answer: ExecutorAnswer, until: number): void {
+    const timer = this.startTimer(() => answer.body.destroy(new Error('the caller did not read the answer in time')), until)
+    answer.body.once('close', () => this.stopTimer(timer))
+  }
+
+  private release (executor: Executor): void {
+    this.slots.release(executor.name)
+    this.onSlotReleased()
+  }
+
+  /** A request of unknown outcome counts until it cannot be running any more. */
+  private releaseAt (executor: Executor, at: number): void {
+    if (at <= monotonicNow()) this.release(executor)
+    else this.startTimer(() => this.release(executor), at)
+  }
+
+  private startTimer (callback: () => void, at: number): NodeJS.Timeout {
+    const timer = setTimeout(() => {
+      this.timers.delete(timer)
+      callback()
+    }, Math.max(0, at - monotonicNow()))
+    this.timers.add(timer)
+    return timer
+  }
+
+  private stopTimer (timer: NodeJS.Timeout): void {
+    clearTimeout(timer)
+    this.timers.delete(timer)
+  }
+}
+
+function outgoing ({ request }: PendingRequest): OutgoingRequest {
+  const headers = endToEndHeaders(request.headers, ['host', 'content-length', 'expect'])
+  headers[CALLER_HEADERS.request] = request.identity
+  headers[CALLER_HEADERS.urgency] = request.urgency
+  return { method: request.method, path: request.path, headers, body: request.body.open() }
+}
--- a/src/entry/slotTask.ts
+++ b/src/entry/slotTask.ts
@@ -1,7 +1,7 @@
 import { Emitter, type Event } from '../base/emitter.js'
 import { describeError } from '../base/logger.js'
 import { Task } from '../base/task.js'
-import type { LinkMessageOf } from '../contracts/linkMessages.js'
+import { decodeGrants, decodeUses, encodeGrants, encodeUses, type LinkMessageOf } from '../contracts/linkMessages.js'
 import type { SiteText } from '../contracts/siteText.js'
 import type { LinkTransport } from '../links/linkHub.js'
 import type { PeerIdentity } from '../links/handshake.js'
@@ -15,15 +15,13 @@
 
 type SlotMessage =
   | { readonly kind: 'tick' }
-  | { readonly kind: 'demandRose' }
+  | { readonly kind: 'reportNow' }
   | { readonly kind: 'leave' }
   | { readonly kind: 'ownerChanged', readonly isOwner: boolean }
   | { readonly kind: 'report', readonly from: PeerIdentity, readonly report: LinkMessageOf<'slotReport'> }
   | { readonly kind: 'grants', readonly from: string, readonly grants: LinkMessageOf<'slotGrants'> }
 
 const REPORT_PERIOD_MILLISECONDS = 250
-/** Reports on demand are at least this far apart, which bounds the control traffic of an instance whose requests wait. */
-const DEMAND_REPORT_MILLISECONDS = 10
 /** Age of the instance list above which it does not show that an instance has ended. */
 const LIST_FRESHNESS_MILLISECONDS = 3000
 
@@ -33,7 +31,6 @@
   private allocator: SlotAllocator | undefined
   private allocatorTerm = 0
   private lastTerm: number | undefined
-  private lastReportAt = -Infinity
   private leaving = false
   private readonly instanceOfHolder = new Map<string, string>()
   private readonly didChange = new Emitter<void>()
@@ -46,7 +43,8 @@
     private readonly configuration: ConfigurationTask,
     private readonly membership: Membership,
     private readonly links: LinkTransport,
-    private readonly demandByPool: () => Readonly<Record<string, number>>
+    private readonly demandByPool: () => Readonly<Record<string, number>>,
+    private readonly urgentWaits: () => boolean
   ) {
     super()
     this.register(this.didChange)
@@ -60,7 +58,12 @@
 
   /** Asks for slots before the next regular report, because requests wait. */
   requestSlots (): void {
-    if (monotonicNow() - this.lastReportAt >= DEMAND_REPORT_MILLISECONDS) this.post({ kind: 'demandRose' })
+    if (this.holder.mayAsk(this.urgentWaits(), monotonicNow())) this.post({ kind: 'reportNow' })
+  }
+
+  /** Tells the owner at once when a slot has become free that it wants to grant to another instance. */
+  reportFreedSlots (): void {
+    if (this.holder.hasSlotsToGiveUp) this.post({ kind: 'reportNow' })
   }
 
   /** On a planned stop, once no request waits: gives all grants back and reports that at once. */
@@ -71,7 +74,7 @@
   protected override handle (message: SlotMessage): void {
     switch (message.kind) {
       case 'tick':
-      case 'demandRose':
+      case 'reportNow':
         this.report()
         return
       case 'leave':
@@ -108,8 +111,7 @@
       this.lastTerm = term
       this.holder.onOwnerChanged()
     }
-    this.lastReportAt = monotonicNow()
-    const { sequence, uses } = this.holder.startReport(this.lastReportAt)
+    const { sequence, uses } = this.holder.startReport(monotonicNow())
     const report: LinkMessageOf<'slotReport'> = {
       type: 'slotReport',
       logicalTime: this.context.events.clock.tick(),
@@ -117,7 +119,7 @@
       appliedGrant: this.holder.appliedSequence,
       term,
       demand: { ...this.demandByPool() },
-      uses,
+      uses: encodeUses(uses),
       leaving: this.leaving
     }
     if (owner.instance !== this.context.settings.instance) this.links.send(owner.instance, report)
@@ -130,7 +132,7 @@
     this.allocator.setExecutors(executorLimits(text, this.membership, this.context.settings.failureDomain))
     this.instanceOfHolder.set(holder, instance)
     this.noteEndedProcesses(instance, holder)
-    for (const decision of this.allocator.onReport(holder, report, monotonicNow())) {
+    for (const decision of this.allocator.onReport(holder, { ...report, uses: decodeUses(report.uses) }, monotonicNow())) {
       if (this.mayGrant()) this.sendGrants(decision)
     }
   }
@@ -147,7 +149,7 @@
       sequence: decision.sequence,
       answersReport: decision.answersReport,
       validMilliseconds: GRANT_VALID_MILLISECONDS,
-      grants: decision.grants
+      grants: encodeGrants(decision.grants)
     }
     const instance = this.instanceOfHolder.get(decision.holder)
     if (instance === this.context.settings.instance) this.applyGrants(message)
@@ -167,8 +169,9 @@
   }
 
   private applyGrants (grants: LinkMessageOf<'slotGrants'>): void {
-    if (grants.term !== this.ownership.term || grants.term !== this.lastTerm || !this.holder.applyGrants(grants)) return
+    if (grants.term !== this.ownership.term || grants.term !== this.lastTerm || !this.holder.applyGrants({ ...grants, grants: decodeGrants(grants.grants) })) return
     this.didChange.fire()
+    this.reportFreedSlots()
   }
 }
 
--- a/src/links/executorClient.ts
+++ b/src/links/executorClient.ts
@@ -2,6 +2,7 @@
 import { DisposableObject, toDisposable } from '../base/disposable.js'
 import { Emitter, type Event } from '../base/emitter.js'
 import { ConnectionSet } from './connectionSet.js'
+import { isConnectFailure } from './workerClient.js'
 
 /** A request as it goes to an executor: hop-by-hop headers are removed. */
 export interface OutgoingRequest {
@@ -19,9 +20,9 @@
   readonly body: Readable
 }
 
-/** Why a request got no answer. `notSent` means that no byte reached the executor. */
+/** Why a request got no answer. `notSent` means that no byte reached the executor; `unreachable` that no connection could be opened. */
 export type ExecutorFailure =
-  | { readonly kind: 'notSent', readonly reason: string }
+  | { readonly kind: 'notSent', readonly reason: string, readonly unreachable?: boolean }
   | { readonly kind: 'mayHaveRun', readonly reason: string, readonly timedOut: boolean }
 
 export type ExecutorResult = { readonly kind: 'answer', readonly answer: ExecutorAnswer } | ExecutorFailure
@@ -76,7 +77,7 @@
       const answer = await connection.request(request, timeoutMilliseconds, AbortSignal.any([signal, timeout.signal]), gate)
       return { kind: 'answer', answer: { status: answer.statusCode, headers: answer.headers as Record<string, string | string[]>, body: answer.body } }
     } catch (error) {
-      if (!started) return { kind: 'notSent', reason: String(error) }
+      if (!started) return { kind: 'notSent', reason: String(error), unreachable: isConnectFailure(error) }
       return { kind: 'mayHaveRun', reason: String(error), timedOut: timeout.signal.aborted }
     } finally {
       clearTimeout(timer)
--- /dev/null
+++ b/src/requests/poolDispatcher.ts
@@ -0,0 +1,165 @@
+import { urgencyRank, URGENCY_CLASSES, type Urgency } from '../contracts/siteText.js'
+import type { Executor } from '../machines/executor.js'
+import type { ExecutorCandidate, ExecutorChooser } from './executorChooser.js'
+import { LESS_URGENT_SHARE, WaitingQueue, type WaitingRequest } from './waitingQueue.js'
+
+/** A waiting request with the executors that it has been sent to. */
+export interface DispatchableRequest extends WaitingRequest {
+  readonly tried: ReadonlySet<string>
+}
+
+/** Slots as the dispatcher sees them. */
+export interface SlotView {
+  free (executor: string, now: number): number
+  inFlight (executor: string): number
+  acquire (executor: string, now: number): boolean
+}
+
+/** Why a request is not queued, and when its caller should come back. */
+export interface Refusal {
+  readonly code: 'queueFull' | 'deadlineUnreachable' | 'noExecutor'
+  readonly retryAfterSeconds: number
+}
+
+export interface Admission<T> {
+  readonly refusal: Refusal | undefined
+  /** A less urgent request that gave way; it gets its final answer at once. */
+  readonly evicted: T | undefined
+}
+
+/** One of this many slots stays free of deferrable work, so that an urgent request that arrives need not wait. */
+const SLOTS_PER_RESERVED_SLOT = 16
+const DEMAND_WEIGHT: Readonly<Record<Urgency, number>> = { urgent: 4, normal: 1, deferrable: 0.25 }
+const LONGEST_RETRY_AFTER_SECONDS = 60
+/** Weight of the newest dispatch in the learned shares of the urgency classes. */
+const SHARE_LEARNING_RATE = 0.02
+/** Longest time that requests wait while this instance holds no slot at all, such as during a change of owner. */
+const LONGEST_WAIT_WITHOUT_SLOTS_MILLISECONDS = 3000
+
+/** Decides for one executor pool what is queued, what is refused, and what goes to which executor. Times are monotonic milliseconds. */
+export class PoolDispatcher<T extends DispatchableRequest> {
+  private readonly queue: WaitingQueue<T>
+  private executors: readonly Executor[] = []
+  private readonly classShares = URGENCY_CLASSES.map(() => 0)
+  private lastSlotsAt: number | undefined
+
+  constructor (private readonly slots: SlotView, private readonly chooser: ExecutorChooser, capacity: number) {
+    this.queue = new WaitingQueue<T>(capacity)
+  }
+
+  get length (): number {
+    return this.queue.length
+  }
+
+  /** Whether an urgent request waits. */
+  get urgentWaits (): boolean {
+    return this.queue.count('urgent') > 0
+  }
+
+  /** Waiting requests weighted by urgency, so that slots move first to instances where urgent ones wait. */
+  get weightedWaiting (): number {
+    return Math.ceil(URGENCY_CLASSES.reduce((sum, urgency) => sum + this.queue.count(urgency) * DEMAND_WEIGHT[urgency], 0))
+  }
+
+  setCapacity (capacity: number): void {
+    this.queue.setCapacity(capacity)
+  }
+
+  setExecutors (executors: readonly Executor[]): void {
+    this.executors = executors
+  }
+
+  /** Queues a request, or refuses one that finds no room or cannot meet its deadline. */
+  admit (request: T, now: number): Admission<T> {
+    if (!this.executors.some(executor => !executor.leaving)) return { refusal: { code: 'noExecutor', retryAfterSeconds: 1 }, evicted: undefined }
+    const excess = now + this.expectedAnswerMilliseconds(request.urgency, now) - request.deadline
+    if (excess > 0) return { refusal: { code: 'deadlineUnreachable', retryAfterSeconds: secondsOf(excess) }, evicted: undefined }
+    const evicted = this.queue.push(request)
+    if (evicted !== request) return { refusal: undefined, evicted }
+    return { refusal: { code: 'queueFull', retryAfterSeconds: secondsOf(this.expectedAnswerMilliseconds(request.urgency, now)) }, evicted: undefined }
+  }
+
+  remove (request: T): void {
+    this.queue.remove(request)
+  }
+
+  /** Takes the next request that can be sent, with a slot acquired on its executor. */
+  next (now: number): { request: T, executor: Executor } | undefined {
+    if (this.queue.length === 0) return undefined
+    const candidates = this.candidates(now)
+    if (candidates.length === 0) return undefined
+    const request = this.queue.take(this.onlyReserveIsFree(candidates) ? 'normal' : 'deferrable')
+    if (request === undefined) return undefined
+    const untried = candidates.filter(candidate => !request.tried.has(candidate.executor.name))
+    const chosen = this.chooser.choose(untried.length > 0 ? untried : candidates, request.urgency)
+    if (chosen === undefined || !this.slots.acquire(chosen.executor.name, now)) {
+      this.queue.push(request)
+      return undefined
+    }
+    this.learnShares(request.urgency)
+    return { request, executor: chosen.executor }
+  }
+
+  /** Removes and returns the requests that can no longer be answered in time. */
+  takeExpired (now: number): T[] {
+    if (this.holdsSlots(now)) this.lastSlotsAt = now
+    else if (this.queue.length === 0) this.lastSlotsAt = undefined
+    else this.lastSlotsAt ??= now
+    if (this.lastSlotsAt !== undefined && now - this.lastSlotsAt >= LONGEST_WAIT_WITHOUT_SLOTS_MILLISECONDS) return this.queue.takeAll()
+    return this.queue.takeExpired(now)
+  }
+
+  /** Time until a request that arrives now is expected to be answered; its own service time alone while no rate is known. */
+  expectedAnswerMilliseconds (urgency: Urgency, now: number): number {
+    let rate = 0
+    let fastest = Infinity
+    let idle = false
+    for (const executor of this.executors) {
+      const service = executor.learnedServiceMilliseconds
+      if (service === undefined || executor.leaving || executor.isEjected(now)) continue
+      const free = this.slots.free(executor.name, now)
+      idle ||= free > 0
+      rate += (free + this.slots.inFlight(executor.name)) / service
+      fastest = Math.min(fastest, service)
+    }
+    if (rate === 0) return 0
+    if (idle && this.queue.length === 0) return fastest
+    const moreUrgent = this.classShares.slice(0, urgencyRank(urgency)).reduce((sum, share) => sum + share, 0)
+    const share = Math.max(1 - moreUrgent, 1 / LESS_URGENT_SHARE)
+    return (this.queue.countAhead(urgency) + 1) / (rate * share) + fastest
+  }
+
+  private candidates (now: number): ExecutorCandidate[] {
+    const candidates: ExecutorCandidate[] = []
+    for (const executor of this.executors) {
+      if (executor.leaving || executor.isEjected(now)) continue
+      const free = this.slots.free(executor.name, now)
+      const inFlight = this.slots.inFlight(executor.name)
+      if (free > 0 && inFlight < executor.rampLimit) candidates.push({ executor, free, inFlight })
+    }
+    return candidates
+  }
+
+  /** Whether the only free slots are those kept for urgent and normal requests to come. */
+  private onlyReserveIsFree (candidates: readonly ExecutorCandidate[]): boolean {
+    let held = 0
+    for (const executor of this.executors) held += this.slots.inFlight(executor.name)
+    const free = candidates.reduce((sum, candidate) => sum + candidate.free, 0)
+    return free <= Math.floor((held + free) / SLOTS_PER_RESERVED_SLOT)
+  }
+
+  private holdsSlots (now: number): boolean {
+    return this.executors.some(executor => !executor.leaving && (this.slots.free(executor.name, now) > 0 || this.slots.inFlight(executor.name) > 0))
+  }
+
+  private learnShares (urgency: Urgency): void {
+    const rank = urgencyRank(urgency)
+    for (const [index, share] of this.classShares.entries()) {
+      this.classShares[index] = share + SHARE_LEARNING_RATE * ((index === rank ? 1 : 0) - share)
+    }
+  }
+}
+
+function secondsOf (milliseconds: number): number {
+  return Math.min(LONGEST_RETRY_AFTER_SECONDS, Math.max(1, Math.ceil(milliseconds / 1000)))
+}
--- a/src/requests/proportionalDivision.ts
+++ b/src/requests/proportionalDivision.ts
@@ -19,10 +19,3 @@
   }
   return parts
 }
-
-/** A stable hash of a text. */
-export function hashOf (text: string): number {
-  let hash = 0
-  for (let index = 0; index < text.length; index += 1) hash = (hash * 31 + text.charCodeAt(index)) >>> 0
-  return hash
-}
--- a/src/requests/slotAllocator.ts
+++ b/src/requests/slotAllocator.ts
@@ -1,5 +1,5 @@
-import type { LinkMessageOf, SlotGrant, SlotUse } from '../contracts/linkMessages.js'
-import { divideProportionally, hashOf } from './proportionalDivision.js'
+import type { SlotGrant, SlotUse } from '../contracts/linkMessages.js'
+import { PoolDivision } from './poolDivision.js'
 
 /** Limits of one executor as the site text states them. */
 export interface ExecutorLimits {
@@ -12,7 +12,15 @@
 }
 
 /** A holder's report as the allocator reads it. */
-export type HolderReport = Pick<LinkMessageOf<'slotReport'>, 'sequence' | 'appliedGrant' | 'demand' | 'uses' | 'leaving'>
+export interface HolderReport {
+  readonly sequence: number
+  /** Sequence of the grants that were applied last; -1 if none of this owner. */
+  readonly appliedGrant: number
+  /** Waiting and running requests by pool. */
+  readonly demand: Readonly<Record<string, number>>
+  readonly uses: readonly SlotUse[]
+  readonly leaving: boolean
+}
 
 /** Grants to be sent to one holder. */
 export interface HolderGrants {
@@ -37,22 +45,24 @@
 }
 
 /** What a holder may be using of one executor. */
-interface Commitment {
+export interface Commitment {
   slots: number
   connections: number
   /** Grants sent that the holder has not confirmed, oldest first. */
   unconfirmed: Array<Amount & { sequence: number }>
-  /** Last amount sent. */
+  /** In flight by the last report. */
+  inFlight: number
+  /** Last amount decided; never more slots than the holder counts for. */
   granted: Amount
   expiresAt: number
   /** Greatest maximum run time while the commitment lasted. */
   maximumRunMilliseconds: number
 }
 
-interface HolderState {
+/** What is known of a holder. */
+export interface HolderState {
   readonly commitments: Map<string, Commitment>
   demand: Readonly<Record<string, number>>
-  running: Readonly<Record<string, number>>
   leaving: boolean
   lastReportAt: number
   lastReport: number
@@ -88,7 +98,7 @@
     this.dropEnded(now)
     const known = this.holders.get(holder)
     if (known !== undefined && report.sequence <= known.lastReport) return []
-    const state = known ?? { commitments: new Map<string, Commitment>(), demand: {}, running: {}, leaving: false, lastReportAt: now, lastReport: 0 }
+    const state = known ?? { commitments: new Map<string, Commitment>(), demand: {}, leaving: false, lastReportAt: now, lastReport: 0 }
     this.holders.set(holder, state)
     state.demand = report.demand
     state.leaving = report.leaving
@@ -117,23 +127,22 @@
 
   private noteUses (state: HolderState, report: HolderReport, isFirst: boolean, now: number): void {
     const uses = new Map(report.uses.map(use => [use.executor, use]))
-    const running: Record<string, number> = {}
     for (const executor of new Set([...state.commitments.keys(), ...uses.keys()])) {
       const use = uses.get(executor) ?? { executor, held: 0, inFlight: 0, connections: 0 }
-      const commitment = this.noteUse(state, use, report.appliedGrant, now)
+      const commitment = this.noteUse(state, use, report.appliedGrant, isFirst, now)
       if (isFirst) this.noteBrought(executor, commitment)
-      const pool = this.executors.get(executor)?.pool
-      if (pool !== undefined) running[pool] = (running[pool] ?? 0) + use.inFlight
     }
-    state.running = running
   }
 
   /** A leaving holder has returned everything and applies no grant any more. Another may use what it reports and whatever grant it has not confirmed; confirmed older grants no longer count. */
-  private noteUse (state: HolderState, use: SlotUse, appliedGrant: number, now: number): Commitment {
+  private noteUse (state: HolderState, use: SlotUse, appliedGrant: number, isFirst: boolean, now: number): Commitment {
     const commitment = state.commitments.get(use.executor) ?? this.emptyCommitment(use.executor, now)
     state.commitments.set(use.executor, commitment)
     commitment.unconfirmed = state.leaving ? [] : commitment.unconfirmed.filter(grant => grant.sequence > appliedGrant)
     commitment.slots = Math.max(use.held, use.inFlight, ...commitment.unconfirmed.map(grant => grant.slots))
+    commitment.inFlight = use.inFlight
+    const decided = commitment.granted.slots
+    commitment.granted = { slots: isFirst ? use.held : Math.min(decided, commitment.slots), connections: commitment.granted.connections }
     commitment.connections = Math.max(use.connections, ...commitment.unconfirmed.map(grant => grant.connections))
     commitment.expiresAt = now + GRANT_VALID_MILLISECONDS + GRANT_DRIFT_MARGIN_MILLISECONDS
     commitment.maximumRunMilliseconds = Math.max(commitment.maximumRunMilliseconds, this.executors.get(use.executor)?.maximumRunMilliseconds ?? 0)
@@ -141,7 +150,7 @@
   }
 
   private emptyCommitment (executor: string, now: number): Commitment {
-    return { slots: 0, connections: 0, unconfirmed: [], granted: NOTHING, expiresAt: now, maximumRunMilliseconds: this.executors.get(executor)?.maximumRunMilliseconds ?? 0 }
+    return { slots: 0, connections: 0, unconfirmed: [], inFlight: 0, granted: NOTHING, expiresAt: now, maximumRunMilliseconds: this.executors.get(executor)?.maximumRunMilliseconds ?? 0 }
   }
 
   private noteBrought (executor: string, commitment: Commitment): void {
@@ -149,58 +158,100 @@
     this.brought.set(executor, { slots: before.slots + commitment.slots, connections: before.connections + commitment.connections })
   }
 
-  /** Answers the reporter; others get new grants only when a holder with waiting requests gains from it. */
+  /** Answers the reporter; others get new grants only when that moves a slot. */
   private decide (reporter: string, now: number): HolderGrants[] {
-    const shares = new Map<string, Map<string, number>>()
     const live = [...this.holders].filter(([, state]) => !state.leaving && now - state.lastReportAt < SILENT_MILLISECONDS)
-    for (const executor of this.executors.values()) shares.set(executor.name, shareOf(executor, live))
-    const hungry = live.some(([, state]) => isHungry(state))
-    const decisions: HolderGrants[] = []
-    const others = live.filter(([name]) => name !== reporter)
-    for (const [name, state] of [...live.filter(([name]) => name === reporter), ...others]) {
-      if (name === reporter || (hungry && this.isChanged(state, name, shares, live.length, now))) decisions.push(this.grantTo(name, state, shares, live.length, now))
+    const changed = new Set([reporter])
+    for (const executors of this.executorsByPool()) {
+      const division = new PoolDivision(executors, live)
+      for (const executor of executors) {
+        this.lowerToLimit(executor, live, changed)
+        const free = this.usable(executor, now).slots - this.committed(executor.name).slots
+        for (let slot = 0; slot < free; slot += 1) this.raise(executor, division, changed, now)
+      }
+      for (const { holder, executor } of division.revocations(this.pendingSlots(executors, now))) {
+        lower(this.holders.get(holder)?.commitments.get(executor))
+        changed.add(holder)
+      }
     }
-    return decisions
+    const names = live.map(([name]) => name).filter(name => changed.has(name))
+    return names.map(name => this.grantTo(name, this.holders.get(name) as HolderState, live.length, now))
   }
 
-  /** Whether new grants take slots from a holder that does not need them or give slots to one that waits for them. */
-  private isChanged (state: HolderState, holder: string, shares: ReadonlyMap<string, ReadonlyMap<string, number>>, holders: number, now: number): boolean {
-    const hungry = isHungry(state)
-    for (const executor of this.executors.values()) {
-      const { slots } = this.amountFor(executor, state, shares.get(executor.name)?.get(holder) ?? 0, holders, now)
-      const before = state.commitments.get(executor.name)?.granted.slots ?? 0
-      if (hungry ? slots > before : slots < before) return true
+  private executorsByPool (): ExecutorLimits[][] {
+    const pools = new Map<string, ExecutorLimits[]>()
+    for (const executor of this.executors.values()) pools.set(executor.pool, [...pools.get(executor.pool) ?? [], executor])
+    return [...pools.values()]
+  }
+
+  /** Gives a free slot to the holder that needs it most. */
+  private raise (executor: ExecutorLimits, division: PoolDivision, changed: Set<string>, now: number): void {
+    const holder = division.takeNeediest()
+    const state = holder === undefined ? undefined : this.holders.get(holder)
+    if (holder === undefined || state === undefined) return
+    const commitment = state.commitments.get(executor.name) ?? this.emptyCommitment(executor.name, now)
+    state.commitments.set(executor.name, commitment)
+    // A slot that was taken away and not yet confirmed is given back without using up a free one.
+    const slots = commitment.granted.slots + 1
+    commitment.granted = { ...commitment.granted, slots }
+    commitment.slots = Math.max(commitment.slots, slots)
+    changed.add(holder)
+  }
+
+  /** After the site text lowered a limit, takes slots from the holders with the most. */
+  private lowerToLimit (executor: ExecutorLimits, live: ReadonlyArray<[string, HolderState]>, changed: Set<string>): void {
+    const held = live.flatMap(([name, state]) => {
+      const commitment = state.commitments.get(executor.name)
+      return commitment === undefined ? [] : [{ name, commitment }]
+    })
+    let excess = held.reduce((sum, { commitment }) => sum + commitment.granted.slots, 0) - executor.slots
+    while (excess > 0) {
+      held.sort((left, right) => right.commitment.granted.slots - left.commitment.granted.slots)
+      const most = held[0]
+      if (most === undefined) return
+      lower(most.commitment)
+      changed.add(most.name)
+      excess -= 1
     }
-    return false
   }
 
-  private grantTo (holder: string, state: HolderState, shares: ReadonlyMap<string, ReadonlyMap<string, number>>, holders: number, now: number): HolderGrants {
+  /** Slots of a pool that have been taken from a holder and will become free. */
+  private pendingSlots (executors: readonly ExecutorLimits[], now: number): number {
+    let pending = 0
+    for (const [, state] of this.holders) {
+      if (now - state.lastReportAt >= SILENT_MILLISECONDS) continue
+      for (const { name } of executors) {
+        const commitment = state.commitments.get(name)
+        if (commitment !== undefined) pending += Math.max(0, commitment.slots - commitment.granted.slots)
+      }
+    }
+    return pending
+  }
+
+  private grantTo (holder: string, state: HolderState, holders: number, now: number): HolderGrants {
     this.sequence += 1
     const grants: SlotGrant[] = []
     for (const executor of this.executors.values()) {
-      const amount = this.amountFor(executor, state, shares.get(executor.name)?.get(holder) ?? 0, holders, now)
       const commitment = state.commitments.get(executor.name) ?? this.emptyCommitment(executor.name, now)
       state.commitments.set(executor.name, commitment)
-      commitment.slots = Math.max(commitment.slots, amount.slots)
-      commitment.connections = Math.max(commitment.connections, amount.connections)
-      commitment.granted = amount
-      commitment.unconfirmed.push({ sequence: this.sequence, ...amount })
+      const slots = commitment.granted.slots
+      const connections = this.connectionsFor(executor, commitment, holders, now)
+      commitment.granted = { slots, connections }
+      commitment.connections = Math.max(commitment.connections, connections)
+      commitment.unconfirmed.push({ sequence: this.sequence, slots, connections })
       if (commitment.unconfirmed.length > MAXIMUM_UNCONFIRMED) mergeOldest(commitment.unconfirmed)
       commitment.expiresAt = state.lastReportAt + GRANT_VALID_MILLISECONDS + GRANT_DRIFT_MARGIN_MILLISECONDS
       commitment.maximumRunMilliseconds = Math.max(commitment.maximumRunMilliseconds, executor.maximumRunMilliseconds)
-      grants.push({ executor: executor.name, ...amount })
+      if (slots > 0 || connections > 0) grants.push({ executor: executor.name, slots, connections })
     }
     return { holder, sequence: this.sequence, answersReport: state.lastReport, grants }
   }
 
-  private amountFor (executor: ExecutorLimits, state: HolderState, share: number, holders: number, now: number): Amount {
-    const usable = this.usable(executor, now)
-    const committed = this.committed(executor.name)
-    const own = state.commitments.get(executor.name) ?? NOTHING
-    const slots = Math.max(0, Math.min(share, own.slots + usable.slots - committed.slots))
+  /** A connection for each slot, and an equal part of those beyond the slots. */
+  private connectionsFor (executor: ExecutorLimits, own: Commitment, holders: number, now: number): number {
     const spare = Math.max(0, Math.floor((executor.connections - executor.slots) / Math.max(1, holders)))
-    const connections = Math.max(0, Math.min(slots + spare, own.connections + usable.connections - committed.connections))
-    return { slots: Math.min(slots, connections), connections }
+    const available = this.usable(executor, now).connections - this.committed(executor.name).connections
+    return Math.max(0, Math.min(own.granted.slots + spare, own.connections + available))
   }
 
   /** While requests of an earlier owner's grants may run, only what its holders have brought is divided. */
@@ -224,7 +275,10 @@
   private dropEnded (now: number): void {
     for (const [name, state] of this.holders) {
       for (const [executor, commitment] of state.commitments) {
-        if (now >= commitment.expiresAt + commitment.maximumRunMilliseconds) commitment.slots = 0
+        if (now >= commitment.expiresAt + commitment.maximumRunMilliseconds) {
+          commitment.slots = 0
+          commitment.granted = NOTHING
+        }
         if (commitment.slots === 0 && commitment.connections === 0 && now >= commitment.expiresAt) state.commitments.delete(executor)
       }
       if (state.commitments.size === 0 && now - state.lastReportAt > GRANT_VALID_MILLISECONDS + GRANT_DRIFT_MARGIN_MILLISECONDS) this.holders.delete(name)
@@ -232,17 +286,8 @@
   }
 }
 
-/** Whether requests wait at a holder for lack of slots. */
-function isHungry (state: HolderState): boolean {
-  return Object.entries(state.demand).some(([pool, demand]) => demand > (state.running[pool] ?? 0))
-}
-
-/** Shares of an executor's slots by reported demand. */
-function shareOf (executor: ExecutorLimits, live: ReadonlyArray<[string, HolderState]>): Map<string, number> {
-  const sorted = [...live].sort(([left], [right]) => left < right ? -1 : 1)
-  const weights = sorted.map(([, state]) => 1 + (state.demand[executor.pool] ?? 0))
-  const shares = divideProportionally(executor.slots, weights, hashOf(executor.name))
-  return new Map(sorted.map(([name], index) => [name, shares[index] ?? 0]))
+function lower (commitment: Commitment | undefined): void {
+  if (commitment !== undefined) commitment.granted = { ...commitment.granted, slots: Math.max(0, commitment.granted.slots - 1) }
 }
 
 function mergeOldest (unconfirmed: Array<Amount & { sequence: number }>): void {
--- a/src/requests/slotHolder.ts
+++ b/src/requests/slotHolder.ts
@@ -1,4 +1,4 @@
-import type { LinkMessageOf, SlotUse } from '../contracts/linkMessages.js'
+import type { SlotGrant, SlotUse } from '../contracts/linkMessages.js'
 
 interface HeldSlots {
   granted: number
@@ -8,6 +8,19 @@
   open: number
 }
 
+/** Grants as they arrive from the owner. */
+export interface ReceivedGrants {
+  readonly sequence: number
+  readonly answersReport: number
+  readonly validMilliseconds: number
+  readonly grants: readonly SlotGrant[]
+}
+
+/** Shortest and longest time between reports that ask for slots for urgent requests; it doubles while they bring none. */
+const SHORTEST_ASKING_MILLISECONDS = 5
+const LONGEST_ASKING_MILLISECONDS = 20
+/** Time between reports that ask for slots for other requests. */
+const LESS_URGENT_ASKING_MILLISECONDS = 100
 /** Reports whose time is remembered, so that a late grant can be dated. */
 const REMEMBERED_REPORTS = 1000
 
@@ -19,15 +32,30 @@
   private appliedGrant = -1
   private validUntil = -Infinity
   private returned = false
+  private owesReport = false
+  private lastReportAt = -Infinity
+  private askingPeriod = SHORTEST_ASKING_MILLISECONDS
 
   /** Grant sequence that was applied last. */
   get appliedSequence (): number {
     return this.appliedGrant
   }
 
+  /** Whether a slot has become free that the owner wants to grant to another holder, so that it should be told at once. */
+  get hasSlotsToGiveUp (): boolean {
+    return this.owesReport
+  }
+
+  /** Whether waiting requests are a reason to report now. */
+  mayAsk (urgentWaits: boolean, now: number): boolean {
+    return now - this.lastReportAt >= (urgentWaits ? this.askingPeriod : LESS_URGENT_ASKING_MILLISECONDS)
+  }
+
   /** Notes that a report is about to be sent and returns its sequence and content. */
   startReport (now: number): { sequence: number, uses: SlotUse[] } {
     this.reportSequence += 1
+    this.owesReport = false
+    this.lastReportAt = now
     this.reportTimes.set(this.reportSequence, now)
     this.reportTimes.delete(this.reportSequence - REMEMBERED_REPORTS)
     const expired = now >= this.validUntil
@@ -41,11 +69,12 @@
   }
 
   /** Applies grants; returns false for those that answer an unknown report or are not newer than the applied ones, and after `returnAll`. */
-  applyGrants (message: Pick<LinkMessageOf<'slotGrants'>, 'sequence' | 'answersReport' | 'validMilliseconds' | 'grants'>): boolean {
+  applyGrants (message: ReceivedGrants): boolean {
     const reportedAt = this.reportTimes.get(message.answersReport)
     if (reportedAt === undefined || message.sequence <= this.appliedGrant || this.returned) return false
     this.appliedGrant = message.sequence
     this.validUntil = reportedAt + message.validMilliseconds
+    const before = new Map([...this.held].map(([executor, slots]) => [executor, slots.granted]))
     for (const slots of this.held.values()) {
       slots.granted = 0
       slots.connections = 0
@@ -55,6 +84,11 @@
       slots.granted = grant.slots
       slots.connections = grant.connections
     }
+    const gained = [...this.held].some(([executor, slots]) => slots.granted > (before.get(executor) ?? 0))
+    this.askingPeriod = gained ? SHORTEST_ASKING_MILLISECONDS : Math.min(LONGEST_ASKING_MILLISECONDS, this.askingPeriod * 2)
+    for (const [executor, slots] of this.held) {
+      if (slots.granted < (before.get(executor) ?? 0) && slots.inFlight < (before.get(executor) ?? 0)) this.owesReport = true
+    }
     this.forgetUnused()
     return true
   }
@@ -115,6 +149,7 @@
   release (executor: string): void {
     const slots = this.held.get(executor)
     if (slots === undefined || slots.inFlight === 0) return
+    if (slots.inFlight > slots.granted) this.owesReport = true
     slots.inFlight -= 1
     this.forgetUnused()
   }
--- a/src/requests/waitingQueue.ts
+++ b/src/requests/waitingQueue.ts
@@ -8,28 +8,86 @@
   readonly deadline: number
 }
 
-/** One of this many dispatches goes to the least urgent class that waits, so that it is never starved. */
-const LEAST_URGENT_SHARE = 16
+/** One of this many dispatches starts with each less urgent class, so that none is starved. */
+export const LESS_URGENT_SHARE = 32
+/** Removed requests stay in the heaps until they outnumber the waiting ones by this factor. */
+const COMPACTION_FACTOR = 2
+const COMPACTION_MINIMUM = 64
+
+/** Requests of one urgency class, by earliest and by latest deadline. Removed requests are skipped when they come up. */
+class UrgencyClass<T extends WaitingRequest> {
+  readonly members = new Set<T>()
+  private earliest = new FlatQueue<T>()
+  private latest = new FlatQueue<T>()
+
+  push (request: T): void {
+    this.members.add(request)
+    this.earliest.push(request, request.deadline)
+    this.latest.push(request, -request.deadline)
+  }
+
+  takeEarliest (): T | undefined {
+    return this.takeFrom(this.earliest)
+  }
+
+  takeLatest (): T | undefined {
+    return this.takeFrom(this.latest)
+  }
+
+  /** Deadline of the earliest request; Infinity if none waits. */
+  earliestDeadline (): number {
+    while (this.earliest.length > 0 && !this.members.has(this.earliest.peek() as T)) this.earliest.pop()
+    return this.earliest.peekValue() ?? Infinity
+  }
+
+  remove (request: T): boolean {
+    const removed = this.members.delete(request)
+    if (removed) this.compact()
+    return removed
+  }
+
+  private takeFrom (queue: FlatQueue<T>): T | undefined {
+    while (queue.length > 0) {
+      const request = queue.pop() as T
+      if (this.remove(request)) return request
+    }
+    return undefined
+  }
+
+  private compact (): void {
+    const longest = Math.max(this.earliest.length, this.latest.length)
+    if (longest < COMPACTION_MINIMUM || longest < this.members.size * COMPACTION_FACTOR) return
+    const members = [...this.members]
+    this.earliest = new FlatQueue<T>()
+    this.latest = new FlatQueue<T>()
+    this.members.clear()
+    for (const member of members) this.push(member)
+  }
+}
 
-/** Bounded queue ordered by urgency class, then deadline. */
+/** Bounded queue ordered by urgency class, then deadline. Every operation takes logarithmic time on average. */
 export class WaitingQueue<T extends WaitingRequest> {
-  private readonly classes = URGENCY_CLASSES.map(() => new FlatQueue<T>())
-  private readonly members = new Set<T>()
+  private readonly classes = URGENCY_CLASSES.map(() => new UrgencyClass<T>())
   private dispatches = 0
 
   constructor (private capacity: number) {}
 
   get length (): number {
-    return this.members.size
+    return this.classes.reduce((sum, queue) => sum + queue.members.size, 0)
   }
 
   setCapacity (capacity: number): void {
     this.capacity = capacity
   }
 
+  /** Number of waiting requests of one class. */
+  count (urgency: Urgency): number {
+    return this.classes[urgencyRank(urgency)]?.members.size ?? 0
+  }
+
   /** Number of waiting requests at least as urgent as `urgency`. */
   countAhead (urgency: Urgency): number {
-    return this.classes.slice(0, urgencyRank(urgency) + 1).reduce((sum, queue) => sum + queue.length, 0)
+    return this.classes.slice(0, urgencyRank(urgency) + 1).reduce((sum, queue) => sum + queue.members.size, 0)
   }
 
   /**
@@ -37,74 +95,60 @@
    * if it is less urgent than the new one; it is returned as evicted. Returns the request itself when it is refused.
    */
   push (request: T): T | undefined {
-    if (this.members.size < this.capacity) {
-      this.insert(request)
+    const rank = urgencyRank(request.urgency)
+    if (this.length < this.capacity) {
+      this.classes[rank]?.push(request)
       return undefined
     }
-    const evicted = this.evictLessUrgent(request.urgency)
-    if (evicted === undefined) return request
-    this.insert(request)
-    return evicted
+    for (let lower = this.classes.length - 1; lower > rank; lower -= 1) {
+      const evicted = this.classes[lower]?.takeLatest()
+      if (evicted === undefined) continue
+      this.classes[rank]?.push(request)
+      return evicted
+    }
+    return request
   }
 
   /** Removes a request, such as one whose caller has gone. */
   remove (request: T): void {
-    this.members.delete(request)
+    this.classes[urgencyRank(request.urgency)]?.remove(request)
   }
 
-  /** Takes the next request to dispatch. */
-  take (): T | undefined {
+  /**
+   * Takes the next request to dispatch, of the classes at least as urgent as `leastUrgent`. A less urgent class
+   * whose turn has come is taken all the same.
+   */
+  take (leastUrgent: Urgency = 'deferrable'): T | undefined {
+    if (this.length === 0) return undefined
     this.dispatches += 1
-    const order = this.dispatches % LEAST_URGENT_SHARE === 0 ? [...this.classes].reverse() : this.classes
-    for (const queue of order) {
-      const request = this.takeFrom(queue)
+    const favoured = this.favoured()?.takeEarliest()
+    if (favoured !== undefined) return favoured
+    for (const queue of this.classes.slice(0, urgencyRank(leastUrgent) + 1)) {
+      const request = queue.takeEarliest()
       if (request !== undefined) return request
     }
+    this.dispatches -= 1
     return undefined
   }
 
-  /** Removes and returns the requests whose deadline has passed. */
-  takeExpired (now: number): T[] {
+  /** Removes and returns the requests whose deadline is not after `limit`. */
+  takeExpired (limit: number): T[] {
     const expired: T[] = []
     for (const queue of this.classes) {
-      while (queue.length > 0 && (queue.peekValue() as number) <= now) {
-        const request = queue.pop() as T
-        if (this.members.delete(request)) expired.push(request)
-      }
+      while (queue.members.size > 0 && queue.earliestDeadline() <= limit) expired.push(queue.takeEarliest() as T)
     }
     return expired
   }
 
-  /** All waiting requests in no particular order. */
-  all (): T[] {
-    return [...this.members]
+  /** Removes and returns all waiting requests. */
+  takeAll (): T[] {
+    return this.takeExpired(Infinity)
   }
 
-  private insert (request: T): void {
-    this.members.add(request)
-    this.classes[urgencyRank(request.urgency)]?.push(request, request.deadline)
+  /** The less urgent class whose turn it is. */
+  private favoured (): UrgencyClass<T> | undefined {
+    const turn = this.dispatches % LESS_URGENT_SHARE
+    if (turn === 0) return this.classes[urgencyRank('deferrable')]
+    return turn === LESS_URGENT_SHARE / 2 ? this.classes[urgencyRank('normal')] : undefined
   }
-
-  private takeFrom (queue: FlatQueue<T>): T | undefined {
-    while (queue.length > 0) {
-      const request = queue.pop() as T
-      if (this.members.delete(request)) return request
-    }
-    return undefined
-  }
-
-  private evictLessUrgent (urgency: Urgency): T | undefined {
-    let candidate: T | undefined
-    for (const request of this.members) {
-      if (urgencyRank(request.urgency) <= urgencyRank(urgency)) continue
-      if (candidate === undefined || isLessUrgent(request, candidate)) candidate = request
-    }
-    if (candidate !== undefined) this.members.delete(candidate)
-    return candidate
-  }
-}
-
-function isLessUrgent (left: WaitingRequest, right: WaitingRequest): boolean {
-  const difference = urgencyRank(left.urgency) - urgencyRank(right.urgency)
-  return difference > 0 || (difference === 0 && left.deadline > right.deadline)
 }
