Test the request path over sockets: cut bodies, absent callers, smuggling, slow peers

Cause: these promises had no test. Each of the 13 cases runs a caller server and a front door against raw executors on ports of the system.

--- /dev/null
+++ b/test/entry/callerServer.test.ts
@@ -0,0 +1,301 @@
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { describe, it } from 'node:test'
+import { DisposableStore, toDisposable } from '../../src/base/disposable.js'
+import { LogicalClock } from '../../src/base/logicalClock.js'
+import { Logger } from '../../src/base/logger.js'
+import { Random } from '../../src/base/random.js'
+import { EventLog } from '../../src/contracts/eventLog.js'
+import { checkSiteText, type SiteText } from '../../src/contracts/siteText.js'
+import { CallerServer } from '../../src/entry/callerServer.js'
+import type { ConfigurationTask } from '../../src/entry/configurationTask.js'
+import type { EntryContext } from '../../src/entry/entryContext.js'
+import { FrontDoor } from '../../src/entry/frontDoor.js'
+import type { JobApi } from '../../src/entry/jobApi.js'
+import type { OperatorApi } from '../../src/entry/operatorApi.js'
+import { HttpExecutorClient } from '../../src/links/executorClient.js'
+import { Membership } from '../../src/machines/membership.js'
+import { LeastExpectedTimeChooser } from '../../src/requests/executorChooser.js'
+import { SlotHolder } from '../../src/requests/slotHolder.js'
+
+function siteText (): SiteText {
+  const service = { urgency: 'urgent', executorPool: 'pool', deadlineMilliseconds: 1500, maximumRunMilliseconds: 1000 }
+  const checked = checkSiteText('test', JSON.stringify({
+    site: 'test',
+    failureDomains: { zone: { region: 'region' } },
+    services: { booking: { ...service, idempotent: false }, lookup: { ...service, idempotent: true } },
+    executorPools: { pool: { slots: 8, connections: 60, executors: { zone: 2 } } },
+    workerPools: {},
+    teams: {},
+    limits: { requestBodyBytes: 1024 * 1024 }
+  }))
+  if (checked.kind !== 'valid') throw new Error(JSON.stringify(checked.findings))
+  return checked.text
+}
+
+/** What one executor received, as raw text, and how it reacts. */
+class RawExecutor {
+  received = ''
+  readonly sockets = new Set<Socket>()
+  address = ''
+
+  constructor (private readonly onData: (socket: Socket, executor: RawExecutor) => void) {}
+
+  get requests (): number {
+    return this.received.split(' HTTP/1.1\r\n').length - 1
+  }
+
+  async listen (owned: DisposableStore): Promise<void> {
+    const server = createServer(socket => {
+      this.sockets.add(socket)
+      socket.on('close', () => this.sockets.delete(socket))
+      socket.on('error', () => {})
+      socket.on('data', data => {
+        this.received += data.toString('latin1')
+        this.onData(socket, this)
+      })
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    owned.add(toDisposable(() => {
+      for (const socket of this.sockets) socket.destroy()
+      server.close()
+    }))
+    this.address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
+  }
+}
+
+interface Site {
+  readonly port: number
+  readonly origin: string
+  readonly executors: readonly RawExecutor[]
+  readonly slots: SlotHolder
+  readonly frontDoor: FrontDoor
+}
+
+/** A front door with real sockets towards callers and two raw executors, and all slots granted to it. */
+async function startSite (owned: DisposableStore, onData: (socket: Socket, executor: RawExecutor) => void): Promise<Site> {
+  const executors = [new RawExecutor(onData), new RawExecutor(onData)]
+  for (const executor of executors) await executor.listen(owned)
+  const sink = (): void => {}
+  const context = {
+    settings: { failureDomain: 'zone', instance: 'i' }, incarnation: '1', logger: new Logger('i', 'error', sink), events: new EventLog('i', '1', new LogicalClock(), sink), random: new Random(1)
+  } as unknown as EntryContext
+  const text = siteText()
+  const configuration = { inForce: { revision: 1, text } } as unknown as ConfigurationTask
+  const membership = new Membership()
+  membership.update(executors.map((executor, index) => ({ kind: 'executor', name: `e${index}`, failureDomain: 'zone', pool: 'pool', address: executor.address, state: 'live' })), performance.now())
+  const slots = new SlotHolder()
+  const { sequence } = slots.startReport(performance.now())
+  slots.applyGrants({ sequence: 1, answersReport: sequence, validMilliseconds: 60_000, grants: [0, 1].map(index => ({ executor: `e${index}`, slots: 8, connections: 60 })) })
+  const client = owned.add(new HttpExecutorClient())
+  const frontDoor = owned.add(new FrontDoor(context, configuration, membership, slots, client, new LeastExpectedTimeChooser(), { requestSlots: () => {}, reportFreedSlots: () => {} }))
+  const server = owned.add(new CallerServer(configuration, frontDoor, {} as JobApi, { route: () => {} } as unknown as OperatorApi, () => true))
+  const port = await server.listen('127.0.0.1', 0)
+  return { port, origin: `http://127.0.0.1:${port}`, executors, slots, frontDoor }
+}
+
+function respond (body: string, extra = ''): (socket: Socket, executor: RawExecutor) => void {
+  return socket => { socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n${extra}\r\n${body}`) }
+}
+
+function received (site: Site): string {
+  return site.executors.map(executor => executor.received).join('')
+}
+
+function requestCount (site: Site): number {
+  return site.executors.reduce((sum, executor) => sum + executor.requests, 0)
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 5))
+}
+
+/** Sends raw bytes and returns everything that came back until the connection closed or `enough` holds. */
+async function exchangeRaw (port: number, bytes: string, enough: (text: string) => boolean): Promise<string> {
+  const socket = connect(port, '127.0.0.1')
+  let text = ''
+  socket.on('data', data => { text += data.toString('latin1') })
+  socket.on('error', () => {})
+  socket.write(bytes)
+  let closed = false
+  socket.on('close', () => { closed = true })
+  await until(() => closed || enough(text))
+  socket.destroy()
+  return text
+}
+
+const LARGE_BODY = 'x'.repeat(300_000)
+
+interface Case {
+  readonly name: string
+  readonly onData: (socket: Socket, executor: RawExecutor) => void
+  readonly run: (site: Site) => Promise<void>
+}
+
+/** Each case guards against an answer that is not the whole own one, a second run, or a request that others can smuggle. */
+const CASES: readonly Case[] = [
+  {
+    name: 'an answer cut short ends in a broken connection',
+    onData: socket => {
+      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\npart')
+      setTimeout(() => socket.destroy(), 20)
+    },
+    run: async site => {
+      const answer = await fetch(`${site.origin}/services/booking/x`, { method: 'POST', body: 'b' })
+      await assert.rejects(answer.text())
+      assert.equal(requestCount(site), 1)
+    }
+  },
+  {
+    name: 'an answer cut short without a length ends in a broken connection',
+    onData: socket => {
+      socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n')
+      setTimeout(() => socket.destroy(), 20)
+    },
+    run: async site => {
+      const answer = await fetch(`${site.origin}/services/booking/x`, { method: 'POST', body: 'b' })
+      await assert.rejects(answer.text())
+    }
+  },
+  {
+    name: 'a non-idempotent request whose answer is lost is not sent again',
+    onData: socket => socket.destroy(),
+    run: async site => {
+      const answer = await fetch(`${site.origin}/services/booking/x`, { method: 'POST', body: 'b' })
+      const { error } = await answer.json() as { error: { verdict: string } }
+      assert.equal(error.verdict, 'mayHaveRun')
+      assert.equal(requestCount(site), 1)
+    }
+  },
+  {
+    name: 'when every executor refuses, requests are sent at most 1.1 times',
+    onData: socket => { socket.write('HTTP/1.1 503 Busy\r\nrequest-not-run: 1\r\ncontent-length: 0\r\n\r\n') },
+    run: async site => {
+      for (let index = 0; index < 40; index += 1) await (await fetch(`${site.origin}/services/lookup/x`)).text()
+      assert.ok(requestCount(site) > 40 && requestCount(site) <= 44, `${requestCount(site)} attempts of 40 requests`)
+    }
+  },
+  {
+    name: 'a caller that goes away ends the request and its slot counts until the run has certainly ended',
+    onData: () => {},
+    run: async site => {
+      const caller = new AbortController()
+      const pending = fetch(`${site.origin}/services/booking/x`, { method: 'POST', body: 'b', signal: caller.signal })
+      await until(() => requestCount(site) === 1)
+      const sentAt = performance.now()
+      caller.abort()
+      await assert.rejects(pending)
+      await until(() => site.frontDoor.active === 0)
+      assert.equal(site.slots.inFlight('e0') + site.slots.inFlight('e1'), 1)
+      await until(() => site.slots.inFlight('e0') + site.slots.inFlight('e1') === 0)
+      assert.ok(performance.now() - sentAt >= 900)
+    }
+  },
+  {
+    name: 'a request with content-length and transfer-encoding is refused',
+    onData: respond('ok'),
+    run: async site => {
+      const text = await exchangeRaw(site.port, 'POST /services/booking/x HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /services/booking/smuggled HTTP/1.1\r\nhost: h\r\n\r\n', () => false)
+      assert.match(text, /^HTTP\/1\.1 400/)
+      assert.equal(received(site), '')
+    }
+  },
+  {
+    name: 'two different content-lengths are refused',
+    onData: respond('ok'),
+    run: async site => {
+      const text = await exchangeRaw(site.port, 'POST /services/booking/x HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nabcdef', () => false)
+      assert.match(text, /^HTTP\/1\.1 400/)
+      assert.equal(received(site), '')
+    }
+  },
+  {
+    name: 'hop-by-hop headers and those named by connection are dropped in both directions',
+    onData: respond('ok', 'connection: x-answer-hop, keep-alive\r\nx-answer-hop: 1\r\nkeep-alive: timeout=9\r\nx-kept: 1\r\n'),
+    run: async site => {
+      const text = await exchangeRaw(site.port, 'GET /services/lookup/x HTTP/1.1\r\nhost: h\r\nconnection: x-hop\r\nx-hop: 1\r\nte: trailers\r\nx-end: 1\r\n\r\n', answer => answer.endsWith('ok'))
+      assert.doesNotMatch(received(site), /x-hop|te: trailers/i)
+      assert.match(received(site), /x-end: 1/i)
+      assert.doesNotMatch(text, /x-answer-hop|timeout=9/i)
+      assert.match(text, /x-kept: 1/i)
+    }
+  },
+  {
+    name: 'a large body is streamed whole',
+    onData: (socket, executor) => {
+      if (executor.received.includes('\r\n0\r\n\r\n') || executor.received.length > LARGE_BODY.length + 1000) respond('ok')(socket, executor)
+    },
+    run: async site => {
+      const answer = await fetch(`${site.origin}/services/booking/x`, { method: 'POST', body: LARGE_BODY })
+      assert.equal(await answer.text(), 'ok')
+      assert.equal(received(site).split('x'.repeat(1)).length > LARGE_BODY.length, true)
+    }
+  },
+  {
+    name: 'a large body is not sent again once it has begun, even by an idempotent request',
+    onData: socket => socket.destroy(),
+    run: async site => {
+      const answer = await fetch(`${site.origin}/services/lookup/x`, { method: 'PUT', body: LARGE_BODY })
+      const { error } = await answer.json() as { error: { verdict: string } }
+      assert.equal(error.verdict, 'mayHaveRun')
+      assert.equal(requestCount(site), 1)
+    }
+  },
+  {
+    name: 'a request body that its caller cuts short never reaches an executor as complete',
+    onData: () => {},
+    run: async site => {
+      const socket = connect(site.port, '127.0.0.1')
+      socket.write(`POST /services/booking/x HTTP/1.1\r\nhost: h\r\ncontent-length: ${LARGE_BODY.length}\r\n\r\n${LARGE_BODY.slice(0, 100_000)}`)
+      await until(() => received(site).length > 50_000)
+      socket.destroy()
+      await until(() => site.frontDoor.active === 0 && site.executors.every(executor => executor.sockets.size === 0))
+      assert.doesNotMatch(received(site), /\r\n0\r\n\r\n$/)
+    }
+  },
+  {
+    name: 'a caller that sends its body slowly is given up at its deadline',
+    onData: respond('ok'),
+    run: async site => {
+      const text = await exchangeRaw(site.port, 'POST /services/booking/x HTTP/1.1\r\nhost: h\r\nvanillaturn-deadline-milliseconds: 100\r\ncontent-length: 10\r\n\r\nabc', answer => answer.includes('deadlineExpired'))
+      assert.match(text, /"verdict":"notRun"/)
+      assert.equal(received(site), '')
+    }
+  },
+  {
+    name: 'a caller that does not read its answer holds slot and connection no longer than a run',
+    onData: socket => {
+      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 100000000\r\n\r\n')
+      const chunk = Buffer.alloc(1_000_000)
+      const pump = (): void => {
+        if (!socket.destroyed && socket.write(chunk)) setImmediate(pump)
+        else socket.once('drain', pump)
+      }
+      pump()
+    },
+    run: async site => {
+      const socket = connect(site.port, '127.0.0.1')
+      socket.on('error', () => {})
+      socket.write('GET /services/lookup/x HTTP/1.1\r\nhost: h\r\n\r\n')
+      await until(() => site.frontDoor.active === 1)
+      await until(() => site.frontDoor.active === 0)
+      assert.equal(site.slots.inFlight('e0') + site.slots.inFlight('e1'), 0)
+      socket.destroy()
+    }
+  }
+]
+
+describe('CallerServer and FrontDoor over sockets', () => {
+  for (const { name, onData, run } of CASES) {
+    it(name, { timeout: 20_000 }, async () => {
+      const owned = new DisposableStore()
+      try {
+        await run(await startSite(owned, onData))
+      } finally {
+        owned.dispose()
+      }
+    })
+  }
+})
