Front door: no error says notRun after an attempt of unknown outcome

Cause: a retry that was refused after an attempt whose outcome is unknown gave the verdict of the last attempt. The rule now stands where a request gets its answer. Conclusion: every error of such a request says outcomeUnknown, mayHaveRun.

--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -62,11 +62,18 @@
   settle (answer: CallerAnswer): boolean {
     if (this.settled) return false
     this.settled = true
-    this.resolve(answer)
+    this.resolve(this.mayHaveRun ? withoutNotRun(answer) : answer)
     return true
   }
 }
 
+/** An error after an attempt of unknown outcome must not say that the request has not run. */
+function withoutNotRun (answer: CallerAnswer): CallerAnswer {
+  if (answer.kind === 'answer' || answer.error.verdict !== 'notRun') return answer
+  const { message, retryAfterSeconds } = answer.error
+  return errorAnswer({ code: 'outcomeUnknown', verdict: 'mayHaveRun', message: `an earlier attempt may have run; ${message}`, retryAfterSeconds })
+}
+
 /** An error answer. */
 export function errorAnswer (error: ServingError): CallerAnswer {
   return { kind: 'error', error }
--- a/src/entry/frontDoor.ts
+++ b/src/entry/frontDoor.ts
@@ -233,10 +233,9 @@
   }
 }
 
-/** Ends a waiting request. One that an earlier attempt may have run keeps that verdict. */
+/** Ends a request that is not sent, or not sent again. */
 function settleWith (pending: PendingRequest, code: Extract<ServingErrorCode, 'queueFull' | 'deadlineUnreachable' | 'noExecutor' | 'deadlineExpired'>, message: string, retryAfterSeconds: number): void {
-  if (pending.mayHaveRun) pending.settle(errorAnswer({ code: 'executorFailed', verdict: 'mayHaveRun', message }))
-  else pending.settle(errorAnswer({ code, verdict: 'notRun', message, retryAfterSeconds }))
+  pending.settle(errorAnswer({ code, verdict: 'notRun', message, retryAfterSeconds }))
 }
 
 function refuse (request: CallerRequest, code: 'stopping' | 'notReady' | 'unknownService', message: string, retryAfterSeconds?: number): CallerAnswer {
