--- a/src/contracts/workerProtocol.ts
+++ b/src/contracts/workerProtocol.ts
@@ -5,6 +5,9 @@
 export const attemptSchema = z.strictObject({ term: z.number().int(), sequence: z.number().int() })
 export type Attempt = z.infer<typeof attemptSchema>
 
+/** Body of the 409 answer to a command with a lower term than the highest that the worker has seen. */
+export const STALE_TERM = 'stale term'
+
 /** State of a task on a worker. */
 export const taskStateSchema = z.enum(['running', 'finished', 'failed', 'stopped', 'checkpointed', 'leaseLapsed'])
 export type TaskState = z.infer<typeof taskStateSchema>
@@ -55,6 +58,9 @@
 export const workerReportSchema = z.object({ worker: z.string(), incarnation: z.string(), term: z.number().int(), tasks: z.array(reportedTaskSchema), logicalTime: z.number().int() })
 export type WorkerReport = z.infer<typeof workerReportSchema>
 
+/** Answer to a command that was carried out. */
+export const commandAnswerSchema = z.object({ logicalTime: z.number().int().nonnegative() })
+
 /** Body of `POST /tasks/{task}/{action}`. */
 export const taskActionSchema = z.object({ term: z.number().int(), attempt: attemptSchema, throttlePercent: z.number().int().min(0).max(100).optional(), logicalTime: z.number().int().nonnegative() })
 export type TaskAction = z.infer<typeof taskActionSchema>
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -57,6 +57,13 @@
   }
 
   private async onRequest (event: H3Event): Promise<Response> {
+    const identity = randomUUID()
+    const response = await this.onIdentifiedRequest(event, identity)
+    response.headers.set(CALLER_HEADERS.request, identity)
+    return response
+  }
+
+  private async onIdentifiedRequest (event: H3Event, identity: string): Promise<Response> {
     const serviceName = event.context.params?.service ?? ''
     const service = this.configuration.inForce?.text.services[serviceName]
     if (this.configuration.inForce !== undefined && service === undefined) {
@@ -70,7 +77,7 @@
     const body = await this.readRequestBody(event.req, deadlineMilliseconds)
     if (!(body instanceof RequestBody)) return errorResponse(body)
     const answer = await this.frontDoor.serve({
-      identity: randomUUID(),
+      identity,
       service: serviceName,
       method: event.req.method,
       path: (event.url.pathname.slice(`/services/${serviceName}`.length) || '/') + event.url.search,
--- a/src/entry/frontDoor.ts
+++ b/src/entry/frontDoor.ts
@@ -8,6 +8,7 @@
 import type { ExecutorChooser } from '../requests/executorChooser.js'
 import { PoolDispatcher, type Refusal } from '../requests/poolDispatcher.js'
 import { RetryBudget } from '../requests/retryBudget.js'
+import { CALLER_HEADERS } from '../requests/headers.js'
 import type { SlotHolder } from '../requests/slotHolder.js'
 import { errorAnswer, PendingRequest, type CallerAnswer, type CallerRequest } from './callerRequest.js'
 import type { ConfigurationTask } from './configurationTask.js'
@@ -101,8 +102,9 @@
     if (this.stopping) return refuse(request, 'stopping', 'the instance is stopping', 1)
     if (text === undefined) return refuse(request, 'notReady', 'no configuration is in force yet', 1)
     if (service === undefined) return refuse(request, 'unknownService', `there is no service '${request.service}'`)
+    if (monotonicNow() >= request.deadline) return refuse(request, 'deadlineExpired', 'the deadline has passed')
     this.activeCount += 1
-    this.context.events.record('requestAccepted', { request: request.identity, service: request.service })
+    this.context.events.record('requestAccepted', { request: request.identity, service: request.service, urgency: request.urgency })
     const answer = await new Promise<CallerAnswer>(resolve => this.enqueue(new PendingRequest(request, service, resolve), text.limits.queuedRequests))
     this.noteAnswer(request, answer)
     return answer
@@ -206,10 +208,11 @@
     if (answer.kind === 'error') {
       this.activeCount -= 1
       request.body.discard()
-      this.context.events.record('requestFailed', { request: request.identity, detail: `${answer.error.code} ${answer.error.verdict}` })
+      this.context.events.record('requestFailed', { request: request.identity, detail: `${answer.error.code} ${answer.error.verdict}`, reason: answer.error.message })
       return
     }
     this.context.events.record('requestAnswered', { request: request.identity, detail: String(answer.status) })
+    answer.headers[CALLER_HEADERS.logicalTime] = String(this.context.events.clock.tick())
     answer.body.once('close', () => { this.activeCount -= 1 })
   }
 
@@ -238,7 +241,7 @@
   pending.settle(errorAnswer({ code, verdict: 'notRun', message, retryAfterSeconds }))
 }
 
-function refuse (request: CallerRequest, code: 'stopping' | 'notReady' | 'unknownService', message: string, retryAfterSeconds?: number): CallerAnswer {
+function refuse (request: CallerRequest, code: 'stopping' | 'notReady' | 'unknownService' | 'deadlineExpired', message: string, retryAfterSeconds?: number): CallerAnswer {
   request.body.discard()
   return errorAnswer({ code, verdict: 'notRun', message, retryAfterSeconds })
 }
--- a/src/entry/requestSender.ts
+++ b/src/entry/requestSender.ts
@@ -45,7 +45,7 @@
     pending.tried.add(executor.name)
     this.context.events.record('requestDispatched', { request: request.identity, executor: executor.name })
     const timeout = Math.max(1, Math.min(service.maximumRunMilliseconds, request.deadline - acquiredAt))
-    const result = await this.client.send(executor.address, outgoing(pending), timeout, this.slots.connections(executor.name, acquiredAt), request.signal, mayStart)
+    const result = await this.client.send(executor.address, this.outgoing(pending), timeout, this.slots.connections(executor.name, acquiredAt), request.signal, mayStart)
     if (result.kind === 'answer') return this.onAnswer(pending, executor, result.answer, startedAt)
     return this.onFailure(pending, executor, result, startedAt)
   }
@@ -88,6 +88,7 @@
     }
     const headers = endToEndHeaders(Object.entries(answer.headers))
     headers[CALLER_HEADERS.request] = pending.identity
+    this.context.events.clock.observe(Number(answer.headers[CALLER_HEADERS.logicalTime] ?? 0))
     if (!pending.settle({ kind: 'answer', status: answer.status, headers, body: answer.body })) answer.body.destroy()
     return undefined
   }
@@ -122,11 +123,12 @@
     clearTimeout(timer)
     this.timers.delete(timer)
   }
-}
 
-function outgoing ({ request }: PendingRequest): OutgoingRequest {
-  const headers = endToEndHeaders(request.headers, ['host', 'content-length', 'expect'])
-  headers[CALLER_HEADERS.request] = request.identity
-  headers[CALLER_HEADERS.urgency] = request.urgency
-  return { method: request.method, path: request.path, headers, body: request.body.open() }
+  private outgoing ({ request }: PendingRequest): OutgoingRequest {
+    const headers = endToEndHeaders(request.headers, ['host', 'content-length', 'expect'])
+    headers[CALLER_HEADERS.request] = request.identity
+    headers[CALLER_HEADERS.urgency] = request.urgency
+    headers[CALLER_HEADERS.logicalTime] = String(this.context.events.clock.tick())
+    return { method: request.method, path: request.path, headers, body: request.body.open() }
+  }
 }
