Run non-idempotent requests with an idempotency key at most once

Cause: idempotency keys were part of the design and not of the code. A key has a home failure domain by rendezvous hashing (xxhash-wasm). Its owner appends keyStarted and lets the request run only when that record is the first of the key in log order; while the log is away it decides from memory, and the asking instance appends the same record as well. Instances of other failure domains ask over HTTP with a proof made from a link key. Conclusion: no table case lets a second request with the same key run.

--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -24,6 +24,11 @@
 
 const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'])
 
+/** Whether a request may run twice without harm. */
+export function isIdempotent (service: Service, method: string): boolean {
+  return service.idempotent || IDEMPOTENT_METHODS.has(method)
+}
+
 /** A request from its acceptance to its one answer. */
 export class PendingRequest implements DispatchableRequest {
   readonly tried = new Set<string>()
@@ -51,7 +56,7 @@
 
   /** Whether running it twice does no harm. */
   get isIdempotent (): boolean {
-    return this.service.idempotent || IDEMPOTENT_METHODS.has(this.request.method)
+    return isIdempotent(this.service, this.request.method)
   }
 
   get isSettled (): boolean {
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -12,6 +12,7 @@
 import type { FrontDoor } from './frontDoor.js'
 import { RequestBody } from './requestBody.js'
 import { errorResponse } from './errorResponse.js'
+import type { KeyTask } from './keyTask.js'
 import type { JobApi } from './jobApi.js'
 import type { OperatorApi } from './operatorApi.js'
 
@@ -25,6 +26,7 @@
     private readonly frontDoor: FrontDoor,
     private readonly jobs: JobApi,
     private readonly operators: OperatorApi,
+    private readonly keys: Pick<KeyTask, 'onPeer'>,
     private readonly isReady: () => boolean
   ) {
     super()
@@ -41,6 +43,7 @@
     app.get('/jobs', () => this.jobs.list())
     app.get('/jobs/:job', async event => await this.jobs.read(event.context.params?.job ?? '', event.req.headers.has(CALLER_HEADERS.forwardedFrom)))
     app.delete('/jobs/:job', async event => await this.jobs.cancel(event.context.params?.job ?? ''))
+    app.post('/peer/keys', async event => await this.onKeyQuestion(event))
     this.operators.route(app)
     const server = serve(app, { port, hostname: host, silent: true, gracefulShutdown: false })
     await server.ready()
@@ -56,6 +59,12 @@
     return await this.jobs.submit(parsed.submission, event.req.headers.get(CALLER_HEADERS.idempotencyKey) ?? undefined)
   }
 
+  private async onKeyQuestion (event: H3Event): Promise<Response> {
+    const decision = await this.keys.onPeer(event.req)
+    if (decision !== undefined) return Response.json(decision)
+    return errorResponse({ code: 'unauthorized', verdict: 'notRun', message: 'the request carries no valid proof of a peer' })
+  }
+
   private async onRequest (event: H3Event): Promise<Response> {
     const identity = randomUUID()
     const response = await this.onIdentifiedRequest(event, identity)
--- a/src/entry/frontDoor.ts
+++ b/src/entry/frontDoor.ts
@@ -13,6 +13,7 @@
 import { errorAnswer, PendingRequest, type CallerAnswer, type CallerRequest } from './callerRequest.js'
 import type { ConfigurationTask } from './configurationTask.js'
 import { monotonicNow, type EntryContext } from './entryContext.js'
+import type { KeyGate } from './keyGate.js'
 import { RequestSender, type FailedAttempt } from './requestSender.js'
 
 /** How the front door tells the slot task what it needs. */
@@ -52,7 +53,8 @@
     private readonly slots: SlotHolder,
     private readonly client: ExecutorClient,
     private readonly chooser: ExecutorChooser,
-    private readonly slotRequests: SlotRequests
+    private readonly slotRequests: SlotRequests,
+    private readonly keys: KeyGate
   ) {
     super()
     this.sender = this.register(new RequestSender(context, slots, client, () => this.onSlotReleased(), executor => this.onExecutorFailed(executor)))
@@ -105,7 +107,8 @@
     if (monotonicNow() >= request.deadline) return refuse(request, 'deadlineExpired', 'the deadline has passed')
     this.activeCount += 1
     this.context.events.record('requestAccepted', { request: request.identity, service: request.service, urgency: request.urgency })
-    const answer = await new Promise<CallerAnswer>(resolve => this.enqueue(new PendingRequest(request, service, resolve), text.limits.queuedRequests))
+    const run = async (): Promise<CallerAnswer> => await new Promise(resolve => this.enqueue(new PendingRequest(request, service, resolve), text.limits.queuedRequests))
+    const answer = await this.keys.serve(request, service, run)
     this.noteAnswer(request, answer)
     return answer
   }
--- a/src/programs/wiring.ts
+++ b/src/programs/wiring.ts
@@ -1,5 +1,6 @@
 import { randomUUID, randomInt } from 'node:crypto'
 import { Agent } from 'undici'
+import createHashing from 'xxhash-wasm'
 import { toDisposable, type Disposable } from '../base/disposable.js'
 import { LogicalClock } from '../base/logicalClock.js'
 import { Logger, type LineSink, type LogLevel } from '../base/logger.js'
@@ -15,6 +16,8 @@
 import { FrontDoor } from '../entry/frontDoor.js'
 import { JobApi } from '../entry/jobApi.js'
 import { JobTask } from '../entry/jobTask.js'
+import { KeyGate } from '../entry/keyGate.js'
+import { KeyTask } from '../entry/keyTask.js'
 import { MembershipTask } from '../entry/membershipTask.js'
 import { MetricsRegistry } from '../entry/metricsRegistry.js'
 import { OperatorApi } from '../entry/operatorApi.js'
@@ -32,6 +35,7 @@
 import { LeastExpectedTimeChooser } from '../requests/executorChooser.js'
 import { SiteStandin, type SiteOptions } from '../standins/siteStandin.js'
 
+const hashing = await createHashing()
 const SEED_BOUND = 2 ** 31 - 1
 /** Connections to one address that the instance keeps for the platform, workers and peers. */
 const AGENT_CONNECTIONS = 16
@@ -94,14 +98,16 @@
   const configurationFollower = follow(CONFIGURATION_STREAM)
   const ownershipFollower = follow(domainStream('ownership', settings.failureDomain))
   const jobFollower = follow(domainStream('jobs', settings.failureDomain))
+  const keyFollower = follow(domainStream('keys', settings.failureDomain))
 
   const membership = own(new MembershipTask(context, connections.instanceList, links))
   const configuration = own(new ConfigurationTask(context, configurationFollower, links))
   const ownershipAppender = own(createAppender(domainStream('ownership', settings.failureDomain)))
   const ownership = own(new OwnershipTask(context, ownershipFollower, ownershipAppender, links, membership.membership))
   const slots = own(new SlotTask(context, ownership, configuration, membership.membership, links, () => frontDoor.demand(), () => frontDoor.urgentWaits))
+  const keys = own(new KeyTask(context, configuration, membership.membership, ownership, keyFollower, createAppender, agent, text => hashing.h64(text)))
   const executorClient = own(connections.executors)
-  const frontDoor: FrontDoor = own(new FrontDoor(context, configuration, membership.membership, slots.holder, executorClient, new LeastExpectedTimeChooser(), slots))
+  const frontDoor: FrontDoor = own(new FrontDoor(context, configuration, membership.membership, slots.holder, executorClient, new LeastExpectedTimeChooser(), slots, new KeyGate(keys)))
   own(slots.onDidChangeGrants(() => frontDoor.dispatchAll()))
   const jobs = own(new JobTask(context, configuration, jobFollower, createAppender))
   const placement = own(new PlacementTask(context, ownership, configuration, membership.membership, jobs, connections.workers))
@@ -117,8 +123,8 @@
   metrics.addGauge('malformed_frames', 'Malformed frames received on links', () => links.malformedFrames)
   const operators = new OperatorApi(context, configuration, ownership, placement, jobs, frontDoor, membership.membership, links, metrics, requests, () => instance.isReady)
   const jobApi = new JobApi(context, jobs, placement, membership.membership, agent)
-  const server = own(new CallerServer(configuration, frontDoor, jobApi, operators, () => instance.isReady))
-  const followers = [configurationFollower, ownershipFollower, jobFollower]
+  const server = own(new CallerServer(configuration, frontDoor, jobApi, operators, keys, () => instance.isReady))
+  const followers = [configurationFollower, ownershipFollower, jobFollower, keyFollower]
   const instance: EntryInstance = new EntryInstance(context, { followers, links, membership, configuration, ownership, slots, frontDoor, server, jobs, placement, disposables: owned })
   return instance
 }
--- a/test/entry/callerServer.test.ts
+++ b/test/entry/callerServer.test.ts
@@ -12,6 +12,7 @@
 import type { ConfigurationTask } from '../../src/entry/configurationTask.js'
 import type { EntryContext } from '../../src/entry/entryContext.js'
 import { FrontDoor } from '../../src/entry/frontDoor.js'
+import { KeyGate } from '../../src/entry/keyGate.js'
 import type { JobApi } from '../../src/entry/jobApi.js'
 import type { OperatorApi } from '../../src/entry/operatorApi.js'
 import { HttpExecutorClient } from '../../src/links/executorClient.js'
@@ -90,8 +91,8 @@
   const { sequence } = slots.startReport(performance.now())
   slots.applyGrants({ sequence: 1, answersReport: sequence, validMilliseconds: 60_000, grants: [0, 1].map(index => ({ executor: `e${index}`, slots: 8, connections: 60 })) })
   const client = owned.add(new HttpExecutorClient())
-  const frontDoor = owned.add(new FrontDoor(context, configuration, membership, slots, client, new LeastExpectedTimeChooser(), { requestSlots: () => {}, reportFreedSlots: () => {} }))
-  const server = owned.add(new CallerServer(configuration, frontDoor, {} as JobApi, { route: () => {} } as unknown as OperatorApi, () => true))
+  const frontDoor = owned.add(new FrontDoor(context, configuration, membership, slots, client, new LeastExpectedTimeChooser(), { requestSlots: () => {}, reportFreedSlots: () => {} }, new KeyGate({ begin: async () => ({ kind: 'run', unlogged: false }), end: async () => {} })))
+  const server = owned.add(new CallerServer(configuration, frontDoor, {} as JobApi, { route: () => {} } as unknown as OperatorApi, { onPeer: async () => undefined }, () => true))
   const port = await server.listen('127.0.0.1', 0)
   return { port, origin: `http://127.0.0.1:${port}`, executors, slots, frontDoor }
 }
--- /dev/null
+++ b/test/entry/keyTask.test.ts
@@ -0,0 +1,120 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { Agent } from 'undici'
+import { Emitter } from '../../src/base/emitter.js'
+import { Random } from '../../src/base/random.js'
+import type { RecordBody, StoredRecord } from '../../src/contracts/records.js'
+import type { ConfigurationTask } from '../../src/entry/configurationTask.js'
+import type { EntryContext } from '../../src/entry/entryContext.js'
+import { KeyTask } from '../../src/entry/keyTask.js'
+import type { OwnershipTask } from '../../src/entry/ownershipTask.js'
+import type { LogAppender } from '../../src/links/logAppender.js'
+import type { LogFollower } from '../../src/links/logFollower.js'
+import { Membership } from '../../src/machines/membership.js'
+
+/** One stream of keys that can be away, and that gives each identity once. */
+class FakeStream {
+  away = false
+  readonly appended: string[] = []
+  private readonly waiting: Array<() => void> = []
+  private readonly identities = new Set<string>()
+  private readonly didRead = new Emitter<StoredRecord>()
+
+  readonly follower = { onDidReadRecord: this.didRead.event, hasCaughtUp: true, reachable: true }
+
+  append (body: RecordBody, identity: string): Promise<boolean> {
+    return new Promise(resolve => {
+      const store = (): void => {
+        if (!this.identities.has(identity)) {
+          this.identities.add(identity)
+          this.appended.push(body.type)
+          this.didRead.fire({ offset: this.appended.length, identity, writer: 'w', logicalTime: 0, body })
+        }
+        resolve(true)
+      }
+      if (this.away) this.waiting.push(store)
+      else store()
+    })
+  }
+
+  setAway (away: boolean): void {
+    this.away = away
+    this.follower.reachable = !away
+    if (!away) for (const store of this.waiting.splice(0)) store()
+  }
+}
+
+interface Site {
+  readonly stream: FakeStream
+  readonly task: KeyTask
+  owner: boolean
+}
+
+function createSite (stream = new FakeStream()): Site {
+  const context = { settings: { failureDomain: 'zone', instance: 'i', linkKeys: ['0123456789abcdef'] }, random: new Random(1) } as unknown as EntryContext
+  const configuration = { inForce: { text: { failureDomains: { zone: {} }, limits: { idempotencyWindowMilliseconds: 600_000 } } } } as unknown as ConfigurationTask
+  const site = { stream, owner: true } as { stream: FakeStream, owner: boolean, task: KeyTask }
+  const ownership = { isOwner: () => site.owner, owner: { instance: 'i', incarnation: '1' } } as unknown as OwnershipTask
+  const createAppender = (): LogAppender => ({ append: (body: RecordBody, _timeout: number, identity: string) => stream.append(body, identity), dispose: () => {} }) as unknown as LogAppender
+  site.task = new KeyTask(context, configuration, new Membership(), ownership, stream.follower as unknown as LogFollower, createAppender, new Agent(), () => 1n)
+  return site
+}
+
+const LATER = performance.now() + 60_000
+
+/** Each case guards against a second run. */
+const CASES: ReadonlyArray<{ readonly name: string, readonly run: (site: Site) => Promise<void> }> = [
+  {
+    name: 'only one of two requests with a key runs, and costs one append each way',
+    run: async ({ task, stream }) => {
+      const decisions = await Promise.all([task.begin('k', 'a', LATER), task.begin('k', 'b', LATER)])
+      assert.deepEqual(decisions.map(({ kind }) => kind).sort(), ['outcomeUnknown', 'run'])
+      await task.end('k', 'a', { kind: 'ended', status: 201, bodyBase64: 'eA==' })
+      assert.equal((await task.begin('k', 'c', LATER)).kind, 'recorded')
+      assert.deepEqual(stream.appended, ['keyStarted', 'keyEnded'])
+    }
+  },
+  {
+    name: 'a request that was not run frees the key',
+    run: async ({ task }) => {
+      await task.begin('k', 'a', LATER)
+      await task.end('k', 'a', { kind: 'notRun' })
+      assert.equal((await task.begin('k', 'b', LATER)).kind, 'run')
+    }
+  },
+  {
+    name: 'while the log is away the owner decides from memory, and a later owner learns it from the log',
+    run: async ({ task, stream }) => {
+      stream.setAway(true)
+      assert.deepEqual(await task.begin('k', 'a', LATER), { kind: 'run', unlogged: true })
+      assert.equal((await task.begin('k', 'b', LATER)).kind, 'outcomeUnknown')
+      const successor = createSite(stream)
+      stream.setAway(false)
+      assert.equal((await successor.task.begin('k', 'c', LATER)).kind, 'outcomeUnknown')
+      assert.deepEqual(stream.appended, ['keyStarted'])
+    }
+  },
+  {
+    name: 'an instance that is no longer owner, or that has not read the log, lets nothing run',
+    run: async site => {
+      site.owner = false
+      assert.equal((await site.task.begin('k', 'a', LATER)).kind, 'unavailable')
+      site.owner = true
+      site.stream.follower.hasCaughtUp = false
+      assert.equal((await site.task.begin('k2', 'b', LATER)).kind, 'unavailable')
+    }
+  },
+  {
+    name: 'an owner that loses its lease while it waits for the log lets nothing run',
+    run: async site => {
+      site.stream.setAway(true)
+      const pending = site.task.begin('k', 'a', performance.now() + 1500)
+      site.owner = false
+      assert.equal((await pending).kind, 'unavailable')
+    }
+  }
+]
+
+describe('KeyTask', () => {
+  for (const { name, run } of CASES) it(name, async () => { await run(createSite()) })
+})
