Forward requests to another failure domain that has a usable executor

Cause: an instance whose failure domain has no usable executor could only refuse. It now sends the request to a live instance of a failure domain that lists one for the pool, with a proof (HMAC with a link key over method, path, identity, sender, time). A forwarded request keeps its identity, is not forwarded again, and is taken once. Errors of this system carry their verdict in a header, so that the sender keeps it. Conclusion: verdicts survive the hop; a replayed or unproven request is refused.

--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -15,6 +15,8 @@
   readonly urgency: Urgency
   readonly deadline: number
   readonly signal: AbortSignal
+  /** Whether an instance of another failure domain sent it on; it is not forwarded again. */
+  readonly isForwarded: boolean
 }
 
 /** What the caller gets. */
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -12,6 +12,8 @@
 import type { FrontDoor } from './frontDoor.js'
 import { RequestBody } from './requestBody.js'
 import { errorResponse } from './errorResponse.js'
+import type { Forwarder } from './forwarder.js'
+import { PEER_PROOF_HEADER } from '../links/peerProof.js'
 import type { KeyTask } from './keyTask.js'
 import type { JobApi } from './jobApi.js'
 import type { OperatorApi } from './operatorApi.js'
@@ -27,6 +29,7 @@
     private readonly jobs: JobApi,
     private readonly operators: OperatorApi,
     private readonly keys: Pick<KeyTask, 'onPeer'>,
+    private readonly forwarder: Forwarder,
     private readonly isReady: () => boolean
   ) {
     super()
@@ -66,18 +69,23 @@
   }
 
   private async onRequest (event: H3Event): Promise<Response> {
-    const identity = randomUUID()
-    const response = await this.onIdentifiedRequest(event, identity)
+    const forwardedFrom = event.req.headers.get(CALLER_HEADERS.forwardedFrom)
+    const identity = forwardedFrom === null ? randomUUID() : event.req.headers.get(CALLER_HEADERS.request) ?? ''
+    const response = await this.onIdentifiedRequest(event, identity, forwardedFrom)
     response.headers.set(CALLER_HEADERS.request, identity)
     return response
   }
 
-  private async onIdentifiedRequest (event: H3Event, identity: string): Promise<Response> {
+  private async onIdentifiedRequest (event: H3Event, identity: string, forwardedFrom: string | null): Promise<Response> {
     const serviceName = event.context.params?.service ?? ''
     const service = this.configuration.inForce?.text.services[serviceName]
     if (this.configuration.inForce !== undefined && service === undefined) {
       return errorResponse({ code: 'unknownService', verdict: 'notRun', message: `there is no service '${serviceName}'` })
     }
+    const path = event.url.pathname + event.url.search
+    if (forwardedFrom !== null && !this.forwarder.accepts({ method: event.req.method, path, identity, from: forwardedFrom, proof: event.req.headers.get(PEER_PROOF_HEADER) ?? '' })) {
+      return errorResponse({ code: 'unauthorized', verdict: 'notRun', message: 'the forwarded request carries no valid proof of a peer, or has arrived before' })
+    }
     const deadlineMilliseconds = parseDeadline(event.req.headers.get(CALLER_HEADERS.deadlineMilliseconds), service?.deadlineMilliseconds ?? 0)
     if (deadlineMilliseconds === undefined) {
       return errorResponse({ code: 'malformedRequest', verdict: 'notRun', message: `${CALLER_HEADERS.deadlineMilliseconds}: expected a whole number of milliseconds` })
@@ -87,6 +95,7 @@
     if (!(body instanceof RequestBody)) return errorResponse(body)
     const answer = await this.frontDoor.serve({
       identity,
+      isForwarded: forwardedFrom !== null,
       service: serviceName,
       method: event.req.method,
       path: (event.url.pathname.slice(`/services/${serviceName}`.length) || '/') + event.url.search,
--- /dev/null
+++ b/src/entry/forwarder.ts
@@ -0,0 +1,94 @@
+import type { SiteText } from '../contracts/siteText.js'
+import { servingErrorSchema, type ServingError } from '../contracts/verdict.js'
+import type { ExecutorAnswer, ExecutorClient } from '../links/executorClient.js'
+import { createPeerProof, isValidPeerProof, PEER_PROOF_HEADER, PROOF_VALID_MILLISECONDS } from '../links/peerProof.js'
+import type { ListedEntry, Membership } from '../machines/membership.js'
+import { CALLER_HEADERS, endToEndHeaders } from '../requests/headers.js'
+import { errorAnswer, type CallerAnswer, type PendingRequest } from './callerRequest.js'
+import { monotonicNow, type EntryContext } from './entryContext.js'
+
+/** Connections to one instance of another failure domain. */
+const PEER_CONNECTIONS = 32
+const MAXIMUM_ERROR_BYTES = 16 * 1024
+
+const UNREACHABLE: ServingError = { code: 'noExecutor', verdict: 'notRun', message: 'no executor serves this failure domain, and no other failure domain could be reached', retryAfterSeconds: 1 }
+const TIMED_OUT: ServingError = { code: 'executorTimeout', verdict: 'mayHaveRun', message: 'another failure domain did not answer in time' }
+const OUTCOME_UNKNOWN: ServingError = { code: 'executorFailed', verdict: 'mayHaveRun', message: 'the connection to another failure domain broke' }
+
+/** Sends requests to instances of other failure domains, and checks those that arrive from there. */
+export class Forwarder {
+  /** Identities of forwarded requests that have arrived, with the time until which a proof of them is valid. */
+  private readonly seen = new Map<string, number>()
+
+  constructor (
+    private readonly context: EntryContext,
+    private readonly membership: Membership,
+    private readonly client: ExecutorClient
+  ) {}
+
+  /** An instance of another failure domain that has an executor for the request; a request is forwarded only once. */
+  target (pending: PendingRequest, text: SiteText): ListedEntry | undefined {
+    if (pending.request.isForwarded) return undefined
+    const pool = pending.service.executorPool
+    const domains = Object.keys(text.executorPools[pool]?.executors ?? {}).filter(domain => domain !== this.context.settings.failureDomain)
+    const usable = new Set(domains.filter(domain => this.membership.executors(domain).some(executor => executor.pool === pool && executor.state === 'live')))
+    const entries = this.membership.entries().filter(entry => entry.state === 'live' && usable.has(entry.failureDomain))
+    return entries.length === 0 ? undefined : this.context.random.pick(entries)
+  }
+
+  /** Sends a request to an instance of another failure domain. The verdict rules are those of an executor. */
+  async forward (pending: PendingRequest, target: ListedEntry): Promise<CallerAnswer> {
+    const { request } = pending
+    const path = `/services/${request.service}${request.path}`
+    const from = this.context.settings.instance
+    const headers = endToEndHeaders(request.headers, ['host', 'content-length', 'expect'])
+    const remaining = Math.floor(request.deadline - monotonicNow())
+    if (remaining <= 0) return errorAnswer({ code: 'deadlineExpired', verdict: 'notRun', message: 'the deadline passed before the request could be forwarded' })
+    headers[CALLER_HEADERS.request] = request.identity
+    headers[CALLER_HEADERS.urgency] = request.urgency
+    headers[CALLER_HEADERS.deadlineMilliseconds] = String(remaining)
+    headers[CALLER_HEADERS.forwardedFrom] = from
+    headers[CALLER_HEADERS.logicalTime] = String(this.context.events.clock.tick())
+    headers[PEER_PROOF_HEADER] = createPeerProof(this.context.settings.linkKeys[0] as string, { method: request.method, path, identity: request.identity, from }, Date.now())
+    this.context.events.record('requestForwarded', { request: request.identity, peer: target.name })
+    const result = await this.client.send(target.callerAddress, { method: request.method, path, headers, body: request.body.open() }, remaining, PEER_CONNECTIONS, request.signal, () => monotonicNow() < request.deadline)
+    if (result.kind === 'notSent') return errorAnswer(UNREACHABLE)
+    if (result.kind === 'mayHaveRun') return errorAnswer(result.timedOut ? TIMED_OUT : OUTCOME_UNKNOWN)
+    return await this.passOn(pending, result.answer)
+  }
+
+  /** Whether a request that claims to be forwarded proves that, and has not arrived before. */
+  accepts (request: { readonly method: string, readonly path: string, readonly identity: string, readonly from: string, readonly proof: string }): boolean {
+    const now = Date.now()
+    if (!isValidPeerProof(request.proof, this.context.settings.linkKeys, request, now)) return false
+    for (const [identity, until] of this.seen) {
+      if (now < until) break
+      this.seen.delete(identity)
+    }
+    if (this.seen.has(request.identity)) return false
+    // A proof may be from a clock that is ahead by the whole tolerance.
+    this.seen.set(request.identity, now + 2 * PROOF_VALID_MILLISECONDS)
+    return true
+  }
+
+  /** An error of the peer stays an error with its verdict; anything else is the executor's answer. */
+  private async passOn (pending: PendingRequest, answer: ExecutorAnswer): Promise<CallerAnswer> {
+    answer.body.on('error', () => {})
+    this.context.events.clock.observe(Number(answer.headers[CALLER_HEADERS.logicalTime] ?? 0))
+    if (answer.headers[CALLER_HEADERS.verdict] === undefined) {
+      const headers = endToEndHeaders(Object.entries(answer.headers))
+      headers[CALLER_HEADERS.request] = pending.identity
+      return { kind: 'answer', status: answer.status, headers, body: answer.body }
+    }
+    try {
+      let text = ''
+      for await (const chunk of answer.body) {
+        text += String(chunk)
+        if (text.length > MAXIMUM_ERROR_BYTES) return errorAnswer(OUTCOME_UNKNOWN)
+      }
+      return errorAnswer(servingErrorSchema.parse((JSON.parse(text) as { error?: unknown }).error))
+    } catch {
+      return errorAnswer(OUTCOME_UNKNOWN)
+    }
+  }
+}
--- a/src/entry/frontDoor.ts
+++ b/src/entry/frontDoor.ts
@@ -13,6 +13,7 @@
 import { errorAnswer, PendingRequest, type CallerAnswer, type CallerRequest } from './callerRequest.js'
 import type { ConfigurationTask } from './configurationTask.js'
 import { monotonicNow, type EntryContext } from './entryContext.js'
+import type { Forwarder } from './forwarder.js'
 import type { KeyGate } from './keyGate.js'
 import { RequestSender, type FailedAttempt } from './requestSender.js'
 
@@ -54,7 +55,8 @@
     private readonly client: ExecutorClient,
     private readonly chooser: ExecutorChooser,
     private readonly slotRequests: SlotRequests,
-    private readonly keys: KeyGate
+    private readonly keys: KeyGate,
+    private readonly forwarder: Forwarder
   ) {
     super()
     this.sender = this.register(new RequestSender(context, slots, client, () => this.onSlotReleased(), executor => this.onExecutorFailed(executor)))
@@ -139,11 +141,24 @@
     const pool = this.poolOf(pending.service)
     const now = monotonicNow()
     const { refusal, evicted } = pool.admit(pending, now)
+    if (refusal?.code === 'noExecutor' && this.forward(pending)) return
     if (refusal !== undefined) settleWith(pending, refusal.code, REFUSAL_MESSAGES[refusal.code], refusal.retryAfterSeconds)
     if (evicted !== undefined) settleWith(evicted, 'queueFull', REFUSAL_MESSAGES.queueFull, 1)
     this.dispatch(pool, now)
   }
 
+  /** Forwards a request that no executor of the own failure domain can serve; returns false if there is nowhere to forward it. */
+  private forward (pending: PendingRequest): boolean {
+    const text = this.configuration.inForce?.text
+    const target = text === undefined ? undefined : this.forwarder.target(pending, text)
+    if (target === undefined || !pending.request.body.canBeSent) return false
+    pending.tried.add(target.name)
+    this.forwarder.forward(pending, target).then(answer => {
+      if (!pending.settle(answer) && answer.kind === 'answer') answer.body.destroy()
+    })
+    return true
+  }
+
   private onCallerGone (pending: PendingRequest): void {
     this.poolOf(pending.service).remove(pending)
     pending.request.body.discard()
--- a/src/entry/keyGate.ts
+++ b/src/entry/keyGate.ts
@@ -13,10 +13,10 @@
 export class KeyGate {
   constructor (private readonly keys: Pick<KeyTask, 'begin' | 'end'>) {}
 
-  /** Runs the request, or answers it from what is known of its key. */
+  /** Runs the request, or answers it from what is known of its key. The instance that forwarded a request has checked its key. */
   async serve (request: CallerRequest, service: Service, run: () => Promise<CallerAnswer>): Promise<CallerAnswer> {
     const header = request.headers.find(([name]) => name.toLowerCase() === CALLER_HEADERS.idempotencyKey)?.[1]
-    if (header === undefined || isIdempotent(service, request.method)) return await run()
+    if (header === undefined || request.isForwarded || isIdempotent(service, request.method)) return await run()
     const key = `${request.service}:${header}`
     const decision = await this.keys.begin(key, request.identity, request.deadline)
     switch (decision.kind) {
--- a/src/entry/requestSender.ts
+++ b/src/entry/requestSender.ts
@@ -1,7 +1,8 @@
 import { DisposableObject, toDisposable } from '../base/disposable.js'
 import type { ServingError } from '../contracts/verdict.js'
 import { NOT_RUN_HEADER, type ExecutorAnswer, type ExecutorClient, type ExecutorResult, type OutgoingRequest } from '../links/executorClient.js'
-import { type Executor } from '../machines/executor.js'
+import { PEER_PROOF_HEADER } from '../links/peerProof.js'
+import type { Executor } from '../machines/executor.js'
 import { CALLER_HEADERS, endToEndHeaders } from '../requests/headers.js'
 import type { SlotHolder } from '../requests/slotHolder.js'
 import type { PendingRequest } from './callerRequest.js'
@@ -86,7 +87,7 @@
       answer.body.resume()
       return { error: { code: 'executorRefused', verdict: 'notRun', message: 'the executors refuse requests', retryAfterSeconds: 1 }, repeatable: pending.request.body.canBeSent, sent: true }
     }
-    const headers = endToEndHeaders(Object.entries(answer.headers))
+    const headers = endToEndHeaders(Object.entries(answer.headers), [CALLER_HEADERS.verdict])
     headers[CALLER_HEADERS.request] = pending.identity
     this.context.events.clock.observe(Number(answer.headers[CALLER_HEADERS.logicalTime] ?? 0))
     if (!pending.settle({ kind: 'answer', status: answer.status, headers, body: answer.body })) answer.body.destroy()
@@ -125,7 +126,7 @@
   }
 
   private outgoing ({ request }: PendingRequest): OutgoingRequest {
-    const headers = endToEndHeaders(request.headers, ['host', 'content-length', 'expect'])
+    const headers = endToEndHeaders(request.headers, ['host', 'content-length', 'expect', PEER_PROOF_HEADER, CALLER_HEADERS.forwardedFrom])
     headers[CALLER_HEADERS.request] = request.identity
     headers[CALLER_HEADERS.urgency] = request.urgency
     headers[CALLER_HEADERS.logicalTime] = String(this.context.events.clock.tick())
--- a/src/programs/wiring.ts
+++ b/src/programs/wiring.ts
@@ -13,6 +13,7 @@
 import { ConfigurationTask } from '../entry/configurationTask.js'
 import type { EntryContext } from '../entry/entryContext.js'
 import { EntryInstance } from '../entry/entryInstance.js'
+import { Forwarder } from '../entry/forwarder.js'
 import { FrontDoor } from '../entry/frontDoor.js'
 import { JobApi } from '../entry/jobApi.js'
 import { JobTask } from '../entry/jobTask.js'
@@ -106,8 +107,9 @@
   const ownership = own(new OwnershipTask(context, ownershipFollower, ownershipAppender, links, membership.membership))
   const slots = own(new SlotTask(context, ownership, configuration, membership.membership, links, () => frontDoor.demand(), () => frontDoor.urgentWaits))
   const keys = own(new KeyTask(context, configuration, membership.membership, ownership, keyFollower, createAppender, agent, text => hashing.h64(text)))
+  const forwarder = new Forwarder(context, membership.membership, own(new HttpExecutorClient()))
   const executorClient = own(connections.executors)
-  const frontDoor: FrontDoor = own(new FrontDoor(context, configuration, membership.membership, slots.holder, executorClient, new LeastExpectedTimeChooser(), slots, new KeyGate(keys)))
+  const frontDoor: FrontDoor = own(new FrontDoor(context, configuration, membership.membership, slots.holder, executorClient, new LeastExpectedTimeChooser(), slots, new KeyGate(keys), forwarder))
   own(slots.onDidChangeGrants(() => frontDoor.dispatchAll()))
   const jobs = own(new JobTask(context, configuration, jobFollower, createAppender))
   const placement = own(new PlacementTask(context, ownership, configuration, membership.membership, jobs, connections.workers))
@@ -123,7 +125,7 @@
   metrics.addGauge('malformed_frames', 'Malformed frames received on links', () => links.malformedFrames)
   const operators = new OperatorApi(context, configuration, ownership, placement, jobs, frontDoor, membership.membership, links, metrics, requests, () => instance.isReady)
   const jobApi = new JobApi(context, jobs, placement, membership.membership, agent)
-  const server = own(new CallerServer(configuration, frontDoor, jobApi, operators, keys, () => instance.isReady))
+  const server = own(new CallerServer(configuration, frontDoor, jobApi, operators, keys, forwarder, () => instance.isReady))
   const followers = [configurationFollower, ownershipFollower, jobFollower, keyFollower]
   const instance: EntryInstance = new EntryInstance(context, { followers, links, membership, configuration, ownership, slots, frontDoor, server, jobs, placement, disposables: owned })
   return instance
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -8,6 +8,8 @@
   deadlineMilliseconds: 'vanillaturn-deadline-milliseconds',
   request: 'vanillaturn-request',
   logicalTime: 'vanillaturn-logical-time',
+  /** Verdict of an error of this system; answers of executors do not carry it. */
+  verdict: 'vanillaturn-verdict',
   forwardedFrom: 'vanillaturn-forwarded-from'
 } as const
 
--- a/test/entry/callerServer.test.ts
+++ b/test/entry/callerServer.test.ts
@@ -11,15 +11,19 @@
 import { CallerServer } from '../../src/entry/callerServer.js'
 import type { ConfigurationTask } from '../../src/entry/configurationTask.js'
 import type { EntryContext } from '../../src/entry/entryContext.js'
+import { Forwarder } from '../../src/entry/forwarder.js'
 import { FrontDoor } from '../../src/entry/frontDoor.js'
 import { KeyGate } from '../../src/entry/keyGate.js'
 import type { JobApi } from '../../src/entry/jobApi.js'
 import type { OperatorApi } from '../../src/entry/operatorApi.js'
 import { HttpExecutorClient } from '../../src/links/executorClient.js'
+import { createPeerProof, PEER_PROOF_HEADER } from '../../src/links/peerProof.js'
 import { Membership } from '../../src/machines/membership.js'
 import { LeastExpectedTimeChooser } from '../../src/requests/executorChooser.js'
 import { SlotHolder } from '../../src/requests/slotHolder.js'
 
+const LINK_KEY = '0123456789abcdef'
+
 function siteText (): SiteText {
   const service = { urgency: 'urgent', executorPool: 'pool', deadlineMilliseconds: 1500, maximumRunMilliseconds: 1000 }
   const checked = checkSiteText('test', JSON.stringify({
@@ -79,20 +83,29 @@
 async function startSite (owned: DisposableStore, onData: (socket: Socket, executor: RawExecutor) => void): Promise<Site> {
   const executors = [new RawExecutor(onData), new RawExecutor(onData)]
   for (const executor of executors) await executor.listen(owned)
+  return await startInstance(owned, executors, 'zone', [])
+}
+
+/** One instance of `failureDomain`; the executors belong to failure domain `zone`, and `peers` are other instances. */
+async function startInstance (owned: DisposableStore, executors: readonly RawExecutor[], failureDomain: string, peers: ReadonlyArray<{ readonly failureDomain: string, readonly origin: string }>): Promise<Site> {
   const sink = (): void => {}
   const context = {
-    settings: { failureDomain: 'zone', instance: 'i' }, incarnation: '1', logger: new Logger('i', 'error', sink), events: new EventLog('i', '1', new LogicalClock(), sink), random: new Random(1)
+    settings: { failureDomain, instance: `i-${failureDomain}`, linkKeys: [LINK_KEY] }, incarnation: '1', logger: new Logger('i', 'error', sink), events: new EventLog('i', '1', new LogicalClock(), sink), random: new Random(1)
   } as unknown as EntryContext
   const text = siteText()
   const configuration = { inForce: { revision: 1, text } } as unknown as ConfigurationTask
   const membership = new Membership()
-  membership.update(executors.map((executor, index) => ({ kind: 'executor', name: `e${index}`, failureDomain: 'zone', pool: 'pool', address: executor.address, state: 'live' })), performance.now())
+  membership.update([
+    ...executors.map((executor, index) => ({ kind: 'executor' as const, name: `e${index}`, failureDomain: 'zone', pool: 'pool', address: executor.address, state: 'live' as const })),
+    ...peers.map((peer, index) => ({ kind: 'entry' as const, name: `peer-${index}`, failureDomain: peer.failureDomain, address: '', callerAddress: peer.origin, state: 'live' as const }))
+  ], performance.now())
   const slots = new SlotHolder()
   const { sequence } = slots.startReport(performance.now())
   slots.applyGrants({ sequence: 1, answersReport: sequence, validMilliseconds: 60_000, grants: [0, 1].map(index => ({ executor: `e${index}`, slots: 8, connections: 60 })) })
   const client = owned.add(new HttpExecutorClient())
-  const frontDoor = owned.add(new FrontDoor(context, configuration, membership, slots, client, new LeastExpectedTimeChooser(), { requestSlots: () => {}, reportFreedSlots: () => {} }, new KeyGate({ begin: async () => ({ kind: 'run', unlogged: false }), end: async () => {} })))
-  const server = owned.add(new CallerServer(configuration, frontDoor, {} as JobApi, { route: () => {} } as unknown as OperatorApi, { onPeer: async () => undefined }, () => true))
+  const forwarder = new Forwarder(context, membership, owned.add(new HttpExecutorClient()))
+  const frontDoor = owned.add(new FrontDoor(context, configuration, membership, slots, client, new LeastExpectedTimeChooser(), { requestSlots: () => {}, reportFreedSlots: () => {} }, new KeyGate({ begin: async () => ({ kind: 'run', unlogged: false }), end: async () => {} }), forwarder))
+  const server = owned.add(new CallerServer(configuration, frontDoor, {} as JobApi, { route: () => {} } as unknown as OperatorApi, { onPeer: async () => undefined }, forwarder, () => true))
   const port = await server.listen('127.0.0.1', 0)
   return { port, origin: `http://127.0.0.1:${port}`, executors, slots, frontDoor }
 }
@@ -300,3 +313,66 @@
     })
   }
 })
+
+/** Each case guards against a forwarded request that runs twice, loops, or is taken from someone who is no peer. */
+const FORWARD_CASES: ReadonlyArray<{ readonly name: string, readonly onData: Case['onData'], readonly run: (own: Site, other: Site) => Promise<void> }> = [
+  {
+    name: 'a request is forwarded once, with its identity, when the own failure domain has no executor',
+    onData: respond('ok'),
+    run: async (own, other) => {
+      const answer = await fetch(`${own.origin}/services/booking/x?y=1`, { method: 'POST', body: 'b' })
+      assert.equal(await answer.text(), 'ok')
+      assert.equal(requestCount(other), 1)
+      assert.match(received(other), /^POST \/x\?y=1 /)
+      assert.ok(received(other).includes(`vanillaturn-request: ${answer.headers.get('vanillaturn-request')}`))
+      assert.doesNotMatch(received(other), /peer-proof|forwarded-from/)
+    }
+  },
+  {
+    name: 'a lost answer of the other failure domain is no statement that nothing ran',
+    onData: socket => socket.destroy(),
+    run: async (own, other) => {
+      const answer = await fetch(`${own.origin}/services/booking/x`, { method: 'POST', body: 'b' })
+      assert.equal((await answer.json() as { error: { verdict: string } }).error.verdict, 'mayHaveRun')
+      assert.equal(requestCount(other), 1)
+    }
+  },
+  {
+    name: 'a refusal of the other failure domain keeps its verdict',
+    onData: respond('ok'),
+    run: async (own, other) => {
+      other.frontDoor.stopAccepting()
+      const answer = await fetch(`${own.origin}/services/booking/x`, { method: 'POST', body: 'b' })
+      assert.deepEqual((await answer.json() as { error: { code: string, verdict: string } }).error.verdict, 'notRun')
+    }
+  },
+  {
+    name: 'a forwarded request is not forwarded again, and not taken twice or without a proof',
+    onData: respond('ok'),
+    run: async own => {
+      const request = { method: 'POST', path: '/services/booking/x', identity: 'r1', from: 'someone' }
+      const headers = { 'vanillaturn-forwarded-from': 'someone', 'vanillaturn-request': 'r1', [PEER_PROOF_HEADER]: createPeerProof(LINK_KEY, request, Date.now()) }
+      const codes: string[] = []
+      for (const sent of [headers, headers, { ...headers, [PEER_PROOF_HEADER]: createPeerProof('another key of 16', request, Date.now()) }]) {
+        const answer = await fetch(`${own.origin}/services/booking/x`, { method: 'POST', body: 'b', headers: sent })
+        codes.push((await answer.json() as { error: { code: string } }).error.code)
+      }
+      assert.deepEqual(codes, ['noExecutor', 'unauthorized', 'unauthorized'])
+    }
+  }
+]
+
+describe('forwarding between failure domains', () => {
+  for (const { name, onData, run } of FORWARD_CASES) {
+    it(name, { timeout: 20_000 }, async () => {
+      const owned = new DisposableStore()
+      try {
+        const other = await startSite(owned, onData)
+        const executors = other.executors
+        await run(await startInstance(owned, executors, 'other-zone', [{ failureDomain: 'zone', origin: other.origin }]), other)
+      } finally {
+        owned.dispose()
+      }
+    })
+  }
+})
