Let a request body be made from bytes in memory

Cause: drivers of the front door other than the caller server hold their bodies in memory, and had no way to make a body of them.

--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -16,7 +16,7 @@
   readonly deadline: number
   readonly signal: AbortSignal
   /** Whether an instance of another failure domain sent it on; it is not forwarded again. */
-  readonly isForwarded: boolean
+  readonly isForwarded?: boolean
 }
 
 /** What the caller gets. */
--- a/src/entry/requestBody.ts
+++ b/src/entry/requestBody.ts
@@ -14,6 +14,11 @@
 
   static readonly EMPTY = new RequestBody(Buffer.alloc(0), undefined, 0)
 
+  /** A body that is in memory. */
+  static of (bytes: Buffer): RequestBody {
+    return new RequestBody(bytes, undefined, bytes.length)
+  }
+
   /** Reads up to the replayable size; 'tooLarge' if the body is larger than `limitBytes` by then. Rejects if the caller breaks off or `signal` aborts. */
   static async read (stream: ReadableStream<Uint8Array>, limitBytes: number, signal: AbortSignal): Promise<RequestBody | 'tooLarge'> {
     const reader = stream.getReader()
