Place from an index of workers and a queue of waiting jobs by size

Cause: every placement read every worker, and every decision read and sorted every job and task.

Workers are kept by classes of free accelerators, processors and memory, four classes for each doubling; a change moves a worker in constant time. Waiting jobs are grouped by urgency, team and size. A size that fits nowhere is set aside until a worker has grown; only grown workers are then tried for it, except for gangs, which may need room that was there before. One decision settles at most 500 changed jobs.

--- a/bench/scheduling.ts
+++ b/bench/scheduling.ts
@@ -1,32 +1,98 @@
 import { build } from 'hdr-histogram-js'
-import { Random } from '../src/base/random.js'
-import { BestFitPolicy } from '../src/scheduling/placementPolicy.js'
-import { Scheduler } from '../src/scheduling/scheduler.js'
+import { BestFitPolicy, FullScanBestFitPolicy, type PlacementPolicy } from '../src/scheduling/placementPolicy.js'
+import { SchedulingSite } from './schedulingSite.js'
 
-const WORKER_COUNTS = [30, 900, 5000]
-const PLACEMENTS = 2000
+const WORKER_COUNTS = [30, 900, 5000, 20_000]
+const WAITING_TASKS = [100, 10_000, 100_000]
+const DECISIONS = 200
+const WARM_UP_DECISIONS = 30
+/** A full scan is slow enough for fewer decisions to tell. */
+const SCAN_DECISIONS = 5
+const FILL_LIMIT = 5000
+/** Tasks that end between two decisions: 1,200 a second at ten decisions a second. */
+const ENDED_PER_DECISION = 120
+const CANCELLATIONS = 10_000
 
-/** Prints placements a second and the time of a decision by number of workers. */
+interface Figures {
+  readonly placementsPerSecond: number
+  readonly p50Microseconds: number
+  readonly p99Microseconds: number
+}
+
+/** Prints figures of decisions on a full site by number of workers and waiting tasks, with the index and with a full scan. */
 export function runSchedulingBench (seed: number): void {
-  process.stdout.write('placements a second and decision time by number of workers\n')
+  write('decisions on a full site; placements a second of decision time, decision p50 and p99 in microseconds')
+  write('workers  waiting | index: placements/s  p50  p99 | full scan: placements/s  p50  p99 | ratio of placements/s')
   for (const workers of WORKER_COUNTS) {
-    const random = new Random(seed)
-    const scheduler = new Scheduler(1, 0, new BestFitPolicy())
-    const names = Array.from({ length: workers }, (_, index) => `worker-${index}`)
-    const capacity = { processorsThousandths: 16_000, memoryBytes: 64e9, accelerators: 0 }
-    scheduler.setWorkers(names.map(name => ({ name, failureDomain: 'zone', rack: 'rack', pool: 'general', address: '', capacity, leaving: false })))
-    for (const name of names) scheduler.onReport(name, { worker: name, incarnation: '1', term: 1, tasks: [], logicalTime: 0 }, 0)
-    const histogram = build()
-    const startedAt = performance.now()
-    let placed = 0
-    for (let index = 0; index < PLACEMENTS; index += 1) {
-      const resources = { processorsThousandths: 100 + random.integerBelow(400), memoryBytes: 1e8 + random.integerBelow(1e9), accelerators: 0 }
-      scheduler.addJob({ identity: `job-${index}`, name: 'job', team: 'one', kind: 'batch', urgency: 'normal', tasks: 1, resources, checkpointable: false, acceptedAtMilliseconds: 0 }, index)
-      const before = performance.now()
-      placed += scheduler.decide(index, 10).length
-      histogram.recordValue(Math.max(1, Math.round((performance.now() - before) * 1000)))
+    for (const waiting of WAITING_TASKS) {
+      const index = measureDecisions(workers, waiting, new BestFitPolicy(), seed, DECISIONS)
+      const scan = measureDecisions(workers, waiting, new FullScanBestFitPolicy(), seed, SCAN_DECISIONS)
+      write(`${workers}  ${waiting} | ${describe(index)} | ${describe(scan)} | ${(index.placementsPerSecond / scan.placementsPerSecond).toFixed(1)}`)
     }
-    const seconds = (performance.now() - startedAt) / 1000
-    process.stdout.write(`workers ${workers}: ${Math.round(placed / seconds)} placements/s, p50 ${histogram.getValueAtPercentile(50)} us, p99 ${histogram.getValueAtPercentile(99)} us\n`)
   }
+  measureCancellations(seed)
+}
+
+function measureDecisions (workers: number, waiting: number, policy: PlacementPolicy, seed: number, decisions: number): Figures {
+  const site = new SchedulingSite(workers, policy, seed)
+  fill(site, waiting)
+  const histogram = build()
+  let milliseconds = 0
+  for (let decision = 0; decision < Math.min(decisions, WARM_UP_DECISIONS); decision += 1) {
+    const before = site.placed
+    site.finish(ENDED_PER_DECISION)
+    site.decide(FILL_LIMIT)
+    site.submit(site.placed - before)
+  }
+  const placedBefore = site.placed
+  for (let decision = 0; decision < decisions; decision += 1) {
+    const before = site.placed
+    site.finish(ENDED_PER_DECISION)
+    const elapsed = site.decide(FILL_LIMIT)
+    milliseconds += elapsed
+    histogram.recordValue(Math.max(1, Math.round(elapsed * 1000)))
+    site.submit(site.placed - before)
+  }
+  return { placementsPerSecond: (site.placed - placedBefore) * 1000 / milliseconds, p50Microseconds: histogram.getValueAtPercentile(50), p99Microseconds: histogram.getValueAtPercentile(99) }
+}
+
+/** Submits until nothing more fits and `waiting` tasks wait. */
+function fill (site: SchedulingSite, waiting: number): void {
+  for (;;) {
+    const before = site.placed
+    site.submit(Math.max(100, site.workers.length))
+    site.decide(FILL_LIMIT)
+    if (site.placed - before < site.workers.length / 50) break
+  }
+  site.submit(waiting)
+  for (let round = 0; round < waiting / 200 + 10; round += 1) site.decide(FILL_LIMIT)
+}
+
+/** Prints the decision time while 10,000 cancellations arrive at once, beside the usual one. */
+function measureCancellations (seed: number): void {
+  const site = new SchedulingSite(900, new BestFitPolicy(), seed)
+  fill(site, 20_000)
+  const usual = build()
+  const wave = build()
+  const round = (histogram: typeof usual): void => {
+    const before = site.placed
+    site.finish(ENDED_PER_DECISION)
+    histogram.recordValue(Math.max(1, Math.round(site.decide(FILL_LIMIT) * 1000)))
+    site.submit(site.placed - before)
+  }
+  const cancelled = site.submit(CANCELLATIONS)
+  for (let index = 0; index < DECISIONS; index += 1) round(usual)
+  const before = performance.now()
+  for (const job of cancelled) site.scheduler.cancelJob(job)
+  const elapsed = performance.now() - before
+  for (let index = 0; index < 30; index += 1) round(wave)
+  write(`${CANCELLATIONS} cancellations at 900 workers: ${(elapsed * 1000 / CANCELLATIONS).toFixed(2)} us each; decision p99 ${usual.getValueAtPercentile(99)} us before, ${wave.getValueAtPercentile(99)} us during the wave, ratio ${(wave.getValueAtPercentile(99) / usual.getValueAtPercentile(99)).toFixed(2)}`)
+}
+
+function describe ({ placementsPerSecond, p50Microseconds, p99Microseconds }: Figures): string {
+  return `${Math.round(placementsPerSecond)}  ${p50Microseconds}  ${p99Microseconds}`
+}
+
+function write (line: string): void {
+  process.stdout.write(`${line}\n`)
 }
--- a/src/scheduling/jobState.ts
+++ b/src/scheduling/jobState.ts
@@ -1,4 +1,5 @@
 import type { Job, JobState } from '../contracts/jobs.js'
+import { urgencyRank } from '../contracts/siteText.js'
 import type { Attempt } from '../contracts/workerProtocol.js'
 
 export type TaskPhase = 'waiting' | 'starting' | 'running' | 'stopping' | 'finished'
@@ -21,17 +22,23 @@
   readonly tasks: readonly TaskEntry[]
   /** Tasks that may be placed: waiting and held by no worker. */
   readonly placeable: Set<TaskEntry>
+  /** Rank of urgency by which it is placed. */
+  rank: number
   readonly counts: Record<TaskPhase, number> = { waiting: 0, starting: 0, running: 0, stopping: 0, finished: 0 }
   /** Workers that hold an attempt of any task. */
   places = 0
+  /** Whether it is in the queue of waiting jobs. */
+  queued = false
   cancelled = false
   endDecided = false
   failures = 0
 
   /**
+   * @param order Place in the order of acceptance.
    * @param mayBePlaced Whether an earlier owner may have placed tasks, so that placing waits for the inventory of every worker.
    */
-  constructor (readonly job: Job, readonly addedAt: number, readonly mayBePlaced: boolean) {
+  constructor (readonly job: Job, readonly addedAt: number, readonly order: number, readonly mayBePlaced: boolean) {
+    this.rank = urgencyRank(job.urgency)
     this.tasks = Array.from({ length: job.tasks }, (_, index): TaskEntry => ({
       job: this, task: taskName(job.identity, index), index, phase: 'waiting', attempt: undefined, worker: undefined, places: 0, checkpointMilliseconds: 0
     }))
@@ -53,6 +60,12 @@
     this.notePlaceable(task)
   }
 
+  /** Whether it has tasks that may be placed now. */
+  get isWaiting (): boolean {
+    if (this.cancelled || this.endDecided || this.placeable.size === 0) return false
+    return this.job.kind !== 'gang' || this.placeable.size === this.counts.waiting
+  }
+
   get state (): JobState {
     if (this.counts.running > 0) return 'running'
     return this.counts.starting > 0 ? 'starting' : 'waiting'
--- a/src/scheduling/placementPolicy.ts
+++ b/src/scheduling/placementPolicy.ts
@@ -1,33 +1,70 @@
-import type { Resources } from '../contracts/resources.js'
-import { fitsWithin } from '../contracts/resources.js'
-import type { Worker } from '../machines/worker.js'
+import { fitsWithin, type Resources } from '../contracts/resources.js'
+import { leftOver, WorkerIndex } from './workerIndex.js'
+import type { WorkerEntry } from './workerEntry.js'
 
 /** Chooses a worker for a task. */
 export abstract class PlacementPolicy {
-  /** Returns a worker on which the demand fits now, or undefined. */
-  abstract choose (demand: Resources, workers: Iterable<Worker>): Worker | undefined
+  /** Takes note of changed free resources of a worker. One that is not `present` is not chosen until it is again. */
+  abstract onWorkerChanged (entry: WorkerEntry, present: boolean): void
+
+  /** Returns an accepted worker on which the demand fits now, or undefined if there is none. */
+  abstract choose (demand: Resources, accept: (entry: WorkerEntry) => boolean): WorkerEntry | undefined
 }
 
-/** Chooses the fitting worker that has the least left over, and keeps accelerators for those who need them. */
+/** Chooses among fitting workers by what is left over, and keeps accelerators for those who need them; reads an index. */
 export class BestFitPolicy extends PlacementPolicy {
-  override choose (demand: Resources, workers: Iterable<Worker>): Worker | undefined {
-    let best: Worker | undefined
-    let bestScore = Infinity
-    for (const worker of workers) {
-      const { free } = worker
-      if (!fitsWithin(demand, free)) continue
-      const score = leftOver(demand, free, worker.description.capacity)
-      if (score >= bestScore) continue
-      best = worker
-      bestScore = score
-    }
-    return best
+  private readonly index = new WorkerIndex()
+
+  override onWorkerChanged (entry: WorkerEntry, present: boolean): void {
+    this.index.update(entry, present)
+  }
+
+  override choose (demand: Resources, accept: (entry: WorkerEntry) => boolean): WorkerEntry | undefined {
+    return this.index.choose(demand, accept)
   }
 }
 
-function leftOver (demand: Resources, free: Resources, capacity: Resources): number {
-  const processors = (free.processorsThousandths - demand.processorsThousandths) / Math.max(1, capacity.processorsThousandths)
-  const memory = (free.memoryBytes - demand.memoryBytes) / Math.max(1, capacity.memoryBytes)
-  const accelerators = demand.accelerators === 0 && capacity.accelerators > 0 ? 2 : 0
-  return processors + memory + accelerators
+/** Baseline: reads every worker and takes the one with the least left over. */
+export class FullScanBestFitPolicy extends PlacementPolicy {
+  private readonly workers = new Set<WorkerEntry>()
+
+  override onWorkerChanged (entry: WorkerEntry, present: boolean): void {
+    if (present) this.workers.add(entry)
+    else this.workers.delete(entry)
+  }
+
+  override choose (demand: Resources, accept: (entry: WorkerEntry) => boolean): WorkerEntry | undefined {
+    return bestOf(demand, this.workers, accept)
+  }
+}
+
+/** The accepted worker with room for the demand that has the least left over, or undefined if there is none. */
+export function bestOf (demand: Resources, workers: Iterable<WorkerEntry>, accept: (entry: WorkerEntry) => boolean): WorkerEntry | undefined {
+  let best: WorkerEntry | undefined
+  let bestScore = Infinity
+  for (const entry of workers) {
+    if (!fitsWithin(demand, entry.worker.free) || !entry.present || !accept(entry)) continue
+    const score = leftOver(demand, entry)
+    if (score >= bestScore) continue
+    best = entry
+    bestScore = score
+  }
+  return best
+}
+
+/** Baseline: takes the first worker with room. */
+export class FirstFitPolicy extends PlacementPolicy {
+  private readonly workers = new Set<WorkerEntry>()
+
+  override onWorkerChanged (entry: WorkerEntry, present: boolean): void {
+    if (present) this.workers.add(entry)
+    else this.workers.delete(entry)
+  }
+
+  override choose (demand: Resources, accept: (entry: WorkerEntry) => boolean): WorkerEntry | undefined {
+    for (const entry of this.workers) {
+      if (fitsWithin(demand, entry.worker.free) && accept(entry)) return entry
+    }
+    return undefined
+  }
 }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -1,10 +1,11 @@
+import FlatQueue from 'flatqueue'
 import { NO_RESOURCES, addResources, fitsWithin, type Resources } from '../contracts/resources.js'
-import { urgencyRank } from '../contracts/siteText.js'
 import type { Job, JobOutcome, JobState } from '../contracts/jobs.js'
 import type { Attempt, WorkerReport } from '../contracts/workerProtocol.js'
-import type { Hold, Worker, WorkerDescription } from '../machines/worker.js'
+import type { Hold, WorkerDescription } from '../machines/worker.js'
+import { JobQueue } from './jobQueue.js'
 import type { JobEntry, TaskEntry } from './jobState.js'
-import type { PlacementPolicy } from './placementPolicy.js'
+import { bestOf, type PlacementPolicy } from './placementPolicy.js'
 import type { LedgerObserver, StartOutcome } from './ledgerObserver.js'
 import { MAXIMUM_TASK_FAILURES, TaskLedger } from './taskLedger.js'
 import type { WorkerEntry } from './workerEntry.js'
@@ -13,6 +14,12 @@
 const SILENCE_BEFORE_LAPSE_MILLISECONDS = 10_000
 /** Most stops and repeated starts in one decision. */
 const COMMANDS_PER_DECISION = 500
+/** Most changed jobs that one decision looks at, so that a wave of cancellations does not hold up placements. */
+const SETTLED_PER_DECISION = 500
+/** Most groups of jobs that one decision tries in vain. */
+const FAILED_TRIES_PER_DECISION = 200
+/** Most tasks of one job that are placed before another team has its turn. */
+const TASKS_PER_TURN = 16
 
 /** What the scheduler asks the surrounding task to do. */
 export type SchedulingDecision =
@@ -34,9 +41,16 @@
  */
 export class Scheduler implements LedgerObserver {
   private readonly ledger: TaskLedger
+  private readonly queue = new JobQueue()
   private readonly changedJobs = new Set<JobEntry>()
+  /** Jobs that wait for the inventory of every worker. */
+  private uncertain: JobEntry[] = []
+  /** Workers that get no starts for a while, by its end. */
+  private readonly avoided = new FlatQueue<WorkerEntry>()
   private lost: SchedulingDecision[] = []
   private sequence = 0
+  /** Whether tentative placements are being taken back, which frees nothing that was not free before. */
+  private undoing = false
 
   /**
    * @param term Term of the ownership; part of every attempt.
@@ -125,19 +139,14 @@
   /** Decides what to start, stop and end now, at most `limit` starts. */
   decide (now: number, limit: number): SchedulingDecision[] {
     if (this.ledger.superseded) return []
+    if (now >= this.silentWorkersLapseAt) this.ledger.forgetSilentWorkers()
     this.ledger.releaseLapsed(now)
     const decisions = this.lost
     this.lost = []
-    for (const entry of this.changedJobs) this.settle(entry, now, decisions)
-    this.changedJobs.clear()
+    if (this.uncertain.length > 0 && this.inventoryComplete(now)) this.enqueueUncertain()
+    this.settleChanged(now, decisions)
     for (const { entry, hold } of this.ledger.takeCommands(now, COMMANDS_PER_DECISION)) decisions.push(...this.repeat(entry, hold))
-    let starts = 0
-    for (const entry of this.waitingJobs(now)) {
-      if (starts >= limit) break
-      const placed = this.place(entry, limit - starts, now)
-      starts += placed.length
-      decisions.push(...placed)
-    }
+    this.placeWaiting(now, limit, decisions)
     return decisions
   }
 
@@ -173,7 +182,15 @@
     return { used, capacity }
   }
 
-  onWorkerChanged (): void {}
+  onWorkerChanged (entry: WorkerEntry): void {
+    const { present, worker: { free }, lastFree } = entry
+    this.policy.onWorkerChanged(entry, present)
+    const grown = present && !this.undoing && !fitsWithin(free, lastFree)
+    entry.lastFree = present ? free : NO_RESOURCES
+    if (entry.avoidUntil !== entry.avoidQueued) this.avoided.push(entry, entry.avoidUntil)
+    entry.avoidQueued = entry.avoidUntil
+    if (grown) this.queue.noteGrowth(entry)
+  }
 
   onJobChanged (entry: JobEntry): void {
     this.changedJobs.add(entry)
@@ -183,28 +200,64 @@
     this.lost.push({ kind: 'taskLost', task, worker })
   }
 
-  private waitingJobs (now: number): JobEntry[] {
-    const complete = this.inventoryComplete(now)
-    const waiting = [...this.ledger.jobs.values()].filter(entry => !entry.cancelled && !entry.endDecided && entry.placeable.size > 0 && (complete || !entry.mayBePlaced))
-    return waiting.sort((left, right) => urgencyRank(left.job.urgency) - urgencyRank(right.job.urgency) || left.addedAt - right.addedAt)
+  /** Looks at jobs that have changed: ends them, stops their tasks or queues them. The rest waits for the next decision. */
+  private settleChanged (now: number, decisions: SchedulingDecision[]): void {
+    let settled = 0
+    for (const entry of this.changedJobs) {
+      if (++settled > SETTLED_PER_DECISION) return
+      this.changedJobs.delete(entry)
+      this.settle(entry, now, decisions)
+      if (!entry.isWaiting || this.ledger.jobs.get(entry.job.identity) !== entry) continue
+      if (entry.mayBePlaced && !this.inventoryComplete(now)) this.uncertain.push(entry)
+      else this.queue.add(entry)
+    }
+  }
+
+  private enqueueUncertain (): void {
+    for (const entry of this.uncertain) this.changedJobs.add(entry)
+    this.uncertain = []
+  }
+
+  private placeWaiting (now: number, limit: number, decisions: SchedulingDecision[]): void {
+    while ((this.avoided.peekValue() ?? Infinity) <= now) this.queue.noteGrowth(this.avoided.pop() as WorkerEntry)
+    this.queue.wake()
+    let starts = 0
+    let failedTries = 0
+    while (starts < limit && failedTries < FAILED_TRIES_PER_DECISION) {
+      const next = this.queue.next(() => 0)
+      if (next === undefined) {
+        this.queue.endRound()
+        return
+      }
+      const { job, group, candidates } = next
+      const wanted = job.job.kind === 'gang' ? job.placeable.size : Math.min(job.placeable.size, TASKS_PER_TURN, limit - starts)
+      if (wanted > limit && job.job.kind !== 'gang') return
+      const placed = this.place(job, wanted, candidates, now)
+      starts += placed.length
+      for (const decision of placed) decisions.push(decision)
+      if (placed.length === wanted) continue
+      this.queue.park(group)
+      failedTries += 1
+    }
   }
 
-  private place (entry: JobEntry, limit: number, now: number): SchedulingDecision[] {
-    const all = entry.job.kind === 'gang'
-    if (all && (entry.placeable.size > limit || entry.placeable.size < entry.counts.waiting)) return []
+  /** Starts `wanted` tasks of a job, as many as fit; of a gang all or none. */
+  private place (job: JobEntry, wanted: number, candidates: readonly WorkerEntry[] | undefined, now: number): SchedulingDecision[] {
     const placed: Array<{ task: TaskEntry, entry: WorkerEntry }> = []
-    const wanted = entry.placeable.size
-    for (const task of [...entry.placeable].slice(0, limit)) {
-      const worker = this.policy.choose(entry.job.resources, this.usableWorkers(now))
-      const chosen = worker === undefined ? undefined : this.ledger.workers.get(worker.name)
-      if (chosen === undefined || !this.ledger.place(task, chosen, { term: this.term, sequence: ++this.sequence }, now)) break
-      placed.push({ task, entry: chosen })
+    const accept = (entry: WorkerEntry): boolean => now >= entry.avoidUntil
+    for (const task of job.placeable) {
+      if (placed.length >= wanted) break
+      const entry = candidates === undefined ? this.policy.choose(job.job.resources, accept) : bestOf(job.job.resources, candidates, accept)
+      if (entry === undefined || !this.ledger.place(task, entry, { term: this.term, sequence: ++this.sequence }, now)) break
+      placed.push({ task, entry })
     }
-    if (all && placed.length < wanted) {
+    if (job.job.kind === 'gang' && placed.length < wanted) {
+      this.undoing = true
       for (const { task } of placed) this.ledger.unplace(task)
+      this.undoing = false
       return []
     }
-    return placed.map(({ task, entry: chosen }) => this.startDecision(task, chosen, task.attempt as Attempt))
+    return placed.map(({ task, entry }) => this.startDecision(task, entry, task.attempt as Attempt))
   }
 
   private startDecision (task: TaskEntry, entry: WorkerEntry, attempt: Attempt): SchedulingDecision {
@@ -219,12 +272,6 @@
     return found === undefined ? [] : [this.startDecision(found, entry, attempt)]
   }
 
-  private * usableWorkers (now: number): Generator<Worker> {
-    for (const entry of this.ledger.workers.values()) {
-      if (entry.usable(now)) yield entry.worker
-    }
-  }
-
   /** Ends a job whose tasks have all ended, and stops the tasks of one that was cancelled or has failed. */
   private settle (entry: JobEntry, now: number, decisions: SchedulingDecision[]): void {
     if (entry.endDecided || this.ledger.jobs.get(entry.job.identity) !== entry) return
--- a/src/scheduling/taskLedger.ts
+++ b/src/scheduling/taskLedger.ts
@@ -24,6 +24,7 @@
   /** Worker of each start command without an outcome, by the attempt's number. */
   private readonly startsInFlight = new Map<number, WorkerEntry>()
   private unreported = 0
+  private order = 0
   private readonly timers = new HoldTimers()
   /** Workers that hold or report attempts of jobs that are not known here. */
   private readonly orphans = new Map<string, Set<WorkerEntry>>()
@@ -47,15 +48,23 @@
         entry.listed = false
         this.observer.onWorkerChanged(entry)
       }
-      if (entry.worker.heldCount > 0) continue
+      if (entry.worker.heldCount === 0 && entry.reportedAt !== undefined) this.workers.delete(name)
+    }
+  }
+
+  /** Forgets workers that left the list without a report. Before the leases of an earlier owner have lapsed they may still run its tasks. */
+  forgetSilentWorkers (): void {
+    if (this.unreported === 0) return
+    for (const [name, entry] of this.workers) {
+      if (entry.listed || entry.reportedAt !== undefined) continue
       this.workers.delete(name)
-      if (entry.reportedAt === undefined) this.unreported -= 1
+      this.unreported -= 1
     }
   }
 
   addJob (job: Job, now: number, mayBePlaced: boolean): JobEntry | undefined {
     if (this.jobs.has(job.identity)) return undefined
-    const added = new JobEntry(job, now, mayBePlaced)
+    const added = new JobEntry(job, now, ++this.order, mayBePlaced)
     this.jobs.set(job.identity, added)
     const places = this.orphans.get(job.identity) ?? []
     this.orphans.delete(job.identity)
--- a/src/scheduling/workerEntry.ts
+++ b/src/scheduling/workerEntry.ts
@@ -1,3 +1,4 @@
+import { NO_RESOURCES } from '../contracts/resources.js'
 import type { Attempt, ReportedTask } from '../contracts/workerProtocol.js'
 import { Worker, type WorkerDescription } from '../machines/worker.js'
 
@@ -10,7 +11,13 @@
   reportRequestedAt = -Infinity
   /** The worker is not used for starts before this time. */
   avoidUntil = -Infinity
+  avoidQueued = -Infinity
   listed = true
+  /** Class of its free resources in the index of workers, and its position there; -1 outside the index. */
+  indexCell = -1
+  indexPosition = -1
+  /** Free resources when they were last looked at, to tell growth. */
+  lastFree = NO_RESOURCES
   /** Ended attempts that the worker may forget. */
   readonly acknowledge = new Map<string, Attempt>()
   /** Ended attempts of jobs that are not known here, or not yet. */
@@ -20,8 +27,13 @@
     this.worker = new Worker(description)
   }
 
+  /** Whether it takes part in placing at all. */
+  get present (): boolean {
+    return this.reportedAt !== undefined && this.listed && !this.worker.leaving
+  }
+
   /** Whether tasks may be started on it at `now`. */
   usable (now: number): boolean {
-    return this.reportedAt !== undefined && this.listed && !this.worker.leaving && now >= this.avoidUntil
+    return this.present && now >= this.avoidUntil
   }
 }
--- a/test/scheduling/interleavings.test.ts
+++ b/test/scheduling/interleavings.test.ts
@@ -79,6 +79,7 @@
       const faulty = step < steps
       this.now += STEP
       if (faulty) this.disturb()
+      if (step === steps) this.list()
       for (const worker of this.workers) worker.advance(this.now)
       this.renew(faulty)
       for (const decision of this.scheduler.decide(this.now, 20)) this.perform(decision, faulty)
--- a/test/scheduling/taskLedger.test.ts
+++ b/test/scheduling/taskLedger.test.ts
@@ -123,7 +123,7 @@
     site.outcome(0, 'done')
     site.now = 1000
     site.report('w1', [])
-    assert.deepEqual(site.decide(1000), ['taskLost a#0 at w1', 'start a#0 at w1'])
+    assert.deepEqual(site.decide(1000), ['taskLost a#0 at w1', 'start a#0 at w2'])
   }],
   ['a stop is repeated until its end is reported, and not renewed', site => {
     site.add('a')
@@ -148,6 +148,7 @@
     assert.equal(site.scheduler.utilization().used.accelerators, 0)
   }],
   ['a failed attempt that is reported twice counts once', site => {
+    site.list(['w1'])
     site.add('a')
     for (let round = 0; round < 2; round += 1) {
       site.decide(round * 5000)
@@ -216,6 +217,13 @@
     assert.deepEqual(site.decide(100), ['start b#0 at w1'])
     assert.deepEqual(site.decide(BOUND - 1), ['taskLost b#0 at w1', 'start b#0 at w1'])
   }, 2, BOUND],
+  ['a worker that leaves the list without a report still holds back jobs that may be on it', site => {
+    site.report('w1', [])
+    site.add('a', true)
+    site.list(['w1'])
+    assert.deepEqual(site.decide(BOUND - 1), [])
+    assert.deepEqual(site.decide(BOUND), ['start a#0 at w1'])
+  }, 2, BOUND],
   ['a finished task stays at its worker until the log tells of it', site => {
     site.add('a', true)
     site.report('w1', [['a#0', OLD, 'finished']])
