Preempt for urgent work, reserve for gangs, and share among teams

Cause: urgent work waited on a full site, a gang waited for ever behind small tasks, teams were not told apart, and stops of attempts of an earlier term were sent with that term and refused as stale.

Urgent jobs that do not fit make room: deferrable tasks with the least lost work are told to checkpoint, and to stop 2 s later if they have not; the room is kept for the urgent job. The oldest gang of the most urgent class that has waited for 10 s gets one reservation; deferrable tasks that can be checkpointed use its room until the rest is free, so that no run time is assumed. Teams are served by dominant share of their quotas; deferrable jobs count as normal after 30 min; services prefer racks with fewer of their tasks.

--- a/src/entry/placementTask.ts
+++ b/src/entry/placementTask.ts
@@ -128,6 +128,7 @@
       return [{ ...worker, capacity: { processorsThousandths, memoryBytes, accelerators }, leaving: worker.state === 'leaving' }]
     })
     scheduler.setWorkers(listed)
+    scheduler.setQuotas(text.teams)
     this.renewLeases(scheduler, listed.length, now)
     if (listed.length === 0) return
     if (this.jobs.hasCaughtUp && now - this.ownerSince > ORPHAN_GRACE_MILLISECONDS) scheduler.settleOrphans(now)
@@ -185,7 +186,11 @@
         this.start(decision)
         return
       case 'stop':
-        this.stop(decision)
+      case 'checkpoint':
+        this.act(decision)
+        return
+      case 'preempted':
+        this.context.events.record('taskPreempted', { task: decision.task, job: jobOfTask(decision.task), worker: decision.worker, detail: `for ${decision.by}` })
         return
       case 'jobEnded':
         this.endJob(decision)
@@ -218,11 +223,11 @@
     this.post({ kind: 'startOutcome', decision, outcome })
   }
 
-  private async stop (decision: Extract<SchedulingDecision, { kind: 'stop' }>): Promise<void> {
-    const { worker, task, attempt } = decision
+  private async act (decision: Extract<SchedulingDecision, { kind: 'stop' | 'checkpoint' }>): Promise<void> {
+    const { worker, task, attempt, kind } = decision
     if (!this.ownership.isOwner()) return
-    const outcome = await this.workers.act(worker.address, task, 'stop', { term: attempt.term, attempt, logicalTime: this.context.events.clock.tick() })
-    if (outcome.kind !== 'done') this.context.logger.warn('a stop did not succeed', { task, worker: worker.name, code: outcome.kind })
+    const outcome = await this.workers.act(worker.address, task, kind, { term: this.term, attempt, logicalTime: this.context.events.clock.tick() })
+    if (outcome.kind !== 'done') this.context.logger.warn('a command to end a task did not succeed', { task, worker: worker.name, code: `${kind}: ${outcome.kind}` })
   }
 
   private async endJob (decision: Extract<SchedulingDecision, { kind: 'jobEnded' }>): Promise<void> {
--- a/src/machines/worker.ts
+++ b/src/machines/worker.ts
@@ -17,6 +17,8 @@
   confirmedAt: number | undefined
   /** Time at which the latest answer to a start was lost. A refusal of a repeated start proves nothing from then on. */
   uncertainAt: number | undefined
+  /** Whether the first command to stop it is a checkpoint. A worker that does not carry it out is told to stop it after that. */
+  checkpointFirst: boolean
   released: boolean
 }
 
@@ -77,7 +79,7 @@
   /** Counts an attempt that is already on the worker, whether it fits or not. */
   adopt (task: string, job: string, attempt: Attempt, resources: Resources, state: HoldState, now: number): Hold {
     this.release(task)
-    const hold: Hold = { task, job, attempt, resources, state, renewedAt: now, confirmedAt: undefined, uncertainAt: undefined, released: false }
+    const hold: Hold = { task, job, attempt, resources, state, renewedAt: now, confirmedAt: undefined, uncertainAt: undefined, checkpointFirst: false, released: false }
     this.holds.set(task, hold)
     this.setUsed(addResources(this.usedResources, resources))
     return hold
--- /dev/null
+++ b/src/scheduling/claims.ts
@@ -0,0 +1,90 @@
+import { fitsWithin, NO_RESOURCES, addResources, subtractResources, type Resources } from '../contracts/resources.js'
+import type { JobEntry } from './jobState.js'
+import type { WorkerEntry } from './workerEntry.js'
+
+/** Room on a worker that is kept for a waiting job. */
+export interface Claim {
+  readonly entry: WorkerEntry
+  readonly job: JobEntry
+  readonly resources: Resources
+  readonly expiresAt: number
+  /** Whether deferrable tasks that can be checkpointed may use the room until the claim is closed. */
+  open: boolean
+}
+
+/** Room that is kept for waiting jobs while it becomes free. Other jobs get only what is beyond it. */
+export class Claims {
+  private readonly byWorker = new Map<WorkerEntry, Claim[]>()
+  private readonly byJob = new Map<JobEntry, Claim[]>()
+
+  /** @param onReleased Called when a worker has more room for other jobs again. */
+  constructor (private readonly onReleased: (entry: WorkerEntry) => void) {}
+
+  get size (): number {
+    return this.byJob.size
+  }
+
+  of (job: JobEntry): readonly Claim[] {
+    return this.byJob.get(job) ?? []
+  }
+
+  on (entry: WorkerEntry): readonly Claim[] {
+    return this.byWorker.get(entry) ?? []
+  }
+
+  add (claim: Claim): void {
+    append(this.byWorker, claim.entry, claim)
+    append(this.byJob, claim.job, claim)
+  }
+
+  /** Whether the worker has room for one task of the job beside what is kept for others. */
+  allows (entry: WorkerEntry, job: JobEntry): boolean {
+    const claims = this.byWorker.get(entry)
+    if (claims === undefined) return true
+    const kept = claims.reduce((sum, claim) => claim.job === job || (claim.open && isBackfill(job)) ? sum : addResources(sum, claim.resources), NO_RESOURCES)
+    return fitsWithin(job.job.resources, subtractResources(entry.worker.free, kept))
+  }
+
+  /** Drops all claims of a job. */
+  drop (job: JobEntry): void {
+    for (const claim of this.of(job)) {
+      const rest = this.on(claim.entry).filter(other => other !== claim)
+      if (rest.length === 0) this.byWorker.delete(claim.entry)
+      else this.byWorker.set(claim.entry, rest)
+      this.onReleased(claim.entry)
+    }
+    this.byJob.delete(job)
+  }
+
+  /** Drops one claim of a job on a worker, whose room it has taken. */
+  use (job: JobEntry, entry: WorkerEntry): void {
+    const used = this.of(job).find(claim => claim.entry === entry)
+    if (used !== undefined) this.dropWhere(job, claim => claim === used)
+  }
+
+  /** Drops what has not been used in time, and claims of jobs that no longer wait. */
+  expire (now: number): void {
+    for (const job of this.byJob.keys()) {
+      if (!job.isWaiting) this.drop(job)
+      else this.dropWhere(job, claim => claim.expiresAt <= now || !claim.entry.present)
+    }
+  }
+
+  private dropWhere (job: JobEntry, matches: (claim: Claim) => boolean): void {
+    const kept = this.of(job).filter(claim => !matches(claim))
+    if (kept.length === this.of(job).length) return
+    this.drop(job)
+    for (const claim of kept) this.add(claim)
+  }
+}
+
+/** Whether tasks of a job may use room that is kept for a gang: they can give it back without lost work, whatever their run time. */
+export function isBackfill (job: JobEntry): boolean {
+  return job.job.urgency === 'deferrable' && job.job.checkpointable && job.job.kind === 'batch'
+}
+
+function append<Key> (map: Map<Key, Claim[]>, key: Key, claim: Claim): void {
+  const claims = map.get(key)
+  if (claims === undefined) map.set(key, [claim])
+  else claims.push(claim)
+}
--- /dev/null
+++ b/src/scheduling/gangReservation.ts
@@ -0,0 +1,107 @@
+import { fitsWithin, multiplyResources, NO_RESOURCES, addResources, subtractResources, type Resources } from '../contracts/resources.js'
+import { tasksThatFit } from './capacity.js'
+import { isBackfill, type Claims } from './claims.js'
+import type { JobEntry, TaskEntry } from './jobState.js'
+import type { WorkerEntry } from './workerEntry.js'
+
+/** A gang that has waited for this long gets a reservation, in milliseconds. */
+const RESERVE_AFTER_MILLISECONDS = 10_000
+/** After this time other workers may have become the better choice, in milliseconds. */
+const RESERVATION_MILLISECONDS = 300_000
+
+/**
+ * Keeps room for the gang that comes first among those that wait. There is one reservation at a time, so that two gangs
+ * never hold half of what they need. No run time is assumed: meanwhile the room is used by tasks that can be checkpointed.
+ */
+export class GangReservation {
+  private readonly waiting = new Set<JobEntry>()
+  private reserved: JobEntry | undefined
+
+  constructor (private readonly claims: Claims, private readonly findTask: (task: string) => TaskEntry | undefined) {}
+
+  /** Notes that a gang did not fit. */
+  add (job: JobEntry): void {
+    this.waiting.add(job)
+  }
+
+  /** Gang with the reservation, or undefined. */
+  get current (): JobEntry | undefined {
+    return this.reserved
+  }
+
+  /** Gives up a reservation that has been used or has expired, and makes the next one. */
+  update (workers: Iterable<WorkerEntry>, now: number): void {
+    if (this.reserved !== undefined && (!this.reserved.isWaiting || this.claims.of(this.reserved).length === 0)) {
+      this.claims.drop(this.reserved)
+      this.reserved = undefined
+    }
+    const first = this.firstWaiting(now)
+    if (first === undefined || first === this.reserved || (this.reserved !== undefined && this.reserved.rank <= first.rank)) return
+    if (this.reserved !== undefined) this.claims.drop(this.reserved)
+    this.reserved = this.reserve(first, workers, now) ? first : undefined
+  }
+
+  /** Once all room would be free without backfilling tasks, closes the claims and returns the tasks to preempt. */
+  takeBackfill (): TaskEntry[] {
+    const claims = this.reserved === undefined ? [] : this.claims.of(this.reserved)
+    const tasks: TaskEntry[] = []
+    for (const { entry, resources } of claims) {
+      let { free } = entry.worker
+      for (const hold of entry.worker.held) {
+        if (fitsWithin(resources, free)) break
+        const task = this.findTask(hold.task)
+        if (task === undefined || task.phase !== 'running' || !isBackfill(task.job)) continue
+        free = addResources(free, hold.resources)
+        tasks.push(task)
+      }
+      if (!fitsWithin(resources, free)) return []
+    }
+    for (const claim of claims) claim.open = false
+    return tasks
+  }
+
+  private firstWaiting (now: number): JobEntry | undefined {
+    let first: JobEntry | undefined
+    for (const job of this.waiting) {
+      if (!job.isWaiting) {
+        this.waiting.delete(job)
+        continue
+      }
+      if (now - job.addedAt < RESERVE_AFTER_MILLISECONDS) continue
+      if (first === undefined || job.rank < first.rank || (job.rank === first.rank && job.order < first.order)) first = job
+    }
+    return first
+  }
+
+  /** Claims workers that come closest to having room. Running services never end, so what they hold does not count. */
+  private reserve (job: JobEntry, workers: Iterable<WorkerEntry>, now: number): boolean {
+    const demand = job.job.resources
+    const choices: Array<{ entry: WorkerEntry, tasks: number, freeTasks: number }> = []
+    for (const entry of workers) {
+      if (!entry.present) continue
+      const kept = this.claims.on(entry).reduce((sum, claim) => addResources(sum, claim.resources), this.heldByServices(entry))
+      const tasks = tasksThatFit(demand, subtractResources(entry.worker.description.capacity, kept))
+      if (tasks > 0) choices.push({ entry, tasks, freeTasks: tasksThatFit(demand, entry.worker.free) })
+    }
+    choices.sort((left, right) => right.freeTasks / right.tasks - left.freeTasks / left.tasks || right.tasks - left.tasks)
+    let missing = job.placeable.size
+    const chosen: Array<{ entry: WorkerEntry, tasks: number }> = []
+    for (const { entry, tasks } of choices) {
+      if (missing === 0) break
+      const taken = Math.min(tasks, missing)
+      chosen.push({ entry, tasks: taken })
+      missing -= taken
+    }
+    if (missing > 0) return false
+    for (const { entry, tasks } of chosen) this.claims.add({ entry, job, resources: multiplyResources(demand, tasks), expiresAt: now + RESERVATION_MILLISECONDS, open: true })
+    return true
+  }
+
+  private heldByServices (entry: WorkerEntry): Resources {
+    let sum = NO_RESOURCES
+    for (const hold of entry.worker.held) {
+      if (this.findTask(hold.task)?.job.job.kind === 'service') sum = addResources(sum, hold.resources)
+    }
+    return sum
+  }
+}
--- a/src/scheduling/jobQueue.ts
+++ b/src/scheduling/jobQueue.ts
@@ -176,8 +176,8 @@
 /** Drops jobs that have nothing to place from the front of a group. They are added again when they have. */
 function firstWaiting (group: JobGroup): JobEntry | undefined {
   for (let job = group.jobs.peek(); job !== undefined; job = group.jobs.peek()) {
-    if (job.isWaiting) return job
-    job.queued = false
+    if (job.isWaiting && job.rank === group.shape.rank) return job
+    if (job.rank === group.shape.rank) job.queued = false
     group.jobs.pop()
   }
   return undefined
--- a/src/scheduling/jobState.ts
+++ b/src/scheduling/jobState.ts
@@ -1,5 +1,6 @@
 import type { Job, JobState } from '../contracts/jobs.js'
 import { urgencyRank } from '../contracts/siteText.js'
+import type { TeamUse } from './teamShares.js'
 import type { Attempt } from '../contracts/workerProtocol.js'
 
 export type TaskPhase = 'waiting' | 'starting' | 'running' | 'stopping' | 'finished'
@@ -15,6 +16,9 @@
   /** Workers that hold any attempt of the task. It is placed only when there are none. */
   places: number
   checkpointMilliseconds: number
+  /** Start of the current attempt, and the last preemption, in monotonic milliseconds of the owner. */
+  startedAt: number
+  preemptedAt: number
 }
 
 /** An open job and its tasks, with counts by phase that are kept up to date at each change. */
@@ -37,10 +41,10 @@
    * @param order Place in the order of acceptance.
    * @param mayBePlaced Whether an earlier owner may have placed tasks, so that placing waits for the inventory of every worker.
    */
-  constructor (readonly job: Job, readonly addedAt: number, readonly order: number, readonly mayBePlaced: boolean) {
+  constructor (readonly job: Job, readonly addedAt: number, readonly order: number, readonly mayBePlaced: boolean, private readonly use: TeamUse) {
     this.rank = urgencyRank(job.urgency)
     this.tasks = Array.from({ length: job.tasks }, (_, index): TaskEntry => ({
-      job: this, task: taskName(job.identity, index), index, phase: 'waiting', attempt: undefined, worker: undefined, places: 0, checkpointMilliseconds: 0
+      job: this, task: taskName(job.identity, index), index, phase: 'waiting', attempt: undefined, worker: undefined, places: 0, checkpointMilliseconds: 0, startedAt: addedAt, preemptedAt: -Infinity
     }))
     this.placeable = new Set(this.tasks)
     this.counts.waiting = job.tasks
@@ -57,6 +61,7 @@
   changePlaces (task: TaskEntry, change: 1 | -1): void {
     task.places += change
     this.places += change
+    this.use.change(this.job.resources, change)
     this.notePlaceable(task)
   }
 
@@ -66,6 +71,11 @@
     return this.job.kind !== 'gang' || this.placeable.size === this.counts.waiting
   }
 
+  /** Takes what is still held out of the team's use when the job is forgotten. */
+  leaveTeam (): void {
+    for (let place = 0; place < this.places; place += 1) this.use.change(this.job.resources, -1)
+  }
+
   get state (): JobState {
     if (this.counts.running > 0) return 'running'
     return this.counts.starting > 0 ? 'starting' : 'waiting'
--- /dev/null
+++ b/src/scheduling/preemption.ts
@@ -0,0 +1,76 @@
+import { addResources, fitsWithin, NO_RESOURCES, subtractResources, type Resources } from '../contracts/resources.js'
+import type { Claims } from './claims.js'
+import type { JobEntry, TaskEntry } from './jobState.js'
+import type { WorkerEntry } from './workerEntry.js'
+
+/** Workers that one search for a place reads at most. */
+const WORKERS_PER_SEARCH = 500
+/** A preempted task is preempted again within this time only if nothing else would do, in milliseconds. */
+const PROTECTED_AFTER_PREEMPTION_MILLISECONDS = 300_000
+/** Work lost by a task that can be checkpointed, in milliseconds of run time. */
+const LOST_AT_CHECKPOINT_MILLISECONDS = 1000
+/** Added for a task that was preempted a short while ago; above any run time. */
+const PROTECTION_COST_MILLISECONDS = 1e10
+
+/** Deferrable tasks to stop on a worker so that one task of a job fits there. */
+export interface PreemptionPlan {
+  readonly entry: WorkerEntry
+  readonly victims: readonly TaskEntry[]
+}
+
+/** Finds deferrable tasks to preempt for urgent ones, with the least lost work. Reads a bounded number of workers, in turn. */
+export class PreemptionPlanner {
+  private position = 0
+
+  constructor (private readonly claims: Claims, private readonly findTask: (task: string) => TaskEntry | undefined) {}
+
+  plan (job: JobEntry, workers: readonly WorkerEntry[], now: number): PreemptionPlan | undefined {
+    let best: PreemptionPlan | undefined
+    let bestCost = Infinity
+    const count = Math.min(workers.length, WORKERS_PER_SEARCH)
+    for (let index = 0; index < count; index += 1) {
+      const entry = workers[(this.position + index) % workers.length] as WorkerEntry
+      if (!entry.usable(now) || !fitsWithin(job.job.resources, entry.worker.description.capacity)) continue
+      const found = this.victimsOn(entry, job, now)
+      if (found === undefined || found.cost >= bestCost) continue
+      best = { entry, victims: found.victims }
+      bestCost = found.cost
+    }
+    this.position = workers.length === 0 ? 0 : (this.position + count) % workers.length
+    return best
+  }
+
+  private victimsOn (entry: WorkerEntry, job: JobEntry, now: number): { victims: TaskEntry[], cost: number } | undefined {
+    const kept = this.claims.on(entry).reduce((sum, claim) => addResources(sum, claim.resources), NO_RESOURCES)
+    let free = subtractResources(entry.worker.free, kept)
+    const candidates: Array<{ task: TaskEntry, cost: number, resources: Resources }> = []
+    for (const hold of entry.worker.held) {
+      const task = this.findTask(hold.task)
+      if (hold.state === 'stopping') free = addResources(free, hold.resources)
+      if (hold.state !== 'running' || task === undefined || task.phase !== 'running' || !isPreemptible(task.job)) continue
+      candidates.push({ task, cost: lostWork(task, now), resources: hold.resources })
+    }
+    candidates.sort((left, right) => left.cost - right.cost)
+    const victims: TaskEntry[] = []
+    let cost = 0
+    for (const candidate of candidates) {
+      if (fitsWithin(job.job.resources, free)) break
+      free = addResources(free, candidate.resources)
+      victims.push(candidate.task)
+      cost += candidate.cost
+    }
+    return fitsWithin(job.job.resources, free) ? { victims, cost } : undefined
+  }
+}
+
+/** Whether tasks of a job may be stopped in favour of urgent work. */
+export function isPreemptible (job: JobEntry): boolean {
+  return job.job.urgency === 'deferrable'
+}
+
+/** Run time that would be lost by preempting a task, in milliseconds, and more for one that was preempted a short while ago. */
+function lostWork (task: TaskEntry, now: number): number {
+  const lost = task.job.job.checkpointable ? LOST_AT_CHECKPOINT_MILLISECONDS : now - task.startedAt
+  const preemptedLately = now - task.preemptedAt < PROTECTED_AFTER_PREEMPTION_MILLISECONDS
+  return lost + (preemptedLately ? PROTECTION_COST_MILLISECONDS : 0)
+}
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -3,10 +3,14 @@
 import type { Job, JobOutcome, JobState } from '../contracts/jobs.js'
 import type { Attempt, WorkerReport } from '../contracts/workerProtocol.js'
 import type { Hold, WorkerDescription } from '../machines/worker.js'
+import { Claims } from './claims.js'
+import { GangReservation } from './gangReservation.js'
 import { JobQueue } from './jobQueue.js'
 import type { JobEntry, TaskEntry } from './jobState.js'
 import { bestOf, type PlacementPolicy } from './placementPolicy.js'
 import type { LedgerObserver, StartOutcome } from './ledgerObserver.js'
+import { PreemptionPlanner } from './preemption.js'
+import { TeamShares } from './teamShares.js'
 import { MAXIMUM_TASK_FAILURES, TaskLedger } from './taskLedger.js'
 import type { WorkerEntry } from './workerEntry.js'
 
@@ -21,9 +25,19 @@
 /** Most tasks of one job that are placed before another team has its turn. */
 const TASKS_PER_TURN = 16
 
+/** Places that are made by preemption in one decision at most. */
+const PREEMPTIONS_PER_DECISION = 50
+/** Room that is made by preemption is kept for this long: the bound on a checkpoint, the stop after it, and its report. */
+const PREEMPTION_CLAIM_MILLISECONDS = 8000
+/** A deferrable job that has waited for this long counts as normal, in milliseconds. */
+const AGING_MILLISECONDS = 1_800_000
+const URGENT_RANK = 0
+
 /** What the scheduler asks the surrounding task to do. */
 export type SchedulingDecision =
   | { readonly kind: 'start', readonly worker: WorkerDescription, readonly task: string, readonly attempt: Attempt, readonly job: Job, readonly taskIndex: number, readonly resumeFromMilliseconds: number }
+  | { readonly kind: 'checkpoint', readonly worker: WorkerDescription, readonly task: string, readonly attempt: Attempt }
+  | { readonly kind: 'preempted', readonly task: string, readonly worker: string, readonly by: string }
   | { readonly kind: 'stop', readonly worker: WorkerDescription, readonly task: string, readonly attempt: Attempt }
   | { readonly kind: 'jobEnded', readonly job: string, readonly outcome: JobOutcome, readonly reason?: string }
   | { readonly kind: 'taskLost', readonly task: string, readonly worker: string }
@@ -42,6 +56,14 @@
 export class Scheduler implements LedgerObserver {
   private readonly ledger: TaskLedger
   private readonly queue = new JobQueue()
+  private readonly teams = new TeamShares()
+  private readonly claims = new Claims(entry => this.queue.noteGrowth(entry))
+  private readonly preemption = new PreemptionPlanner(this.claims, task => this.ledger.findTask(task))
+  private readonly gangs = new GangReservation(this.claims, task => this.ledger.findTask(task))
+  /** Urgent jobs that did not fit. */
+  private readonly urgentWaiting = new Set<JobEntry>()
+  /** Waiting deferrable jobs, by the time at which they count as normal. */
+  private readonly aging = new FlatQueue<JobEntry>()
   private readonly changedJobs = new Set<JobEntry>()
   /** Jobs that wait for the inventory of every worker. */
   private uncertain: JobEntry[] = []
@@ -57,7 +79,7 @@
    * @param silentWorkersLapseAt Time by which tasks started by an earlier owner on workers that do not answer have certainly ended.
    */
   constructor (private readonly term: number, private readonly silentWorkersLapseAt: number, private readonly policy: PlacementPolicy) {
-    this.ledger = new TaskLedger(term, this)
+    this.ledger = new TaskLedger(term, this, this.teams)
   }
 
   /** Takes over the list of workers. One that disappears keeps its holds until their leases have lapsed. */
@@ -71,7 +93,14 @@
    */
   addJob (job: Job, now: number, mayBePlaced = false): void {
     const entry = this.ledger.addJob(job, now, mayBePlaced)
-    if (entry !== undefined) this.changedJobs.add(entry)
+    if (entry === undefined) return
+    this.changedJobs.add(entry)
+    if (job.urgency === 'deferrable') this.aging.push(entry, now + AGING_MILLISECONDS)
+  }
+
+  /** Takes over the teams' quotas. */
+  setQuotas (teams: Readonly<Record<string, { quota: Resources }>>): void {
+    this.teams.setQuotas(teams)
   }
 
   cancelJob (identity: string): void {
@@ -146,7 +175,13 @@
     if (this.uncertain.length > 0 && this.inventoryComplete(now)) this.enqueueUncertain()
     this.settleChanged(now, decisions)
     for (const { entry, hold } of this.ledger.takeCommands(now, COMMANDS_PER_DECISION)) decisions.push(...this.repeat(entry, hold))
+    this.claims.expire(now)
+    this.age(now)
+    this.gangs.update(this.ledger.workers.values(), now)
+    const gang = this.gangs.current
+    for (const task of gang === undefined ? [] : this.gangs.takeBackfill()) this.preempt(task, gang as JobEntry, now, decisions)
     this.placeWaiting(now, limit, decisions)
+    this.preemptForUrgent(now, decisions)
     return decisions
   }
 
@@ -224,7 +259,7 @@
     let starts = 0
     let failedTries = 0
     while (starts < limit && failedTries < FAILED_TRIES_PER_DECISION) {
-      const next = this.queue.next(() => 0)
+      const next = this.queue.next(team => this.teams.dominantShare(team))
       if (next === undefined) {
         this.queue.endRound()
         return
@@ -236,6 +271,8 @@
       starts += placed.length
       for (const decision of placed) decisions.push(decision)
       if (placed.length === wanted) continue
+      if (job.rank === URGENT_RANK) this.urgentWaiting.add(job)
+      else if (job.job.kind === 'gang') this.gangs.add(job)
       this.queue.park(group)
       failedTries += 1
     }
@@ -244,10 +281,10 @@
   /** Starts `wanted` tasks of a job, as many as fit; of a gang all or none. */
   private place (job: JobEntry, wanted: number, candidates: readonly WorkerEntry[] | undefined, now: number): SchedulingDecision[] {
     const placed: Array<{ task: TaskEntry, entry: WorkerEntry }> = []
-    const accept = (entry: WorkerEntry): boolean => now >= entry.avoidUntil
+    const accept = (entry: WorkerEntry): boolean => now >= entry.avoidUntil && this.claims.allows(entry, job)
     for (const task of job.placeable) {
       if (placed.length >= wanted) break
-      const entry = candidates === undefined ? this.policy.choose(job.job.resources, accept) : bestOf(job.job.resources, candidates, accept)
+      const entry = this.chooseFor(job, candidates, accept)
       if (entry === undefined || !this.ledger.place(task, entry, { term: this.term, sequence: ++this.sequence }, now)) break
       placed.push({ task, entry })
     }
@@ -257,9 +294,68 @@
       this.undoing = false
       return []
     }
+    if (this.claims.size > 0) {
+      for (const { entry } of placed) this.claims.use(job, entry)
+    }
     return placed.map(({ task, entry }) => this.startDecision(task, entry, task.attempt as Attempt))
   }
 
+  /** Chooses a worker; for a service one of the racks with the fewest of its tasks, if such a rack has room. */
+  private chooseFor (job: JobEntry, candidates: readonly WorkerEntry[] | undefined, accept: (entry: WorkerEntry) => boolean): WorkerEntry | undefined {
+    const { resources, kind } = job.job
+    const choose = (accepted: typeof accept): WorkerEntry | undefined => candidates === undefined ? this.policy.choose(resources, accepted) : bestOf(resources, candidates, accepted)
+    if (kind !== 'service') return choose(accept)
+    const racks = new Map<string, number>()
+    for (const task of job.tasks) {
+      const rack = task.worker === undefined ? undefined : this.ledger.workers.get(task.worker)?.worker.description.rack
+      if (rack !== undefined) racks.set(rack, (racks.get(rack) ?? 0) + 1)
+    }
+    const most = Math.max(0, ...racks.values())
+    for (let count = 0; count < most; count += 1) {
+      const spread = choose(entry => (racks.get(entry.worker.description.rack) ?? 0) <= count && accept(entry))
+      if (spread !== undefined) return spread
+    }
+    return choose(accept)
+  }
+
+  /** Makes room for urgent jobs that did not fit, and keeps it for them. */
+  private preemptForUrgent (now: number, decisions: SchedulingDecision[]): void {
+    if (this.urgentWaiting.size === 0) return
+    const workers = [...this.ledger.workers.values()]
+    let plans = 0
+    for (const job of this.urgentWaiting) {
+      if (!job.isWaiting) {
+        this.urgentWaiting.delete(job)
+        continue
+      }
+      for (let missing = job.placeable.size - this.claims.of(job).length; missing > 0; missing -= 1) {
+        if (++plans > PREEMPTIONS_PER_DECISION) return
+        const plan = this.preemption.plan(job, workers, now)
+        if (plan === undefined) break
+        this.claims.add({ entry: plan.entry, job, resources: job.job.resources, expiresAt: now + PREEMPTION_CLAIM_MILLISECONDS, open: false })
+        for (const victim of plan.victims) this.preempt(victim, job, now, decisions)
+        if (plan.victims.length === 0) this.queue.noteGrowth(plan.entry)
+      }
+    }
+  }
+
+  private preempt (task: TaskEntry, by: JobEntry, now: number, decisions: SchedulingDecision[]): void {
+    decisions.push({ kind: 'preempted', task: task.task, worker: task.worker ?? '', by: by.job.identity })
+    task.preemptedAt = now
+    this.ledger.stopCurrent(task, now, task.job.job.checkpointable)
+  }
+
+  /** Treats deferrable jobs that have waited for long as normal, so that they are not passed over for ever. */
+  private age (now: number): void {
+    while ((this.aging.peekValue() ?? Infinity) <= now) {
+      const job = this.aging.pop() as JobEntry
+      if (!job.isWaiting || this.ledger.jobs.get(job.job.identity) !== job) continue
+      job.rank -= 1
+      job.queued = false
+      this.queue.add(job)
+    }
+  }
+
   private startDecision (task: TaskEntry, entry: WorkerEntry, attempt: Attempt): SchedulingDecision {
     this.ledger.noteStart(entry, attempt)
     return { kind: 'start', worker: entry.worker.description, task: task.task, attempt, job: task.job.job, taskIndex: task.index, resumeFromMilliseconds: task.checkpointMilliseconds }
@@ -267,7 +363,11 @@
 
   private repeat (entry: WorkerEntry, hold: Hold): SchedulingDecision[] {
     const { task, attempt } = hold
-    if (hold.state === 'stopping') return [{ kind: 'stop', worker: entry.worker.description, task, attempt }]
+    if (hold.state === 'stopping') {
+      const kind = hold.checkpointFirst ? 'checkpoint' : 'stop'
+      hold.checkpointFirst = false
+      return [{ kind, worker: entry.worker.description, task, attempt }]
+    }
     const found = this.ledger.findTask(task)
     return found === undefined ? [] : [this.startDecision(found, entry, attempt)]
   }
--- a/src/scheduling/taskLedger.ts
+++ b/src/scheduling/taskLedger.ts
@@ -4,6 +4,7 @@
 import { HoldTimers, type HeldAttempt } from './holdTimers.js'
 import { compareAttempts, indexOfTask, JobEntry, jobOfTask, type TaskEntry } from './jobState.js'
 import type { LedgerObserver, StartOutcome } from './ledgerObserver.js'
+import type { TeamShares } from './teamShares.js'
 import { WorkerEntry } from './workerEntry.js'
 
 /** Attempts of one task that may fail before its job fails. */
@@ -29,7 +30,7 @@
   /** Workers that hold or report attempts of jobs that are not known here. */
   private readonly orphans = new Map<string, Set<WorkerEntry>>()
 
-  constructor (private readonly term: number, private readonly observer: LedgerObserver) {}
+  constructor (private readonly term: number, private readonly observer: LedgerObserver, private readonly teams: TeamShares) {}
 
   /** Whether every worker has reported to this owner. */
   get everyWorkerReported (): boolean {
@@ -64,7 +65,7 @@
 
   addJob (job: Job, now: number, mayBePlaced: boolean): JobEntry | undefined {
     if (this.jobs.has(job.identity)) return undefined
-    const added = new JobEntry(job, now, ++this.order, mayBePlaced)
+    const added = new JobEntry(job, now, ++this.order, mayBePlaced, this.teams.useOf(job.team))
     this.jobs.set(job.identity, added)
     const places = this.orphans.get(job.identity) ?? []
     this.orphans.delete(job.identity)
@@ -84,6 +85,7 @@
         if (hold.job === identity) this.beginStop(entry, hold, 0)
       }
     }
+    job.leaveTeam()
     this.jobs.delete(identity)
   }
 
@@ -109,6 +111,7 @@
     this.timers.track(entry, hold)
     task.attempt = attempt
     task.worker = entry.worker.name
+    task.startedAt = now
     task.job.setPhase(task, 'starting')
     task.job.changePlaces(task, 1)
     this.observer.onWorkerChanged(entry)
@@ -186,11 +189,13 @@
     if (first) this.observer.onWorkerChanged(entry)
   }
 
-  /** Orders the attempt that a task has at present to be stopped. */
-  stopCurrent (task: TaskEntry, now: number): void {
+  /** Orders the attempt that a task has at present to be stopped; with `checkpoint`, to be checkpointed first. */
+  stopCurrent (task: TaskEntry, now: number, checkpoint = false): void {
     const entry = task.worker === undefined ? undefined : this.workers.get(task.worker)
     const hold = entry?.worker.find(task.task)
-    if (entry !== undefined && hold !== undefined) this.beginStop(entry, hold, now)
+    if (entry === undefined || hold === undefined) return
+    if (hold.state !== 'stopping') hold.checkpointFirst = checkpoint
+    this.beginStop(entry, hold, now)
   }
 
   /** Releases what is held by attempts whose lease has certainly lapsed. */
--- /dev/null
+++ b/src/scheduling/teamShares.ts
@@ -0,0 +1,41 @@
+import { addResources, NO_RESOURCES, subtractResources, type Resources } from '../contracts/resources.js'
+
+/** What the tasks of a team hold at present. */
+export class TeamUse {
+  used = NO_RESOURCES
+
+  change (resources: Resources, sign: 1 | -1): void {
+    this.used = sign === 1 ? addResources(this.used, resources) : subtractResources(this.used, resources)
+  }
+}
+
+/** Quotas of teams and what they use. A team may use more than its quota while others leave theirs. */
+export class TeamShares {
+  private readonly uses = new Map<string, TeamUse>()
+  private quotas: Readonly<Record<string, { quota: Resources }>> = {}
+
+  setQuotas (quotas: Readonly<Record<string, { quota: Resources }>>): void {
+    this.quotas = quotas
+  }
+
+  useOf (team: string): TeamUse {
+    let use = this.uses.get(team)
+    if (use === undefined) {
+      use = new TeamUse()
+      this.uses.set(team, use)
+    }
+    return use
+  }
+
+  /** Greatest share of its quota that a team uses over the three resources; 1 is the whole quota. */
+  dominantShare (team: string): number {
+    const { used } = this.useOf(team)
+    const quota = this.quotas[team]?.quota ?? NO_RESOURCES
+    return Math.max(share(used.processorsThousandths, quota.processorsThousandths), share(used.memoryBytes, quota.memoryBytes), share(used.accelerators, quota.accelerators))
+  }
+}
+
+function share (used: number, quota: number): number {
+  if (used <= 0) return 0
+  return quota === 0 ? Number.MAX_VALUE : used / quota
+}
