--- a/src/scheduling/jobState.ts
+++ b/src/scheduling/jobState.ts
@@ -1,4 +1,6 @@
 import type { Job, JobState } from '../contracts/jobs.js'
+import { urgencyRank } from '../contracts/siteText.js'
+import type { TeamUse } from './teamShares.js'
 import type { Attempt } from '../contracts/workerProtocol.js'
 
 export type TaskPhase = 'waiting' | 'starting' | 'running' | 'stopping' | 'finished'
@@ -14,6 +16,9 @@
   /** Workers that hold any attempt of the task. It is placed only when there are none. */
   places: number
   checkpointMilliseconds: number
+  /** Start of the current attempt, and the last preemption, in monotonic milliseconds of the owner. */
+  startedAt: number
+  preemptedAt: number
 }
 
 /** An open job and its tasks, with counts by phase that are kept up to date at each change. */
@@ -21,19 +26,25 @@
   readonly tasks: readonly TaskEntry[]
   /** Tasks that may be placed: waiting and held by no worker. */
   readonly placeable: Set<TaskEntry>
+  /** Rank of urgency by which it is placed. */
+  rank: number
   readonly counts: Record<TaskPhase, number> = { waiting: 0, starting: 0, running: 0, stopping: 0, finished: 0 }
   /** Workers that hold an attempt of any task. */
   places = 0
+  /** Whether it is in the queue of waiting jobs. */
+  queued = false
   cancelled = false
   endDecided = false
   failures = 0
 
   /**
+   * @param order Place in the order of acceptance.
    * @param mayBePlaced Whether an earlier owner may have placed tasks, so that placing waits for the inventory of every worker.
    */
-  constructor (readonly job: Job, readonly addedAt: number, readonly mayBePlaced: boolean) {
+  constructor (readonly job: Job, readonly addedAt: number, readonly order: number, readonly mayBePlaced: boolean, private readonly use: TeamUse) {
+    this.rank = urgencyRank(job.urgency)
     this.tasks = Array.from({ length: job.tasks }, (_, index): TaskEntry => ({
-      job: this, task: taskName(job.identity, index), index, phase: 'waiting', attempt: undefined, worker: undefined, places: 0, checkpointMilliseconds: 0
+      job: this, task: taskName(job.identity, index), index, phase: 'waiting', attempt: undefined, worker: undefined, places: 0, checkpointMilliseconds: 0, startedAt: addedAt, preemptedAt: -Infinity
     }))
     this.placeable = new Set(this.tasks)
     this.counts.waiting = job.tasks
@@ -50,9 +61,21 @@
   changePlaces (task: TaskEntry, change: 1 | -1): void {
     task.places += change
     this.places += change
+    this.use.change(this.job.resources, change)
     this.notePlaceable(task)
   }
 
+  /** Whether it has tasks that may be placed now. */
+  get isWaiting (): boolean {
+    if (this.cancelled || this.endDecided || this.placeable.size === 0) return false
+    return this.job.kind !== 'gang' || this.placeable.size === this.counts.waiting
+  }
+
+  /** Takes what is still held out of the team's use when the job is forgotten. */
+  leaveTeam (): void {
+    for (let place = 0; place < this.places; place += 1) this.use.change(this.job.resources, -1)
+  }
+
   get state (): JobState {
     if (this.counts.running > 0) return 'running'
     return this.counts.starting > 0 ? 'starting' : 'waiting'
