--- /dev/null
+++ b/spec/ownershipSpecification.ts
@@ -0,0 +1,439 @@
+/**
+ * Ownership of one failure domain as a pure transition function, small enough to be explored exhaustively.
+ * Time is counted in ticks that every clock takes together, except that one clock may miss one tick a lease (drift).
+ * Pause, lag and a partition from the log need no events of their own: an instance that does nothing, reads nothing
+ * or whose append never lands is paused, lagging or cut off.
+ */
+
+/** Ways to weaken the protocol. Each must be found by the check. */
+export type OwnershipFault =
+  | 'noDriftMargin' | 'leaseFromAfterAppend' | 'takeoverWithoutWaiting' | 'majorityOfPromises'
+  | 'confirmedElectorsOnly' | 'claimUnderPromise' | 'promiseAfterAbandonedClaim' | 'renewalsWithoutNumber'
+  | 'renewalRevivesReleased' | 'listDropsLivingInstances'
+
+/** What the owner does when it cannot renew its lease in the log. */
+export type OutageRule = 'promises' | 'stopAtLeaseEnd' | 'leaseFree'
+
+/** Bounds of one exploration. Instance 0 owns term 1 at the start. */
+export interface OwnershipBounds {
+  readonly instances: number
+  /** Electors of term 1, as a set of identities. */
+  readonly electors: number
+  /** Records that some live instance has not read yet. */
+  readonly unread: number
+  /** Renewals of one owner that are not confirmed. */
+  readonly unconfirmed: number
+  /** Records of one instance on their way to the log. */
+  readonly flights: number
+  readonly terms: number
+  /** Instances from this one on neither renew nor ask for promises; in the last term they count as owner as soon as they may act. */
+  readonly passiveFrom: number
+  readonly crashes: number
+  readonly releases: number
+  /** Instance whose clock may miss ticks, or -1. */
+  readonly slowClock: number
+  /** Whether the slow clock may miss one tick in each lease; otherwise it misses one in all. */
+  readonly repeatedDrift: boolean
+  readonly outageRule: OutageRule
+  readonly fault?: OwnershipFault
+}
+
+export const LEASE_TICKS = 2
+export const MARGIN_TICKS = 1
+
+export type OwnershipLogRecord =
+  | { readonly kind: 'claim', readonly by: number, readonly after: number, readonly electors: number, readonly gone: boolean }
+  | { readonly kind: 'renewal', readonly by: number, readonly term: number, readonly number: number, readonly electors: number }
+  | { readonly kind: 'release', readonly by: number, readonly term: number }
+
+interface SentRenewal {
+  readonly number: number
+  readonly electors: number
+  /** Ticks of lease that a confirmation gives now. */
+  readonly left: number
+}
+
+/** One process. Its identity differs after a restart. */
+export interface InstanceState {
+  readonly identity: number
+  readonly up: boolean
+  /** Records read of `log`. */
+  readonly read: number
+  readonly lease: number
+  /** Ticks until the owner has been silent for lease and margin. */
+  readonly silence: number
+  /** Ticks until this instance may act in the term it has claimed. */
+  readonly actIn: number
+  readonly promised: number
+  /** Term after which this instance has sent a claim; 0 if none. */
+  readonly claimedAfter: number
+  readonly gaveUp: boolean
+  readonly sent: readonly SentRenewal[]
+  readonly flight: readonly OwnershipLogRecord[]
+  readonly round: { readonly left: number, readonly missing: number } | undefined
+}
+
+export interface OwnershipState {
+  /** What the records say that every live instance has read. */
+  readonly base: LogView
+  /** Later records. */
+  readonly log: readonly OwnershipLogRecord[]
+  readonly instances: readonly InstanceState[]
+  readonly crashes: number
+  readonly releases: number
+  /** Ticks until the slow clock may miss another tick. */
+  readonly driftRest: number
+}
+
+export type OwnershipEvent =
+  | { readonly type: 'tick', readonly slow: boolean }
+  | { readonly type: 'read' | 'ask' | 'crash' | 'restart' | 'claim' | 'release', readonly at: number }
+  | { readonly type: 'land', readonly at: number, readonly index: number }
+  | { readonly type: 'renew', readonly at: number, readonly electors: number }
+  | { readonly type: 'grant', readonly at: number, readonly by: number }
+
+/** What a prefix of the log says. */
+export interface LogView {
+  readonly term: number
+  readonly owner: number
+  readonly released: boolean
+  readonly electors: number
+  readonly lastRenewal: number
+}
+
+const has = (set: number, identity: number): boolean => (set & (1 << identity)) !== 0
+const setOf = (identity: number): number => 1 << identity
+
+/** Decides a record. Returns the same view if the record has no effect. */
+export function decideRecord (view: LogView, record: OwnershipLogRecord, fault?: OwnershipFault): LogView {
+  switch (record.kind) {
+    case 'claim':
+      if (record.after !== view.term || !(view.released || record.gone || has(view.electors, record.by))) return view
+      return { term: view.term + 1, owner: record.by, released: false, electors: record.electors, lastRenewal: 0 }
+    case 'renewal':
+      if (record.term !== view.term || record.by !== view.owner) return view
+      if (view.released && fault !== 'renewalRevivesReleased') return view
+      if (record.number <= view.lastRenewal && fault !== 'renewalsWithoutNumber') return view
+      return { ...view, released: false, electors: record.electors, lastRenewal: record.number }
+    case 'release':
+      return record.term === view.term && record.by === view.owner ? { ...view, released: true } : view
+  }
+}
+
+export function initialOwnershipState (bounds: OwnershipBounds): OwnershipState {
+  const instances = Array.from({ length: bounds.instances }, (_, identity): InstanceState => ({
+    identity,
+    up: true,
+    read: 0,
+    lease: identity === 0 ? LEASE_TICKS : 0,
+    silence: identity === 0 ? 0 : LEASE_TICKS + MARGIN_TICKS,
+    actIn: 0,
+    promised: 0,
+    claimedAfter: 0,
+    gaveUp: false,
+    sent: [],
+    flight: [],
+    round: undefined
+  }))
+  const base: LogView = { term: 1, owner: 0, released: false, electors: bounds.electors, lastRenewal: 0 }
+  return { base, log: [], instances, crashes: 0, releases: 0, driftRest: 0 }
+}
+
+/** The specification under given bounds. */
+export class OwnershipSpecification {
+  private readonly margin: number
+
+  constructor (readonly bounds: OwnershipBounds) {
+    this.margin = bounds.fault === 'noDriftMargin' ? 0 : MARGIN_TICKS
+  }
+
+  view (state: OwnershipState, at: number): LogView {
+    return this.viewOf(state, state.instances[at]?.read ?? 0)
+  }
+
+  holdsTerm (state: OwnershipState, at: number): boolean {
+    const view = this.view(state, at)
+    return !view.released && view.owner === state.instances[at]?.identity
+  }
+
+  /** Whether the instance would act as owner now. */
+  isOwner (state: OwnershipState, at: number): boolean {
+    const self = state.instances[at] as InstanceState
+    if (!self.up || self.gaveUp || self.actIn > 0 || !this.holdsTerm(state, at)) return false
+    return self.lease > 0 || (at >= this.bounds.passiveFrom && this.view(state, at).term === this.bounds.terms) || this.bounds.outageRule === 'leaseFree'
+  }
+
+  owners (state: OwnershipState): number[] {
+    return state.instances.flatMap((_, at) => this.isOwner(state, at) ? [at] : [])
+  }
+
+  /** Events that are possible in a state. */
+  events (state: OwnershipState): OwnershipEvent[] {
+    const events: OwnershipEvent[] = [{ type: 'tick', slow: false }]
+    if (this.bounds.slowClock >= 0 && state.driftRest === 0) events.push({ type: 'tick', slow: true })
+    state.instances.forEach((self, at) => {
+      self.flight.forEach((_, index) => {
+        if (state.log.length < this.bounds.unread) events.push({ type: 'land', at, index })
+      })
+      if (!self.up) {
+        events.push({ type: 'restart', at })
+        return
+      }
+      if (self.read < state.log.length) events.push({ type: 'read', at })
+      if (state.crashes < this.bounds.crashes) events.push({ type: 'crash', at })
+      if (this.mayClaim(state, at)) events.push({ type: 'claim', at })
+      if (at < this.bounds.passiveFrom && this.holdsTerm(state, at) && !self.gaveUp) events.push(...this.ownerEvents(state, at))
+    })
+    return events
+  }
+
+  /** The transition function. */
+  next (state: OwnershipState, event: OwnershipEvent): OwnershipState {
+    return this.settle(this.apply(state, event))
+  }
+
+  private apply (state: OwnershipState, event: OwnershipEvent): OwnershipState {
+    switch (event.type) {
+      case 'tick':
+        return this.tick(state, event.slow)
+      case 'read':
+        return this.replace(state, event.at, this.readAll(state, event.at))
+      case 'renew': {
+        const self = state.instances[event.at] as InstanceState
+        const number = this.lastNumber(state, event.at) + 1
+        const record = { kind: 'renewal' as const, by: self.identity, term: this.view(state, event.at).term, number, electors: event.electors }
+        const sent = [...self.sent, { number, electors: event.electors, left: LEASE_TICKS }]
+        return this.replace(state, event.at, { ...self, sent, flight: this.launch(self, record) })
+      }
+      case 'land': {
+        const self = state.instances[event.at] as InstanceState
+        const record = self.flight[event.index] as OwnershipLogRecord
+        const rest = this.replace(state, event.at, { ...self, flight: self.flight.filter((_, index) => index !== event.index) })
+        return { ...rest, log: [...state.log, record] }
+      }
+      case 'ask':
+        return this.ask(state, event.at)
+      case 'grant':
+        return this.grant(state, event.at, event.by)
+      case 'claim': {
+        const self = state.instances[event.at] as InstanceState
+        const { term } = this.view(state, event.at)
+        const others = state.instances.reduce((set, other, index) => index === event.at || !other.up ? set : set | setOf(other.identity), 0)
+        const record = { kind: 'claim' as const, by: self.identity, after: term, electors: others, gone: this.allGone(state, event.at) }
+        return this.replace(state, event.at, { ...self, claimedAfter: term, flight: this.launch(self, record) })
+      }
+      case 'release': {
+        const self = state.instances[event.at] as InstanceState
+        const record = { kind: 'release' as const, by: self.identity, term: this.view(state, event.at).term }
+        return { ...this.replace(state, event.at, { ...self, gaveUp: true, lease: 0, round: undefined, flight: this.launch(self, record) }), releases: state.releases + 1 }
+      }
+      case 'crash': {
+        const self = state.instances[event.at] as InstanceState
+        const down: InstanceState = { ...self, up: false, read: 0, lease: 0, silence: 0, actIn: 0, promised: 0, claimedAfter: 0, gaveUp: false, sent: [], round: undefined }
+        return { ...this.replace(state, event.at, down), crashes: state.crashes + 1 }
+      }
+      case 'restart': {
+        const self = state.instances[event.at] as InstanceState
+        return this.replace(state, event.at, { ...self, up: true, identity: self.identity + this.bounds.instances, silence: LEASE_TICKS + this.margin })
+      }
+    }
+  }
+
+  /** A record in flight that is not delivered any more is lost; the oldest goes first. */
+  private launch (self: InstanceState, record: OwnershipLogRecord): OwnershipLogRecord[] {
+    return [...self.flight, record].slice(-this.bounds.flights)
+  }
+
+  private lastNumber (state: OwnershipState, at: number): number {
+    const self = state.instances[at] as InstanceState
+    return Math.max(this.view(state, at).lastRenewal, ...self.sent.map(renewal => renewal.number))
+  }
+
+  private ownerEvents (state: OwnershipState, at: number): OwnershipEvent[] {
+    const self = state.instances[at] as InstanceState
+    const events: OwnershipEvent[] = []
+    if (self.sent.length < this.bounds.unconfirmed) {
+      const others = state.instances.filter((_, index) => index !== at).reduce((set, other) => set | setOf(other.identity), 0)
+      events.push({ type: 'renew', at, electors: others })
+      const current = this.view(state, at).electors
+      if (current !== others) events.push({ type: 'renew', at, electors: current })
+    }
+    if (state.releases < this.bounds.releases) events.push({ type: 'release', at })
+    if (this.bounds.outageRule === 'promises' && (self.round === undefined || self.round.left < LEASE_TICKS)) events.push({ type: 'ask', at })
+    const { round } = self
+    if (round === undefined) return events
+    state.instances.forEach((other, by) => {
+      if (other.up && has(round.missing, other.identity) && this.mayPromise(state, at, by)) events.push({ type: 'grant', at, by })
+    })
+    return events
+  }
+
+  private mayPromise (state: OwnershipState, at: number, by: number): boolean {
+    const other = state.instances[by] as InstanceState
+    const view = this.view(state, by)
+    if (view.term !== this.view(state, at).term || view.released) return false
+    if (other.claimedAfter !== view.term) return true
+    return this.bounds.fault === 'promiseAfterAbandonedClaim'
+  }
+
+  private mayClaim (state: OwnershipState, at: number): boolean {
+    const self = state.instances[at] as InstanceState
+    const view = this.view(state, at)
+    if (view.term >= this.bounds.terms || self.claimedAfter === view.term || this.holdsTerm(state, at)) return false
+    if (view.released) return true
+    if (self.silence > 0) return false
+    if (self.promised > 0 && this.bounds.fault !== 'claimUnderPromise') return false
+    return has(view.electors, self.identity) || this.allGone(state, at)
+  }
+
+  /** Whether the platform's list shows neither the owner nor any elector. It drops only processes that have ended. */
+  private allGone (state: OwnershipState, at: number): boolean {
+    const view = this.view(state, at)
+    if (view.released || has(view.electors, (state.instances[at] as InstanceState).identity)) return false
+    const holders = view.electors | setOf(view.owner)
+    if (this.bounds.fault === 'listDropsLivingInstances') return true
+    return !state.instances.some(other => other.up && has(holders, other.identity))
+  }
+
+  private ask (state: OwnershipState, at: number): OwnershipState {
+    const self = state.instances[at] as InstanceState
+    const confirmed = this.view(state, at).electors
+    const all = this.bounds.fault === 'confirmedElectorsOnly' ? confirmed : self.sent.reduce((set, renewal) => set | renewal.electors, confirmed)
+    const missing = all & ~setOf(self.identity)
+    if (missing === 0) return this.replace(state, at, { ...self, lease: LEASE_TICKS, round: undefined })
+    return this.replace(state, at, { ...self, round: { left: LEASE_TICKS, missing } })
+  }
+
+  private grant (state: OwnershipState, at: number, by: number): OwnershipState {
+    const self = state.instances[at] as InstanceState
+    const other = state.instances[by] as InstanceState
+    const round = self.round as NonNullable<InstanceState['round']>
+    const missing = round.missing & ~setOf(other.identity)
+    const promised = this.replace(state, by, { ...other, promised: LEASE_TICKS + this.margin })
+    const enough = missing === 0 || this.bounds.fault === 'majorityOfPromises'
+    const owner: InstanceState = enough ? { ...self, lease: Math.max(self.lease, round.left), round: undefined } : { ...self, round: { ...round, missing } }
+    return this.replace(promised, at, owner)
+  }
+
+  private readAll (state: OwnershipState, at: number): InstanceState {
+    let self = state.instances[at] as InstanceState
+    for (let index = self.read; index < state.log.length; index += 1) self = this.readOne(state, self, index)
+    return self
+  }
+
+  private readOne (state: OwnershipState, self: InstanceState, index: number): InstanceState {
+    const before = this.viewOf(state, index)
+    const after = decideRecord(before, state.log[index] as OwnershipLogRecord, this.bounds.fault)
+    const read = index + 1
+    if (after === before) return { ...self, read }
+    const quiet = LEASE_TICKS + this.margin
+    if (after.term !== before.term) {
+      const own = after.owner === self.identity
+      const wait = before.released || this.bounds.fault === 'takeoverWithoutWaiting' ? 0 : Math.max(self.silence, this.bounds.fault === 'claimUnderPromise' ? 0 : self.promised)
+      return { ...self, read, silence: own ? 0 : quiet, lease: 0, actIn: own ? wait : 0, sent: [], round: undefined, gaveUp: false, claimedAfter: 0 }
+    }
+    if (after.released) return { ...self, read }
+    if (after.owner !== self.identity) return { ...self, read, silence: quiet }
+    const confirmed = self.sent.find(renewal => renewal.number === after.lastRenewal)
+    const gained = this.bounds.fault === 'leaseFromAfterAppend' ? LEASE_TICKS : confirmed?.left ?? 0
+    const sent = self.sent.filter(renewal => renewal.number > after.lastRenewal)
+    return { ...self, read, sent, lease: self.gaveUp && this.bounds.fault !== 'renewalRevivesReleased' ? 0 : Math.max(self.lease, gained), gaveUp: self.gaveUp && this.bounds.fault !== 'renewalRevivesReleased' }
+  }
+
+  private tick (state: OwnershipState, slow: boolean): OwnershipState {
+    const instances = state.instances.map((self, at) => slow && at === this.bounds.slowClock ? self : passTick(self))
+    return { ...state, instances, driftRest: slow ? (this.bounds.repeatedDrift ? LEASE_TICKS : Infinity) : Math.max(0, state.driftRest - 1) }
+  }
+
+  private viewOf (state: OwnershipState, read: number): LogView {
+    let view = state.base
+    for (let index = 0; index < read; index += 1) view = decideRecord(view, state.log[index] as OwnershipLogRecord, this.bounds.fault)
+    return view
+  }
+
+  /** Folds records that every live instance has read into the base and drops records in flight that can have no effect. */
+  private settle (state: OwnershipState): OwnershipState {
+    const readByAll = state.instances.reduce((least, self) => self.up ? Math.min(least, self.read) : least, state.log.length)
+    const base = this.viewOf(state, readByAll)
+    const instances = state.instances.map(self => ({
+      ...self,
+      read: Math.max(0, self.read - readByAll),
+      flight: self.flight.filter(record => this.mayHaveEffect(base, record))
+    }))
+    return { ...state, base, log: state.log.slice(readByAll), instances }
+  }
+
+  private mayHaveEffect (base: LogView, record: OwnershipLogRecord): boolean {
+    if (record.kind === 'claim') return record.after >= base.term
+    if (record.term < base.term) return false
+    return record.kind === 'release' || record.number > base.lastRenewal || this.bounds.fault === 'renewalsWithoutNumber'
+  }
+
+  private replace (state: OwnershipState, at: number, self: InstanceState): OwnershipState {
+    return { ...state, instances: state.instances.map((other, index) => index === at ? self : other) }
+  }
+}
+
+/**
+ * Key of a state. Terms and renewal numbers count relative to the base, and of silence and promise only the longer one
+ * counts, because a claim waits for both; so states that behave alike have one key. Exchangeable instances are put into a fixed order.
+ */
+export function serializeOwnership (state: OwnershipState, bounds: OwnershipBounds, exchangeable?: readonly [number, number]): string {
+  const promisesMatter = bounds.fault === 'claimUnderPromise'
+  const key = keyOf(state, promisesMatter)
+  if (exchangeable === undefined) return key
+  const other = keyOf(exchange(state, ...exchangeable), promisesMatter)
+  return other < key ? other : key
+}
+
+function keyOf (state: OwnershipState, promisesMatter: boolean): string {
+  const numbers = [state.base.lastRenewal, ...state.instances.flatMap(self => self.sent.map(renewal => renewal.number))]
+  for (const record of [...state.log, ...state.instances.flatMap(self => self.flight)]) if (record.kind === 'renewal') numbers.push(record.number)
+  const ranks = [...new Set(numbers)].sort((left, right) => left - right)
+  const { base } = state
+  const text = (record: OwnershipLogRecord): string => record.kind === 'renewal'
+    ? `n${record.by},${record.term - base.term},${ranks.indexOf(record.number)},${record.electors}`
+    : record.kind === 'claim' ? `c${record.by},${record.after - base.term},${record.electors},${record.gone}` : `e${record.by},${record.term - base.term}`
+  const instances = state.instances.map(self => [
+    self.identity, self.up, self.read, self.lease, promisesMatter ? `${self.silence},${self.promised}` : Math.max(self.silence, self.promised), self.actIn, self.claimedAfter === 0 ? '' : Math.max(-1, self.claimedAfter - base.term), self.gaveUp,
+    self.sent.map(renewal => `${ranks.indexOf(renewal.number)},${renewal.electors},${renewal.left}`).join(';'), self.flight.map(text).join(';'), self.round === undefined ? '' : `${self.round.left},${self.round.missing}`
+  ].join(' '))
+  return [base.owner, base.released, base.electors, ranks.indexOf(base.lastRenewal), state.crashes, state.releases, state.driftRest, ...state.log.map(text), '', ...instances].join('|')
+}
+
+/** The same state with two instances in each other's place. */
+function exchange (state: OwnershipState, first: number, second: number): OwnershipState {
+  const count = state.instances.length
+  const identity = (old: number): number => {
+    const at = old % count
+    return at === first ? old - first + second : at === second ? old - second + first : old
+  }
+  const set = (old: number): number => {
+    let changed = 0
+    for (let bit = 0; bit < 2 * count; bit += 1) if (has(old, bit)) changed |= setOf(identity(bit))
+    return changed
+  }
+  const record = (old: OwnershipLogRecord): OwnershipLogRecord => old.kind === 'release' ? { ...old, by: identity(old.by) } : { ...old, by: identity(old.by), electors: set(old.electors) }
+  const instances = state.instances.map(self => ({
+    ...self,
+    identity: identity(self.identity),
+    sent: self.sent.map(renewal => ({ ...renewal, electors: set(renewal.electors) })),
+    flight: self.flight.map(record),
+    round: self.round === undefined ? undefined : { ...self.round, missing: set(self.round.missing) }
+  }))
+  const ordered = instances.map((_, at) => instances[at === first ? second : at === second ? first : at] as InstanceState)
+  return { ...state, base: { ...state.base, owner: identity(state.base.owner), electors: set(state.base.electors) }, log: state.log.map(record), instances: ordered }
+}
+
+function passTick (self: InstanceState): InstanceState {
+  const down = (ticks: number): number => Math.max(0, ticks - 1)
+  return {
+    ...self,
+    lease: down(self.lease),
+    silence: down(self.silence),
+    actIn: down(self.actIn),
+    promised: down(self.promised),
+    sent: self.sent.map(renewal => ({ ...renewal, left: down(renewal.left) })),
+    round: self.round === undefined || self.round.left <= 1 ? undefined : { ...self.round, left: self.round.left - 1 }
+  }
+}
--- /dev/null
+++ b/spec/taskSpecification.ts
@@ -0,0 +1,158 @@
+/** One task on two workers under task leases, while ownership passes from one owner to the next. */
+
+export type TaskFault = 'noWaitForUnknownStart' | 'trustsEarlyInventory' | 'taskLeaseOutlivesWait'
+
+export interface TaskBounds {
+  /** For each worker whether it refuses commands of a lower term than the highest it has seen. */
+  readonly checksTerms: readonly [boolean, boolean]
+  readonly fault?: TaskFault
+}
+
+const OWNER_LEASE_TICKS = 2
+const TASK_LEASE_TICKS = 2
+/** A command that has not arrived within this time is never delivered. */
+const COMMAND_LIFE_TICKS = 2
+const MARGIN_TICKS = 1
+const MAXIMUM_COMMANDS = 2
+
+interface Command {
+  readonly worker: number
+  readonly term: number
+  readonly left: number
+  readonly start: boolean
+}
+
+interface WorkerState {
+  /** Ticks until the task's lease lapses; 0 if the task does not run. */
+  readonly running: number
+  readonly term: number
+}
+
+interface OwnerState {
+  /** Worker with the attempt of this term, or -1. */
+  readonly placed: number
+  /** Ticks until an attempt elsewhere, seen or not, has certainly ended. */
+  readonly unknownFor: number
+}
+
+export interface TaskState {
+  readonly lease: number
+  /** Ticks until the second owner may act. */
+  readonly takeover: number
+  /** Ticks since takeover until no command of the first owner can arrive. */
+  readonly commandsOfFirst: number
+  readonly workers: readonly WorkerState[]
+  readonly owners: readonly [OwnerState, OwnerState]
+  /** For each worker whether the second owner knows that the task cannot run there. */
+  readonly empty: readonly boolean[]
+  readonly commands: readonly Command[]
+}
+
+export type TaskEvent =
+  | { readonly type: 'tick' }
+  | { readonly type: 'start', readonly owner: 0 | 1, readonly worker: number }
+  | { readonly type: 'renew', readonly owner: 0 | 1 }
+  | { readonly type: 'deliver' | 'drop', readonly index: number }
+  | { readonly type: 'inventory', readonly worker: number }
+
+export const INITIAL_TASK: TaskState = {
+  lease: OWNER_LEASE_TICKS,
+  takeover: OWNER_LEASE_TICKS + MARGIN_TICKS,
+  commandsOfFirst: COMMAND_LIFE_TICKS,
+  workers: [{ running: 0, term: 1 }, { running: 0, term: 1 }],
+  owners: [{ placed: -1, unknownFor: 0 }, { placed: -1, unknownFor: COMMAND_LIFE_TICKS + TASK_LEASE_TICKS + MARGIN_TICKS }],
+  empty: [false, false],
+  commands: []
+}
+
+export class TaskSpecification {
+  constructor (readonly bounds: TaskBounds) {}
+
+  /** The task never runs in two places. */
+  holds (state: TaskState): boolean {
+    return state.workers.filter(worker => worker.running > 0).length <= 1
+  }
+
+  events (state: TaskState): TaskEvent[] {
+    const events: TaskEvent[] = [{ type: 'tick' }]
+    state.commands.forEach((_, index) => events.push({ type: 'deliver', index }, { type: 'drop', index }))
+    for (const owner of [0, 1] as const) {
+      if (!this.acts(state, owner) || state.commands.length >= MAXIMUM_COMMANDS) continue
+      if ((state.owners[owner] as OwnerState).placed >= 0) events.push({ type: 'renew', owner })
+      for (const worker of [0, 1]) if (this.mayStart(state, owner, worker)) events.push({ type: 'start', owner, worker })
+    }
+    if (this.acts(state, 1)) for (const worker of [0, 1]) events.push({ type: 'inventory', worker })
+    return events
+  }
+
+  next (state: TaskState, event: TaskEvent): TaskState {
+    switch (event.type) {
+      case 'tick':
+        return this.tick(state)
+      case 'start':
+        return this.send({ ...state, empty: [false, false] }, event.owner, event.worker, true)
+      case 'renew':
+        return this.send(state, event.owner, (state.owners[event.owner] as OwnerState).placed, false)
+      case 'drop':
+        return { ...state, commands: state.commands.filter((_, index) => index !== event.index) }
+      case 'deliver':
+        return this.deliver(state, event.index)
+      case 'inventory':
+        return this.takeInventory(state, event.worker)
+    }
+  }
+
+  private acts (state: TaskState, owner: 0 | 1): boolean {
+    return owner === 0 ? state.lease > 0 : state.takeover === 0
+  }
+
+  private mayStart (state: TaskState, owner: 0 | 1, worker: number): boolean {
+    const own = state.owners[owner] as OwnerState
+    if (this.bounds.fault === 'noWaitForUnknownStart') return true
+    if (own.placed === worker) return false
+    if (own.unknownFor === 0) return true
+    return owner === 1 && own.placed < 0 && state.empty.every(empty => empty)
+  }
+
+  private send (state: TaskState, owner: 0 | 1, worker: number, start: boolean): TaskState {
+    const lease = this.bounds.fault === 'taskLeaseOutlivesWait' ? 0 : TASK_LEASE_TICKS
+    const own = { placed: worker, unknownFor: COMMAND_LIFE_TICKS + lease + MARGIN_TICKS }
+    const owners: [OwnerState, OwnerState] = owner === 0 ? [own, state.owners[1]] : [state.owners[0], own]
+    return { ...state, owners, commands: [...state.commands, { worker, term: owner + 1, left: COMMAND_LIFE_TICKS, start }] }
+  }
+
+  private deliver (state: TaskState, index: number): TaskState {
+    const command = state.commands[index] as Command
+    const rest = { ...state, commands: state.commands.filter((_, other) => other !== index) }
+    const worker = state.workers[command.worker] as WorkerState
+    const refused = this.bounds.checksTerms[command.worker] === true && command.term < worker.term
+    if (refused || (!command.start && worker.running === 0)) return rest
+    return { ...rest, workers: replaceAt(state.workers, command.worker, { running: TASK_LEASE_TICKS, term: Math.max(worker.term, command.term) }) }
+  }
+
+  /** The second owner asks a worker what it runs; a worker that checks terms refuses the first owner from then on. */
+  private takeInventory (state: TaskState, at: number): TaskState {
+    const worker = state.workers[at] as WorkerState
+    const fenced = this.bounds.checksTerms[at] === true || state.commandsOfFirst === 0 || this.bounds.fault === 'trustsEarlyInventory'
+    const empty = replaceAt(state.empty, at, fenced && worker.running === 0 && (state.owners[1]).placed < 0)
+    return { ...state, empty, workers: replaceAt(state.workers, at, { ...worker, term: 2 }) }
+  }
+
+  private tick (state: TaskState): TaskState {
+    const down = (ticks: number): number => Math.max(0, ticks - 1)
+    const ageOwner = (owner: OwnerState): OwnerState => ({ ...owner, unknownFor: down(owner.unknownFor) })
+    return {
+      ...state,
+      lease: down(state.lease),
+      takeover: down(state.takeover),
+      commandsOfFirst: state.takeover === 0 ? down(state.commandsOfFirst) : state.commandsOfFirst,
+      workers: state.workers.map(worker => ({ ...worker, running: down(worker.running) })),
+      owners: [ageOwner(state.owners[0]), state.takeover === 0 ? ageOwner(state.owners[1]) : state.owners[1]],
+      commands: state.commands.filter(command => command.left > 0).map(command => ({ ...command, left: command.left - 1 }))
+    }
+  }
+}
+
+function replaceAt<T> (values: readonly T[], at: number, value: T): T[] {
+  return values.map((old, index) => index === at ? value : old)
+}
