--- a/src/contracts/records.ts
+++ b/src/contracts/records.ts
@@ -30,7 +30,8 @@
 const instanceJoined = z.strictObject({ type: z.literal('instanceJoined'), ...holder })
 /** A claim is valid if it follows the current term and the claimant is an elector, the term was released, or owner and electors are gone. */
 const ownershipClaimed = z.strictObject({ type: z.literal('ownershipClaimed'), ...holder, afterTerm: term, electors, ownerAndElectorsGone: z.boolean() })
-const ownershipRenewed = z.strictObject({ type: z.literal('ownershipRenewed'), ...holder, term, electors })
+/** `number` counts up within the term. A renewal whose number is not greater than the last has no effect, so that a late one cannot bring back old electors. */
+const ownershipRenewed = z.strictObject({ type: z.literal('ownershipRenewed'), ...holder, term, number: z.number().int().positive(), electors })
 const ownershipReleased = z.strictObject({ type: z.literal('ownershipReleased'), ...holder, term })
 const jobAccepted = z.strictObject({ type: z.literal('jobAccepted'), job: jobSchema, failureDomain: z.string() })
 const jobCancelRequested = z.strictObject({ type: z.literal('jobCancelRequested'), job: z.string() })
--- a/src/entry/ownershipTask.ts
+++ b/src/entry/ownershipTask.ts
@@ -13,12 +13,17 @@
 
 type OwnershipMessage =
   | { readonly kind: 'record', readonly record: StoredRecord }
+  | { readonly kind: 'truncated', readonly retainedFrom: number }
+  | { readonly kind: 'caughtUp' }
   | { readonly kind: 'tick' }
+  | { readonly kind: 'renewalSettled' }
+  | { readonly kind: 'probed', readonly startedAt: number, readonly current: boolean }
   | { readonly kind: 'promiseRequest', readonly from: PeerIdentity, readonly message: LinkMessageOf<'promiseRequest'> }
   | { readonly kind: 'promise', readonly from: PeerIdentity, readonly message: LinkMessageOf<'promise'> }
 
 const TICK_MILLISECONDS = 100
-const CLAIM_TIMEOUT_MILLISECONDS = 2000
+/** Time after which a renewal or claim that has not been answered is given up; the next one replaces it. */
+const APPEND_TIMEOUT_MILLISECONDS = 1000
 const JOIN_TIMEOUT_MILLISECONDS = 5000
 /** Age of the instance list, plus its own lag, after which it is not used to tell that instances are gone. */
 const LIST_FRESHNESS_MILLISECONDS = 3000
@@ -29,6 +34,9 @@
   private wasOwner = false
   private joined = false
   private joining = false
+  private probing = false
+  private tellsOwnership = false
+  private logCurrentAt = -Infinity
   private readonly didChange = new Emitter<boolean>()
   /** Fires when this instance becomes owner (true) or ceases to be (false). */
   readonly onDidChangeOwner: Event<boolean> = this.didChange.event
@@ -44,6 +52,8 @@
     this.rules = new Ownership(context.settings.failureDomain, { instance: context.settings.instance, incarnation: context.incarnation })
     this.register(this.didChange)
     this.register(follower.onDidReadRecord(record => this.post({ kind: 'record', record })))
+    this.register(follower.onDidTruncate(retainedFrom => this.post({ kind: 'truncated', retainedFrom })))
+    this.register(follower.onDidCatchUp(() => this.post({ kind: 'caughtUp' })))
     this.register(links.onDidReceive(({ from, message }) => {
       if (message.type === 'promiseRequest') this.post({ kind: 'promiseRequest', from, message })
       if (message.type === 'promise') this.post({ kind: 'promise', from, message })
@@ -85,6 +95,20 @@
       case 'promise':
         this.rules.onPromise({ instance: message.from.instance, incarnation: message.from.incarnation }, message.message.request, message.message.granted)
         break
+      case 'truncated':
+        this.rules.markTruncated(message.retainedFrom)
+        break
+      case 'caughtUp':
+        this.rules.markCaughtUp(this.tellsOwnership)
+        break
+      case 'renewalSettled':
+        this.rules.renewalSettled()
+        break
+      case 'probed':
+        this.probing = false
+        if (message.current) this.logCurrentAt = message.startedAt
+        this.onTick(now)
+        break
       case 'tick':
         this.onTick(now)
     }
@@ -98,6 +122,7 @@
   private onRecord (record: StoredRecord, now: number): void {
     const before = this.rules.term
     this.rules.onRecord(record, now)
+    if (record.body.type !== 'instanceJoined') this.tellsOwnership = true
     if (record.body.type === 'instanceJoined' && record.body.incarnation === this.context.incarnation) this.joined = true
     if (this.rules.term === before || this.rules.currentOwner?.incarnation !== this.context.incarnation) return
     this.context.logger.info('claimed the failure domain', { failureDomain: this.context.settings.failureDomain, term: this.rules.term })
@@ -110,7 +135,7 @@
       this.join()
       return
     }
-    const view = { isGone: (holder: Holder) => this.isGone(holder, now) }
+    const view = { isGone: (holder: Holder) => this.isGone(holder, now), logCurrentAt: this.logCurrentAt }
     for (const action of this.rules.tick(now, view)) this.perform(action)
   }
 
@@ -124,16 +149,32 @@
   }
 
   private perform (action: OwnershipAction): void {
-    if (action.kind === 'requestPromises') {
-      this.requestPromises(action)
-      return
+    switch (action.kind) {
+      case 'requestPromises':
+        this.requestPromises(action)
+        return
+      case 'probeLog':
+        this.probe()
+        return
+      case 'claim':
+        this.appender.appendOnce(action.body, APPEND_TIMEOUT_MILLISECONDS, action.identity)
+        return
+      case 'renew':
+        this.renew(action)
     }
-    this.append(action)
   }
 
-  private async append (action: Extract<OwnershipAction, { kind: 'append' }>): Promise<void> {
-    const confirmed = await this.appender.append(action.body, CLAIM_TIMEOUT_MILLISECONDS)
-    if (!confirmed && action.body.type === 'ownershipClaimed') this.rules.claimAbandoned()
+  private async renew (action: Extract<OwnershipAction, { kind: 'renew' }>): Promise<void> {
+    await this.appender.appendOnce(action.body, APPEND_TIMEOUT_MILLISECONDS)
+    this.post({ kind: 'renewalSettled' })
+  }
+
+  private async probe (): Promise<void> {
+    if (this.probing) return
+    this.probing = true
+    const startedAt = monotonicNow()
+    const current = await this.follower.probe()
+    this.post({ kind: 'probed', startedAt, current })
   }
 
   private requestPromises (action: Extract<OwnershipAction, { kind: 'requestPromises' }>): void {
@@ -157,6 +198,7 @@
   }
 
   private isGone (holder: Holder, now: number): boolean {
+    if (this.links.peers().some(peer => holderKey(peer) === holderKey(holder))) return false
     return this.membership.ageMilliseconds(now) < LIST_FRESHNESS_MILLISECONDS && this.membership.find(holder.instance) === undefined
   }
 
--- a/src/links/logAppender.ts
+++ b/src/links/logAppender.ts
@@ -57,6 +57,30 @@
     })
   }
 
+  /**
+   * Sends a record once, past the queue, for records that lose their use by waiting. Resolves with whether the log has
+   * confirmed it within `timeoutMilliseconds`; it may take effect nevertheless.
+   */
+  async appendOnce (body: RecordBody, timeoutMilliseconds: number, identity: string = randomUUID()): Promise<boolean> {
+    if (this.stopping.signal.aborted) return false
+    const envelope: RecordEnvelope = { identity, schemaVersion: RECORD_SCHEMA_VERSION, writer: this.writer, logicalTime: this.clock.tick(), body }
+    const ending = new AbortController()
+    const timer = setTimeout(() => ending.abort(), timeoutMilliseconds)
+    const stop = (): void => ending.abort()
+    this.stopping.signal.addEventListener('abort', stop)
+    try {
+      this.appendCount += 1
+      await this.log.append(this.stream, [envelope], ending.signal)
+      return true
+    } catch (error) {
+      this.logger.debug('an append that is not repeated failed', { stream: this.stream, reason: describeError(error) })
+      return false
+    } finally {
+      clearTimeout(timer)
+      this.stopping.signal.removeEventListener('abort', stop)
+    }
+  }
+
   private async drain (): Promise<void> {
     this.sending = true
     let failures = 0
--- a/src/links/logFollower.ts
+++ b/src/links/logFollower.ts
@@ -23,13 +23,13 @@
   private readonly stopping = new AbortController()
   private readonly didRead = new Emitter<StoredRecord>()
   private readonly didCatchUp = new Emitter<void>()
-  private readonly didTruncate = new Emitter<void>()
+  private readonly didTruncate = new Emitter<number>()
   /** Fires for each record in log order. */
   readonly onDidReadRecord: Event<StoredRecord> = this.didRead.event
   /** Fires once all records that were in the stream at start have been read. */
   readonly onDidCatchUp: Event<void> = this.didCatchUp.event
-  /** Fires when records that were not yet read have left the retention period. */
-  readonly onDidTruncate: Event<void> = this.didTruncate.event
+  /** Fires with the first retained offset when records that were not yet read have left the retention period. */
+  readonly onDidTruncate: Event<number> = this.didTruncate.event
 
   constructor (
     readonly stream: string,
@@ -69,11 +69,23 @@
     }
   }
 
+  /** Whether the log answers now and holds no record that has not been read. */
+  async probe (): Promise<boolean> {
+    const from = this.nextOffset
+    try {
+      const answer = await this.log.read(this.stream, from, 1, 0, this.stopping.signal)
+      return this.caughtUp && answer.nextOffset === from && this.nextOffset === from
+    } catch (error) {
+      this.logger.debug('probing a stream failed', { stream: this.stream, reason: describeError(error) })
+      return false
+    }
+  }
+
   private async readOnce (): Promise<void> {
     const waitMilliseconds = this.caughtUp && this.failures === 0 ? LONG_POLL_MILLISECONDS : 0
     const answer = await this.log.read(this.stream, this.nextOffset, READ_LIMIT, waitMilliseconds, this.stopping.signal)
     if (this.stopping.signal.aborted) return
-    if (answer.retainedFrom > this.nextOffset) this.didTruncate.fire()
+    if (answer.retainedFrom > this.nextOffset) this.didTruncate.fire(answer.retainedFrom)
     for (const { offset, record } of answer.records) this.accept(offset, record)
     this.nextOffset = Math.max(this.nextOffset, answer.retainedFrom, ...answer.records.map(({ offset }) => offset + 1))
     if (this.caughtUp || this.nextOffset < answer.nextOffset) return
