Answer a submission of unknown append outcome with mayHaveRun

The log's refusals are now told from unknown outcomes, an append is also confirmed by being read back, and a record whose caller has had its answer is not sent again. Records of a newer schema version are counted, and /operator/status shows the instance as outdated.

Conclusion: notRun is answered only when the log has refused every attempt.

--- a/src/contracts/verdict.ts
+++ b/src/contracts/verdict.ts
@@ -26,7 +26,8 @@
   z.object({ code: z.literal('cancelled'), verdict: verdictSchema, ...detail }),
   z.object({ code: z.literal('executorFailed'), verdict: z.literal('mayHaveRun'), ...detail }),
   z.object({ code: z.literal('executorTimeout'), verdict: z.literal('mayHaveRun'), ...detail }),
-  z.object({ code: z.literal('outcomeUnknown'), verdict: z.literal('mayHaveRun'), ...detail }),
+  /** `job` names the job whose acceptance is unknown; submitted again with the same idempotency key it is the same job. */
+  z.object({ code: z.literal('outcomeUnknown'), verdict: z.literal('mayHaveRun'), job: z.string().optional(), ...detail }),
   z.object({ code: z.literal('alreadyRan'), verdict: z.literal('ran'), ...detail })
 ])
 export type ServingError = z.infer<typeof servingErrorSchema>
--- a/src/entry/jobTask.ts
+++ b/src/entry/jobTask.ts
@@ -6,7 +6,7 @@
 import { domainStream, type RecordBody } from '../contracts/records.js'
 import type { SiteText } from '../contracts/siteText.js'
 import type { ServingError } from '../contracts/verdict.js'
-import type { LogAppender } from '../links/logAppender.js'
+import type { AppendOutcome, LogAppender } from '../links/logAppender.js'
 import type { LogFollower } from '../links/logFollower.js'
 import { JobBook } from '../scheduling/jobBook.js'
 import { couldEverFit } from '../scheduling/scheduler.js'
@@ -37,6 +37,7 @@
   ) {
     super()
     this.register(this.didChange)
+    this.register(follower.onDidReadIdentity(identity => this.appenders.get(follower.stream)?.noteRead(identity)))
     this.register(follower.onDidReadRecord(record => {
       this.book.apply(record)
       this.didChange.fire(record.body)
@@ -54,8 +55,11 @@
     if (failureDomain === undefined) return failure({ code: 'jobNeverFits', verdict: 'notRun', message: neverFitsMessage(submission) })
     const identity = `${failureDomain}.${seed}`
     const job: Job = { ...submission, identity, acceptedAtMilliseconds: Date.now() }
-    const confirmed = await this.append(failureDomain, { type: 'jobAccepted', job, failureDomain }, `job:${identity}`)
-    if (!confirmed) return failure({ code: 'logUnavailable', verdict: 'notRun', message: 'the job could not be recorded; submit it again with the same idempotency key', retryAfterSeconds: 2 })
+    const outcome = await this.append(failureDomain, { type: 'jobAccepted', job, failureDomain }, `job:${identity}`)
+    if (outcome === 'unknown') {
+      return failure({ code: 'outcomeUnknown', verdict: 'mayHaveRun', job: identity, message: `the job '${identity}' may have been recorded; submit it again with the same idempotency key, or read it`, retryAfterSeconds: 2 })
+    }
+    if (outcome === 'notAppended') return failure({ code: 'logUnavailable', verdict: 'notRun', message: 'the job could not be recorded; submit it again with the same idempotency key', retryAfterSeconds: 2 })
     this.context.events.record('jobAccepted', { job: identity, failureDomain })
     return { kind: 'accepted', job: identity, failureDomain }
   }
@@ -66,25 +70,26 @@
     if (failureDomain === undefined || this.configuration.inForce?.text.failureDomains[failureDomain] === undefined) {
       return failure({ code: 'unknownJob', verdict: 'notRun', message: `there is no job '${identity}'` })
     }
-    const confirmed = await this.append(failureDomain, { type: 'jobCancelRequested', job: identity }, `cancel:${identity}`)
-    if (!confirmed) return failure({ code: 'logUnavailable', verdict: 'notRun', message: 'the cancellation could not be recorded', retryAfterSeconds: 2 })
+    const outcome = await this.append(failureDomain, { type: 'jobCancelRequested', job: identity }, `cancel:${identity}`)
+    if (outcome === 'unknown') return failure({ code: 'outcomeUnknown', verdict: 'mayHaveRun', job: identity, message: 'the cancellation may have been recorded; request it again', retryAfterSeconds: 2 })
+    if (outcome === 'notAppended') return failure({ code: 'logUnavailable', verdict: 'notRun', message: 'the cancellation could not be recorded', retryAfterSeconds: 2 })
     this.context.events.record('jobCancelRequested', { job: identity })
     return { kind: 'accepted', job: identity, failureDomain }
   }
 
   /** Appends the end of a job. */
   async end (identity: string, body: Extract<RecordBody, { type: 'jobEnded' }>): Promise<boolean> {
-    return await this.append(this.context.settings.failureDomain, body, `end:${identity}`)
+    return await this.append(this.context.settings.failureDomain, body, `end:${identity}`) === 'appended'
   }
 
-  private async append (failureDomain: string, body: RecordBody, identity: string): Promise<boolean> {
+  private async append (failureDomain: string, body: RecordBody, identity: string): Promise<AppendOutcome> {
     const stream = domainStream('jobs', failureDomain)
     let appender = this.appenders.get(stream)
     if (appender === undefined) {
       appender = this.register(this.createAppender(stream))
       this.appenders.set(stream, appender)
     }
-    return await appender.append(body, APPEND_TIMEOUT_MILLISECONDS, identity)
+    return await appender.appendWithOutcome(body, APPEND_TIMEOUT_MILLISECONDS, identity)
   }
 }
 
--- a/src/entry/operatorApi.ts
+++ b/src/entry/operatorApi.ts
@@ -22,7 +22,8 @@
     private readonly frontDoor: FrontDoor,
     private readonly membership: Membership,
     private readonly links: LinkTransport,
-    private readonly metrics: MetricsRegistry
+    private readonly metrics: MetricsRegistry,
+    private readonly newerRecords: () => number
   ) {}
 
   route (app: H3): void {
@@ -56,6 +57,8 @@
       isOwner: this.ownership.isOwner(),
       activeRequests: this.frontDoor.active,
       openJobs: this.jobs.book.open().length,
+      outdated: this.newerRecords() > 0,
+      newerRecords: this.newerRecords(),
       peers: this.links.peers().map(peer => peer.instance),
       instanceListAgeMilliseconds: Math.round(this.membership.ageMilliseconds(monotonicNow())),
       used: utilization?.used,
--- a/src/links/logAppender.ts
+++ b/src/links/logAppender.ts
@@ -5,16 +5,20 @@
 import { describeError, type Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
 import { RECORD_SCHEMA_VERSION, type RecordBody, type RecordEnvelope } from '../contracts/records.js'
-import type { PlatformLog } from './platformLog.js'
+import { AppendRefusedError, type PlatformLog } from './platformLog.js'
 
 const BACKOFF_BASE_MILLISECONDS = 50
 const BACKOFF_MAXIMUM_MILLISECONDS = 1000
 const MAXIMUM_BATCH = 200
 
+/** What became of a record: in the log, certainly not in the log, or possibly. */
+export type AppendOutcome = 'appended' | 'notAppended' | 'unknown'
+
 interface PendingRecord {
   readonly envelope: RecordEnvelope
-  readonly giveUpAt: number
-  readonly settle: (confirmed: boolean) => void
+  readonly settle: (outcome: AppendOutcome) => void
+  /** Whether an attempt is under way or has ended without an answer. */
+  mayBeInLog: boolean
 }
 
 /**
@@ -22,7 +26,7 @@
  * Each record keeps its identity over all repetitions, so that readers count it once.
  */
 export class LogAppender extends DisposableObject {
-  private readonly pending: PendingRecord[] = []
+  private pending: PendingRecord[] = []
   private sending = false
   private appendCount = 0
   private readonly stopping = new AbortController()
@@ -44,19 +48,33 @@
     return this.appendCount
   }
 
-  /**
-   * Appends a record. Resolves with true once it is in the log, and with false when that is not known
-   * after `timeoutMilliseconds`; it may take effect nevertheless.
-   */
+  /** Appends a record. Resolves with whether it is known to be in the log; otherwise it may take effect nevertheless. */
   async append (body: RecordBody, timeoutMilliseconds: number, identity: string = randomUUID()): Promise<boolean> {
-    if (this.stopping.signal.aborted) return false
+    return await this.appendWithOutcome(body, timeoutMilliseconds, identity) === 'appended'
+  }
+
+  /** Appends a record and resolves with what became of it, after `timeoutMilliseconds` at the latest. A record that resolved with 'notAppended' is not sent again. */
+  async appendWithOutcome (body: RecordBody, timeoutMilliseconds: number, identity: string = randomUUID()): Promise<AppendOutcome> {
+    if (this.stopping.signal.aborted) return 'notAppended'
     const envelope: RecordEnvelope = { identity, schemaVersion: RECORD_SCHEMA_VERSION, writer: this.writer, logicalTime: this.clock.tick(), body }
-    return await new Promise<boolean>(resolve => {
-      this.pending.push({ envelope, giveUpAt: performance.now() + timeoutMilliseconds, settle: resolve })
+    return await new Promise<AppendOutcome>(resolve => {
+      const timer = setTimeout(() => this.giveUp(record), timeoutMilliseconds)
+      const settle = (outcome: AppendOutcome): void => {
+        clearTimeout(timer)
+        resolve(outcome)
+      }
+      const record: PendingRecord = { envelope, settle, mayBeInLog: false }
+      this.pending.push(record)
       if (!this.sending) this.drain()
     })
   }
 
+  /** Notes that a record was read from the stream, which confirms it although the answer to its append may be lost. */
+  noteRead (identity: string): void {
+    const confirmed = this.pending.filter(record => record.envelope.identity === identity)
+    if (confirmed.length > 0) this.settleAll(confirmed)
+  }
+
   /**
    * Sends a record once, past the queue, for records that lose their use by waiting. Resolves with whether the log has
    * confirmed it within `timeoutMilliseconds`; it may take effect nevertheless.
@@ -84,32 +102,34 @@
   private async drain (): Promise<void> {
     this.sending = true
     let failures = 0
-    while (this.pending.length > 0) {
-      this.dropExpired()
+    while (this.pending.length > 0 && !this.stopping.signal.aborted) {
       const batch = this.pending.slice(0, MAXIMUM_BATCH)
-      if (batch.length === 0) break
+      const uncertainBefore = new Set(batch.filter(record => record.mayBeInLog))
+      for (const record of batch) record.mayBeInLog = true
       try {
         this.appendCount += 1
         await this.log.append(this.stream, batch.map(record => record.envelope), this.stopping.signal)
-        this.pending.splice(0, batch.length)
-        for (const record of batch) record.settle(true)
+        this.settleAll(batch)
         failures = 0
       } catch (error) {
+        if (error instanceof AppendRefusedError) for (const record of batch) record.mayBeInLog = uncertainBefore.has(record)
         if (failures === 0) this.logger.warn('appending to a stream failed; retrying', { stream: this.stream, reason: describeError(error) })
         failures += 1
         await delay(backoffMilliseconds(failures, BACKOFF_BASE_MILLISECONDS, BACKOFF_MAXIMUM_MILLISECONDS, 0.5 + this.random.fraction() / 2), this.stopping.signal)
       }
     }
     this.sending = false
+    for (const record of this.pending) this.giveUp(record)
   }
 
-  private dropExpired (): void {
-    const now = performance.now()
-    for (let index = this.pending.length - 1; index >= 0; index -= 1) {
-      const record = this.pending[index] as PendingRecord
-      if (now < record.giveUpAt && !this.stopping.signal.aborted) continue
-      this.pending.splice(index, 1)
-      record.settle(false)
-    }
+  private settleAll (batch: readonly PendingRecord[]): void {
+    const done = new Set(batch)
+    this.pending = this.pending.filter(record => !done.has(record))
+    for (const record of batch) record.settle('appended')
+  }
+
+  private giveUp (record: PendingRecord): void {
+    this.pending = this.pending.filter(candidate => candidate !== record)
+    record.settle(record.mayBeInLog ? 'unknown' : 'notAppended')
   }
 }
--- a/src/links/logFollower.ts
+++ b/src/links/logFollower.ts
@@ -24,6 +24,10 @@
   private readonly didRead = new Emitter<StoredRecord>()
   private readonly didCatchUp = new Emitter<void>()
   private readonly didTruncate = new Emitter<number>()
+  private readonly didReadIdentity = new Emitter<string>()
+  private newerRecordCount = 0
+  /** Fires with the identity of every record read, repeated and newer ones included. */
+  readonly onDidReadIdentity: Event<string> = this.didReadIdentity.event
   /** Fires for each record in log order. */
   readonly onDidReadRecord: Event<StoredRecord> = this.didRead.event
   /** Fires once all records that were in the stream at start have been read. */
@@ -41,6 +45,7 @@
     super()
     this.register(this.didRead)
     this.register(this.didCatchUp)
+    this.register(this.didReadIdentity)
     this.register(this.didTruncate)
     this.register(toDisposable(() => this.stopping.abort()))
   }
@@ -50,6 +55,16 @@
     return this.caughtUp && this.failures === 0
   }
 
+  /** Records skipped because a newer version wrote them. */
+  get newerRecords (): number {
+    return this.newerRecordCount
+  }
+
+  /** Offset of the next record to read. */
+  get position (): number {
+    return this.nextOffset
+  }
+
   get hasCaughtUp (): boolean {
     return this.caughtUp
   }
@@ -94,6 +109,7 @@
   }
 
   private accept (offset: number, record: RecordEnvelope): void {
+    this.didReadIdentity.fire(record.identity)
     if (this.identities.has(record.identity)) return
     this.identities.add(record.identity)
     if (this.identities.size > REMEMBERED_IDENTITIES) {
@@ -103,6 +119,7 @@
     this.clock.observe(record.logicalTime)
     const body = recordBodySchema.safeParse(record.body)
     if (record.schemaVersion > RECORD_SCHEMA_VERSION || !body.success) {
+      if (record.schemaVersion > RECORD_SCHEMA_VERSION) this.newerRecordCount += 1
       this.logger.warn('skipping a record that this version does not understand', { stream: this.stream, offset })
       return
     }
--- a/src/programs/wiring.ts
+++ b/src/programs/wiring.ts
@@ -97,6 +97,7 @@
   const jobs = own(new JobTask(context, configuration, jobFollower, createAppender))
   const placement = own(new PlacementTask(context, ownership, configuration, membership.membership, jobs, connections.workers))
 
+  const followers = [configurationFollower, ownershipFollower, jobFollower]
   const metrics = new MetricsRegistry()
   metrics.addGauge('active_requests', 'Requests accepted and not yet answered to their end', () => frontDoor.active)
   metrics.addGauge('open_jobs', 'Jobs of the failure domain that have not ended', () => jobs.book.open().length)
@@ -105,10 +106,9 @@
   metrics.addGauge('processor_seconds', 'Processor time used by the process', () => process.cpuUsage().user / 1e6 + process.cpuUsage().system / 1e6)
   metrics.addGauge('resident_bytes', 'Resident memory of the process', () => process.memoryUsage.rss())
   metrics.addGauge('malformed_frames', 'Malformed frames received on links', () => links.malformedFrames)
-  const operators = new OperatorApi(context, configuration, ownership, placement, jobs, frontDoor, membership.membership, links, metrics)
+  const operators = new OperatorApi(context, configuration, ownership, placement, jobs, frontDoor, membership.membership, links, metrics, () => followers.reduce((sum, follower) => sum + follower.newerRecords, 0))
   const jobApi = new JobApi(context, jobs, placement, membership.membership, agent)
   const server = own(new CallerServer(configuration, frontDoor, jobApi, operators, () => instance.isReady))
-  const followers = [configurationFollower, ownershipFollower, jobFollower]
   const instance: EntryInstance = new EntryInstance(context, { followers, links, membership, configuration, ownership, slots, frontDoor, server, jobs, placement, disposables: owned })
   return instance
 }
