Add measurements of control at the target size

Cause: nothing measured how messages, processor time and memory of each role grow with the size of a failure domain.

Packing is now taken over the failure domains in which a job waits, and a scenario without jobs reads no status, so that it measures control alone.

--- /dev/null
+++ b/bench/capacityMessages.ts
@@ -0,0 +1,121 @@
+import { Packr } from 'msgpackr'
+import { Agent } from 'undici'
+import { LogicalClock } from '../src/base/logicalClock.js'
+import { Logger } from '../src/base/logger.js'
+import { Random } from '../src/base/random.js'
+import { linkMessageSchema, type LinkMessage } from '../src/contracts/linkMessages.js'
+import type { RecordEnvelope } from '../src/contracts/records.js'
+import { LogFollower } from '../src/links/logFollower.js'
+import { HttpPlatformLog } from '../src/links/platformLog.js'
+import { SlotAllocator } from '../src/requests/slotAllocator.js'
+import { ConfigurationHistory } from '../src/zones/configurationHistory.js'
+import { CountingServer, medianMilliseconds, medianProcessorMilliseconds, printRow, printTitle } from './measure.js'
+
+const EXECUTOR_COUNTS = [10, 30, 100] as const
+const HOLDER_COUNTS = [3, 9, 27] as const
+const RECORDS_PER_READ = [1, 10, 100, 500] as const
+const LOG_RECORDS = 5000
+const SERVICE_COUNTS = [5, 50, 500] as const
+const ROUNDS = 3
+
+/** One report of every holder with its answer: frames packed, parsed and checked on both sides, and the division itself. */
+export function runSlotBench (runs: number): void {
+  printTitle('slot reports: one report of each holder and its grants')
+  printRow(['executors', 'holders', 'report bytes', 'grants bytes', 'us/report'])
+  const packer = new Packr({ useRecords: false })
+  const exchange = (message: LinkMessage): { frame: Buffer, received: LinkMessage } => {
+    const frame = packer.pack(message)
+    return { frame, received: linkMessageSchema.parse(packer.unpack(frame)) }
+  }
+  for (const executors of EXECUTOR_COUNTS) {
+    for (const holders of HOLDER_COUNTS) {
+      const allocator = new SlotAllocator(-Infinity)
+      allocator.setExecutors(Array.from({ length: executors }, (_, index) => ({ name: `swatch-gent-a-${index}`, pool: 'swatch', slots: 8, connections: 60, maximumRunMilliseconds: 5000 })))
+      const held = new Map<number, { sequence: number, uses: Array<{ executor: string, held: number, inFlight: number }> }>()
+      let reportBytes = 0
+      let grantBytes = 0
+      let now = 0
+      const round = (): void => {
+        now += 250
+        for (let holder = 0; holder < holders; holder += 1) {
+          const state = held.get(holder) ?? { sequence: -1, uses: [] }
+          const report = exchange({ type: 'slotReport', logicalTime: now, sequence: now, appliedGrant: state.sequence, term: 1, demand: { swatch: 20 }, uses: state.uses })
+          if (report.received.type !== 'slotReport') throw new Error('not a report')
+          const { sequence, grants } = allocator.onReport(`holder-${holder}`, report.received, now)
+          const answer = exchange({ type: 'slotGrants', logicalTime: now, term: 1, sequence, answersReport: now, validMilliseconds: 10_000, grants })
+          held.set(holder, { sequence, uses: grants.map(grant => ({ executor: grant.executor, held: grant.slots, inFlight: Math.min(1, grant.slots) })) })
+          reportBytes = report.frame.length
+          grantBytes = answer.frame.length
+        }
+      }
+      for (let warm = 0; warm < ROUNDS; warm += 1) round()
+      const milliseconds = medianMilliseconds(runs, () => undefined, () => { for (let index = 0; index < ROUNDS; index += 1) round() })
+      printRow([executors, holders, reportBytes, grantBytes, milliseconds * 1000 / ROUNDS / holders])
+    }
+  }
+}
+
+/** Follows a stream over HTTP. The processor time includes that of the answering server, in the same process. */
+export async function runLogBench (runs: number): Promise<void> {
+  printTitle('log following over HTTP by records in one answer')
+  printRow(['records/answer', 'bytes/record', 'us/record', 'us/answer'])
+  const logger = new Logger('bench', 'error', () => {})
+  for (const perRead of RECORDS_PER_READ) {
+    const count = Math.min(LOG_RECORDS, perRead * 500)
+    const server = new CountingServer((request, response) => {
+      const from = Number(new URL(request.url ?? '', 'http://localhost').searchParams.get('from'))
+      const records = Array.from({ length: Math.min(perRead, count - from) }, (_, index) => ({ offset: from + index, record: createRecord(from + index) }))
+      if (records.length > 0) response.setHeader('content-type', 'application/json').end(JSON.stringify({ retainedFrom: 0, nextOffset: count, records }))
+    })
+    const log = new HttpPlatformLog(await server.listen(), new Agent({ connections: 1 }))
+    let read = 0
+    const milliseconds = await medianProcessorMilliseconds(runs, async () => {
+      const follower = new LogFollower('jobs.gent-a', log, new LogicalClock(), logger, new Random(1))
+      await new Promise<void>(resolve => {
+        follower.onDidReadRecord(() => { read += 1 })
+        follower.onDidCatchUp(resolve)
+        follower.run()
+      })
+      follower.dispose()
+    })
+    if (read !== count * runs) throw new Error(`${read} records were read, ${count * runs} expected`)
+    printRow([perRead, Math.round(server.bytes / runs / count), milliseconds * 1000 / count, milliseconds * 1000 / (count / perRead)])
+    server.close()
+  }
+}
+
+/** Packs, parses, checks and applies an announced text, and checks a published one. */
+export function runConfigurationBench (runs: number): void {
+  printTitle('configuration announcement by size of the text')
+  printRow(['services', 'text bytes', 'frame bytes', 'pack ms', 'apply ms'])
+  const packer = new Packr({ useRecords: false })
+  for (const services of SERVICE_COUNTS) {
+    const text = createText(services)
+    const message: LinkMessage = { type: 'configurationAnnouncement', logicalTime: 1, revision: 1, text }
+    const frame = packer.pack(message)
+    const pack = medianMilliseconds(runs, () => undefined, () => { packer.pack(message) })
+    const apply = medianMilliseconds(runs, () => new ConfigurationHistory(), history => {
+      const received = linkMessageSchema.parse(packer.unpack(frame))
+      if (received.type !== 'configurationAnnouncement' || !history.learn(received.revision, received.text)) throw new Error('the text was not accepted')
+    })
+    printRow([services, text.length, frame.length, pack, apply])
+  }
+}
+
+function createRecord (index: number): RecordEnvelope {
+  const job = { identity: `gent-a.${index}`, name: 'colour-match', team: 'catalogue', kind: 'batch' as const, urgency: 'deferrable' as const, tasks: 10, resources: { processorsThousandths: 1000, memoryBytes: 1e9, accelerators: 0 }, checkpointable: true, acceptedAtMilliseconds: 0 }
+  return { identity: `job:gent-a.${index}`, schemaVersion: 1, writer: 'gent-a-1', logicalTime: index + 1, body: { type: 'jobAccepted', job, failureDomain: 'gent-a' } }
+}
+
+function createText (services: number): string {
+  const names = Array.from({ length: services }, (_, index) => `service-${index}`)
+  const service = (index: number): object => ({ urgency: 'normal', dependsOn: index === 0 ? [] : [`service-${index - 1}`], executorPool: 'pool', idempotent: true, deadlineMilliseconds: 1000, maximumRunMilliseconds: 1000 })
+  return JSON.stringify({
+    site: 'bench',
+    failureDomains: { 'zone-a': { region: 'north' } },
+    services: Object.fromEntries(names.map((name, index) => [name, service(index)])),
+    executorPools: { pool: { slots: 8, connections: 60, executors: { 'zone-a': 2 } } },
+    workerPools: {},
+    teams: {}
+  }, undefined, 2)
+}
--- a/src/load/jobTracker.ts
+++ b/src/load/jobTracker.ts
@@ -38,9 +38,9 @@
     return this.jobs.some(job => isOpen(job))
   }
 
-  /** Whether a job waits for the start of its tasks. */
-  get hasWaiting (): boolean {
-    return this.jobs.some(job => job.state === 'waiting' || job.state === 'starting')
+  /** Failure domains in which a job waits for the start of its tasks. */
+  get waitingDomains (): ReadonlySet<string> {
+    return new Set(this.jobs.filter(job => job.state === 'waiting' || job.state === 'starting').map(job => job.failureDomain))
   }
 
   /** Submits a job when it is due; an unknown outcome is submitted again with the same idempotency key. */
--- a/src/load/loadResult.ts
+++ b/src/load/loadResult.ts
@@ -53,7 +53,7 @@
   readonly classes: Readonly<Record<string, ClassResult>>
   readonly jobs: readonly JobResult[]
   readonly jobClasses: Readonly<Record<string, JobClassResult>>
-  /** Share of the workers' processors in use while jobs waited for a start, and the number of samples. */
+  /** Share of the processors in use, over the failure domains in which a job waited for a start, and the number of samples. */
   readonly packing: { readonly mean: number, readonly maximum: number, readonly samples: number }
   readonly control: readonly ControlResult[]
   /** Faults that could not be switched. */
@@ -84,6 +84,6 @@
   const control = new Table({ head: ['instance', 'processor s', 'resident MB', 'link bytes/s', 'appends'], style })
   for (const row of result.control) control.push([row.instance, row.processorSeconds.toFixed(2), (row.residentBytes / 1e6).toFixed(0), row.linkBytesPerSecond.toFixed(0), row.appends])
   const { packing } = result
-  const packed = packing.samples === 0 ? 'packing: no job waited when sampled' : `packing while jobs waited: mean ${(packing.mean * 100).toFixed(1)} %, maximum ${(packing.maximum * 100).toFixed(1)} % of the workers' processors, ${packing.samples} samples`
+  const packed = packing.samples === 0 ? 'packing: no job waited when sampled' : `packing while jobs waited: mean ${(packing.mean * 100).toFixed(1)} %, maximum ${(packing.maximum * 100).toFixed(1)} % of the processors of their failure domains, ${packing.samples} samples`
   return [`answer time from when a request was due, seed ${result.seed}`, requests.toString(), 'waiting time of jobs', classes.toString(), jobs.toString(), packed, 'control cost', control.toString(), ...result.notes].join('\n')
 }
--- a/src/load/loadRunner.ts
+++ b/src/load/loadRunner.ts
@@ -24,8 +24,10 @@
 
 interface Sample {
   readonly second: number
+  /** Share of all workers' processors in use. */
   readonly used: number
-  readonly waiting: boolean
+  /** The same over the failure domains in which a job waits; undefined if none does. */
+  readonly usedWhileWaiting: number | undefined
 }
 
 const SAMPLE_MILLISECONDS = 100
@@ -112,7 +114,8 @@
     const end = arrivalsEnd + this.scenario.settleMilliseconds
     for (let now = performance.now(); now < end; now = performance.now()) {
       await delay(SAMPLE_MILLISECONDS)
-      await this.sampleOnce(Math.floor((now - startedAt) / 1000))
+      // Without jobs there is nothing to read, and reading would be part of the control cost that is measured.
+      if (this.scenario.jobs.length > 0) await this.sampleOnce(Math.floor((now - startedAt) / 1000))
       this.onProgress(Math.min(1, (now - startedAt) / this.scenario.durationMilliseconds))
       const allSubmitted = this.tracker.submitted === this.scenario.jobs.length
       if (now >= arrivalsEnd && allSubmitted && !this.tracker.hasOpen) return
@@ -123,17 +126,23 @@
     const statuses = await this.probe.readStatus()
     const owners = new Map([...statuses].filter(([, status]) => status.isOwner).map(([address, status]) => [status.failureDomain, address]))
     await this.tracker.poll(owners)
-    let used = 0
-    let capacity = 0
-    for (const address of owners.values()) {
-      used += statuses.get(address)?.used?.processorsThousandths ?? 0
-      capacity += statuses.get(address)?.capacity?.processorsThousandths ?? 0
+    const { waitingDomains } = this.tracker
+    const shareOf = (domains: Iterable<string>): number | undefined => {
+      let used = 0
+      let capacity = 0
+      for (const domain of domains) {
+        const status = statuses.get(owners.get(domain) ?? '')
+        used += status?.used?.processorsThousandths ?? 0
+        capacity += status?.capacity?.processorsThousandths ?? 0
+      }
+      return capacity > 0 ? used / capacity : undefined
     }
-    if (capacity > 0) this.samples.push({ second, used: used / capacity, waiting: this.tracker.hasWaiting })
+    const used = shareOf(owners.keys())
+    if (used !== undefined) this.samples.push({ second, used, usedWhileWaiting: shareOf(waitingDomains) })
   }
 
   private packing (): LoadResult['packing'] {
-    const values = this.samples.filter(sample => sample.waiting).map(sample => sample.used)
+    const values = this.samples.flatMap(sample => sample.usedWhileWaiting ?? [])
     const mean = values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length)
     return { mean, maximum: Math.max(0, ...values), samples: values.length }
   }
