Log nothing after an entry instance has been disposed

Cause: a fetch of the instance list that was under way at disposal failed and logged a warning; the embedded site had closed its log by then and ended with EBADF.

The test of the embedded site asserts that nothing is logged after the stop.

--- a/src/entry/membershipTask.ts
+++ b/src/entry/membershipTask.ts
@@ -29,6 +29,7 @@
       this.failing = false
       this.connectPeers()
     } catch (error) {
+      if (this.isDisposed) return
       if (!this.failing) this.context.logger.warn('fetching the instance list failed; the last one stays in use', { reason: describeError(error) })
       this.failing = true
     } finally {
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -24,7 +24,8 @@
     const { source, text } = readSiteText(options.text)
     const scenario = readSettings(options.scenario, scenarioSchema)
     const file = openLog(options.events)
-    const site = new EmbeddedSite(text, source, line => writeSync(file, `${line}\n`))
+    let closed = false
+    const site = new EmbeddedSite(text, source, line => { if (!closed) writeSync(file, `${line}\n`) })
     try {
       writeLine(`site ${text.site}: starting stand-ins and entry instances; log in ${options.events}/site.log`)
       await site.start()
@@ -38,6 +39,7 @@
       process.exitCode = problems.length === 0 ? 0 : 1
     } finally {
       await site.stop()
+      closed = true
       closeSync(file)
     }
   })
--- a/test/programs/embeddedSite.test.ts
+++ b/test/programs/embeddedSite.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { readFileSync } from 'node:fs'
 import { describe, it } from 'node:test'
+import { setTimeout } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import type { SystemEvent } from '../../src/contracts/events.js'
 import { checkSiteText } from '../../src/contracts/siteText.js'
@@ -8,6 +9,8 @@
 import { checkOrder, filterEvents, mergeEvents, parseEvents } from '../../src/operator/timeLine.js'
 import { EmbeddedSite } from '../../src/programs/embeddedSite.js'
 
+/** Time after the stop in which a call that was under way would fail and be logged. */
+const QUIET_MILLISECONDS = 300
 const SCENARIO = scenarioSchema.parse({
   seed: 5,
   durationMilliseconds: 1000,
@@ -37,6 +40,9 @@
     } finally {
       await site.stop()
     }
+    const linesAtStop = lines.length
+    await setTimeout(QUIET_MILLISECONDS)
+    assert.deepEqual(lines.slice(linesAtStop), [], 'nothing is logged after the stop')
     const written = parseEvents(lines)
     assert.deepEqual(checkOrder(written), [])
     const events = mergeEvents(written)
