Ownership: match confirmed renewals by their identity

A renewal that the appender gave up was never confirmed, so every later confirmation was taken for an earlier renewal and the lease stayed in the past: the holder of the term renewed for ever and never acted. After eight unconfirmed renewals it even stopped renewing. Renewals are now matched by record identity; electors of those given up are still asked for promises.

--- a/src/entry/ownershipTask.ts
+++ b/src/entry/ownershipTask.ts
@@ -132,7 +132,7 @@
   }
 
   private async append (action: Extract<OwnershipAction, { kind: 'append' }>): Promise<void> {
-    const confirmed = await this.appender.append(action.body, CLAIM_TIMEOUT_MILLISECONDS)
+    const confirmed = await this.appender.append(action.body, CLAIM_TIMEOUT_MILLISECONDS, action.identity)
     if (!confirmed && action.body.type === 'ownershipClaimed') this.rules.claimAbandoned()
   }
 
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -18,7 +18,7 @@
 
 /** What the ownership rules ask the surrounding task to do. */
 export type OwnershipAction =
-  | { readonly kind: 'append', readonly body: RecordBody, readonly sentAtMilliseconds: number }
+  | { readonly kind: 'append', readonly body: RecordBody, readonly identity?: string, readonly sentAtMilliseconds: number }
   | { readonly kind: 'requestPromises', readonly electors: readonly Holder[], readonly request: number, readonly durationMilliseconds: number }
 
 /** Observations that a tick is handed. */
@@ -27,6 +27,9 @@
   readonly isGone: (holder: Holder) => boolean
 }
 
+/** Unconfirmed renewals that are told apart; older ones are merged during a long outage. */
+const MAXIMUM_UNCONFIRMED_RENEWALS = 8
+
 interface PromiseRound {
   readonly request: number
   readonly askedAt: number
@@ -56,7 +59,8 @@
   private claimPending = false
   private claimRetryAt = 0
   private lastRenewalSentAt = -Infinity
-  private readonly sentRenewals: Array<{ sentAt: number, electors: readonly Holder[] }> = []
+  private readonly sentRenewals: Array<{ identity: string, sentAt: number, electors: readonly Holder[] }> = []
+  private renewalsSent = 0
   private round: PromiseRound | undefined
   private nextRequest = 1
 
@@ -96,7 +100,7 @@
         this.onClaim(body, now)
         return
       case 'ownershipRenewed':
-        if (body.term === this.currentTerm && this.isHeldBy(body)) this.onRenewal(body.electors, now)
+        if (body.term === this.currentTerm && this.isHeldBy(body)) this.onRenewal(record.identity, body.electors, now)
         return
       case 'ownershipReleased':
         if (body.term === this.currentTerm && this.isHeldBy(body)) this.released = true
@@ -157,22 +161,25 @@
     this.lastRenewalSentAt = -Infinity
   }
 
-  private onRenewal (electors: readonly Holder[], now: number): void {
+  private onRenewal (identity: string, electors: readonly Holder[], now: number): void {
     this.electors = electors
     this.ownerSeenAt = now
     if (!this.holdsTerm()) return
-    const confirmed = this.sentRenewals.shift()
+    const index = this.sentRenewals.findIndex(renewal => renewal.identity === identity)
+    const confirmed = this.sentRenewals.splice(0, index + 1).pop()
     if (confirmed !== undefined) this.leaseUntil = Math.max(this.leaseUntil, confirmed.sentAt + this.timings.lease)
   }
 
   private tickAsOwner (now: number): OwnershipAction[] {
     const actions: OwnershipAction[] = []
-    if (now - this.lastRenewalSentAt >= this.timings.renewal && this.sentRenewals.length < 8) {
+    if (now - this.lastRenewalSentAt >= this.timings.renewal) {
       this.lastRenewalSentAt = now
       const electors = this.knownElectors()
-      this.sentRenewals.push({ sentAt: now, electors })
+      const identity = `renewal:${this.self.incarnation}:${++this.renewalsSent}`
+      this.sentRenewals.push({ identity, sentAt: now, electors })
+      this.mergeOldRenewals()
       const body: RecordBody = { type: 'ownershipRenewed', failureDomain: this.failureDomain, ...this.self, term: this.currentTerm, electors: [...electors] }
-      actions.push({ kind: 'append', body, sentAtMilliseconds: now })
+      actions.push({ kind: 'append', body, identity, sentAtMilliseconds: now })
     }
     const remaining = this.leaseUntil - now
     const roundIsOld = this.round === undefined || now - this.round.askedAt >= this.timings.renewal
@@ -180,6 +187,14 @@
     return actions
   }
 
+  /** A renewal that was given up may still take effect, so its electors are kept although its own time is not. */
+  private mergeOldRenewals (): void {
+    if (this.sentRenewals.length <= MAXIMUM_UNCONFIRMED_RENEWALS) return
+    const [oldest, next] = this.sentRenewals.splice(0, 2) as [{ electors: readonly Holder[] }, { identity: string, sentAt: number, electors: readonly Holder[] }]
+    const electors = new Map([...oldest.electors, ...next.electors].map(elector => [holderKey(elector), elector]))
+    this.sentRenewals.unshift({ ...next, electors: [...electors.values()] })
+  }
+
   /** Every instance that may claim by a renewal that was confirmed or sent must promise. */
   private askForPromises (now: number): OwnershipAction[] {
     const all = new Map<string, Holder>()
