Scheduler: let a stop of unknown outcome lapse

A cancelled task whose worker was silent was renewed for ever once the worker answered again, so the job neither ended nor ran.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -27,6 +27,8 @@
 
 type TaskPhase = 'waiting' | 'starting' | 'running' | 'stopping' | 'finished'
 
+const UNRENEWED_PHASES: ReadonlySet<TaskPhase | undefined> = new Set<TaskPhase>(['starting', 'stopping'])
+
 interface TaskEntry {
   readonly task: string
   readonly index: number
@@ -138,8 +140,8 @@
   planRenewals (now: number): RenewalPlan[] {
     return [...this.workers.values()].map(entry => {
       const silent = now - (entry.reportedAt ?? now) > SILENCE_BEFORE_LAPSE_MILLISECONDS
-      // A start of unknown outcome is not renewed until a report shows it: if it never arrived, its lease must be able to lapse.
-      const renewable = entry.worker.held.filter(({ task }) => this.findTask(task)?.phase !== 'starting')
+      // A start or stop of unknown outcome is not renewed: if the worker never got the command, the lease must be able to lapse.
+      const renewable = entry.worker.held.filter(({ task }) => !UNRENEWED_PHASES.has(this.findTask(task)?.phase))
       const tasks = silent ? [] : renewable.map(({ task, attempt }) => ({ task, attempt }))
       for (const { task } of tasks) this.noteRenewal(task, now)
       const acknowledged = [...entry.acknowledge].map(([task, attempt]) => ({ task, attempt }))
--- a/test/fuzz/fuzzer.ts
+++ b/test/fuzz/fuzzer.ts
@@ -71,7 +71,7 @@
 }
 
 /** Heals all faults and lets everything end, then runs the checks of the end. */
-async function finish (site: FakeSite): Promise<void> {
+export async function finish (site: FakeSite): Promise<void> {
   site.heal()
   site.publish(decidedRevision(site), 100)
   await site.advance(LEFTOVER_MILLISECONDS)
