--- a/src/links/platformLog.ts
+++ b/src/links/platformLog.ts
@@ -1,6 +1,8 @@
 import { Agent, request } from 'undici'
+import { describeError } from '../base/logger.js'
 import { appendAnswerSchema, readAnswerSchema, type AppendAnswer, type ReadAnswer } from '../contracts/platformProtocol.js'
 import type { RecordEnvelope } from '../contracts/records.js'
+import { isConnectFailure } from './connectFailure.js'
 
 /** The platform's append-only log. Every method rejects when the log is away; an append may have taken effect nevertheless, unless it rejects with `AppendRefusedError`. */
 export abstract class PlatformLog {
@@ -13,8 +15,10 @@
 /** The log has certainly not taken the records of an append. */
 export class AppendRefusedError extends Error {}
 
-/** Reasons of a failed call that rule out that the log has received it. */
-const NOT_CONNECTED_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+/** Statuses by which the log states that it has appended nothing; after any other error status it may have. */
+function isRefusal (status: number): boolean {
+  return (status >= 400 && status < 500) || status === 503
+}
 
 /** Time after which an unanswered call counts as failed, in milliseconds. */
 const CALL_TIMEOUT_MILLISECONDS = 3000
@@ -30,7 +34,8 @@
     const answer = await this.sendAppend(stream, body, signal)
     if (answer.statusCode !== 200) {
       await answer.body.dump()
-      throw new AppendRefusedError(`the platform's log refused an append with status ${answer.statusCode}`)
+      const message = `the platform's log answered append with status ${answer.statusCode}`
+      throw isRefusal(answer.statusCode) ? new AppendRefusedError(message) : new Error(message)
     }
     return appendAnswerSchema.parse(await answer.body.json())
   }
@@ -41,9 +46,7 @@
         method: 'POST', body, headers: { 'content-type': 'application/json' }, dispatcher: this.agent, signal, headersTimeout: CALL_TIMEOUT_MILLISECONDS, bodyTimeout: CALL_TIMEOUT_MILLISECONDS
       })
     } catch (error) {
-      const code = (error as { code?: unknown }).code
-      if (typeof code === 'string' && NOT_CONNECTED_CODES.has(code)) throw new AppendRefusedError(code, { cause: error })
-      throw error
+      throw isConnectFailure(error) ? new AppendRefusedError(describeError(error), { cause: error }) : error
     }
   }
 
--- a/src/programs/wiring.ts
+++ b/src/programs/wiring.ts
@@ -47,6 +47,8 @@
   readonly instanceList: InstanceList
   readonly workers: WorkerClient
   readonly executors: ExecutorClient
+  /** Sends forwarded requests to entry instances of other failure domains. */
+  readonly peers: ExecutorClient
   readonly links: LinkTransport
   readonly agent: Agent
 }
@@ -61,6 +63,7 @@
     instanceList: new HttpInstanceList(settings.platformAddress, agent),
     workers: new HttpWorkerClient(agent),
     executors: new HttpExecutorClient(),
+    peers: new HttpExecutorClient(),
     links: new WebSocketLinkHub(identity, settings.linkKeys, context.logger),
     agent
   })
@@ -107,7 +110,7 @@
   const ownership = own(new OwnershipTask(context, ownershipFollower, ownershipAppender, links, membership.membership))
   const slots = own(new SlotTask(context, ownership, configuration, membership.membership, links, () => frontDoor.demand(), () => frontDoor.urgentWaits))
   const keys = own(new KeyTask(context, configuration, membership.membership, ownership, keyFollower, createAppender, agent, text => hashing.h64(text)))
-  const forwarder = new Forwarder(context, membership.membership, own(new HttpExecutorClient()))
+  const forwarder = new Forwarder(context, membership.membership, own(connections.peers))
   const executorClient = own(connections.executors)
   const frontDoor: FrontDoor = own(new FrontDoor(context, configuration, membership.membership, slots.holder, executorClient, new LeastExpectedTimeChooser(), slots, new KeyGate(keys), forwarder))
   own(slots.onDidChangeGrants(() => frontDoor.dispatchAll()))
