Quarantine failing workers, limit work by heat, explain waiting jobs

Cause: a worker that failed everything took every start and failed whole jobs; allowedCapacityPercent had no effect on jobs; explain named one reason.

A worker with 3 failures in a row of at least 2 jobs is quarantined for 60 s, twice as long each further time, and released only by a finished deferrable probe. A job that has failed on 3 workers does not count against workers; its failures on a quarantined worker do not count against the job. A lower allowed share holds at once: deferrable tasks are checkpointed, or throttled to 50 %, and batch work waits; it rises by 1 % a second. Urgent work and services are limited by workers only. The worker stand-in slows throttled tasks and can fail jobs by name.

--- a/bench/schedulingSite.ts
+++ b/bench/schedulingSite.ts
@@ -3,7 +3,8 @@
 import type { ReportedTask } from '../src/contracts/workerProtocol.js'
 import { Random } from '../src/base/random.js'
 import type { PlacementPolicy } from '../src/scheduling/placementPolicy.js'
-import { Scheduler, type SchedulingDecision } from '../src/scheduling/scheduler.js'
+import type { SchedulingDecision } from '../src/scheduling/decisions.js'
+import { Scheduler } from '../src/scheduling/scheduler.js'
 
 const GIGABYTE = 2 ** 30
 
--- a/src/entry/placementTask.ts
+++ b/src/entry/placementTask.ts
@@ -8,7 +8,8 @@
 import { BestFitPolicy } from '../scheduling/placementPolicy.js'
 import { indexesOf, rangesOf } from '../scheduling/jobBook.js'
 import { jobOfTask } from '../scheduling/jobState.js'
-import { Scheduler, type RenewalPlan, type SchedulingDecision } from '../scheduling/scheduler.js'
+import type { RenewalPlan, SchedulingDecision } from '../scheduling/decisions.js'
+import { Scheduler } from '../scheduling/scheduler.js'
 import { TASK_LEASE_MARGIN_MILLISECONDS, TASK_LEASE_MILLISECONDS } from '../scheduling/holdTimers.js'
 import type { ConfigurationTask } from './configurationTask.js'
 import { monotonicNow, type EntryContext } from './entryContext.js'
@@ -129,6 +130,7 @@
     })
     scheduler.setWorkers(listed)
     scheduler.setQuotas(text.teams)
+    scheduler.setAllowedCapacity(text.failureDomains[this.context.settings.failureDomain]?.allowedCapacityPercent ?? 100)
     this.renewLeases(scheduler, listed.length, now)
     if (listed.length === 0) return
     if (this.jobs.hasCaughtUp && now - this.ownerSince > ORPHAN_GRACE_MILLISECONDS) scheduler.settleOrphans(now)
@@ -187,6 +189,7 @@
         return
       case 'stop':
       case 'checkpoint':
+      case 'throttle':
         this.act(decision)
         return
       case 'preempted':
@@ -195,6 +198,10 @@
       case 'jobEnded':
         this.endJob(decision)
         return
+      case 'workerQuarantined':
+      case 'workerReleased':
+        this.context.events.record(decision.kind, { worker: decision.worker, detail: decision.detail })
+        return
       case 'taskLost':
         this.context.events.record('taskLost', { task: decision.task, job: jobOfTask(decision.task), worker: decision.worker })
     }
@@ -223,11 +230,13 @@
     this.post({ kind: 'startOutcome', decision, outcome })
   }
 
-  private async act (decision: Extract<SchedulingDecision, { kind: 'stop' | 'checkpoint' }>): Promise<void> {
+  private async act (decision: Extract<SchedulingDecision, { kind: 'stop' | 'checkpoint' | 'throttle' }>): Promise<void> {
     const { worker, task, attempt, kind } = decision
     if (!this.ownership.isOwner()) return
-    const outcome = await this.workers.act(worker.address, task, kind, { term: this.term, attempt, logicalTime: this.context.events.clock.tick() })
-    if (outcome.kind !== 'done') this.context.logger.warn('a command to end a task did not succeed', { task, worker: worker.name, code: `${kind}: ${outcome.kind}` })
+    const throttlePercent = kind === 'throttle' ? decision.percent : undefined
+    if (kind === 'throttle') this.context.events.record('taskThrottled', { task, job: jobOfTask(task), worker: worker.name, detail: `${throttlePercent} %` })
+    const outcome = await this.workers.act(worker.address, task, kind, { term: this.term, attempt, throttlePercent, logicalTime: this.context.events.clock.tick() })
+    if (outcome.kind !== 'done') this.context.logger.warn('a command to a task did not succeed', { task, worker: worker.name, code: `${kind}: ${outcome.kind}` })
   }
 
   private async endJob (decision: Extract<SchedulingDecision, { kind: 'jobEnded' }>): Promise<void> {
--- /dev/null
+++ b/src/scheduling/explain.ts
@@ -0,0 +1,87 @@
+import { fitsWithin, subtractResources, type Resources } from '../contracts/resources.js'
+import { tasksThatFit } from './capacity.js'
+import type { Claims } from './claims.js'
+import type { GangReservation } from './gangReservation.js'
+import { isExemptFromHeat, type HeatLimit } from './heat.js'
+import type { JobEntry } from './jobState.js'
+import type { TaskLedger } from './taskLedger.js'
+import type { TeamShares } from './teamShares.js'
+import type { WorkerEntry } from './workerEntry.js'
+import type { WorkerHealth } from './workerHealth.js'
+
+/** What an explanation is drawn from. */
+export interface ExplainSources {
+  readonly ledger: TaskLedger
+  readonly claims: Claims
+  readonly health: WorkerHealth
+  readonly heat: HeatLimit
+  readonly teams: TeamShares
+  readonly gangs: GangReservation
+  /** Processors that batch work may still start under the allowed capacity, in thousandths. */
+  readonly heatRoom: number
+}
+
+/** Says in at most a screen of plain text why a job waits, and what would change that. */
+export function explainJob (job: JobEntry, sources: ExplainSources, inventoryComplete: boolean, now: number): string {
+  const { counts } = job
+  const lines = [`${counts.waiting} waiting, ${counts.starting} starting, ${counts.running} running, ${counts.stopping} stopping, ${counts.finished} finished of ${job.tasks.length} tasks`]
+  if (job.cancelled) lines.push('cancelled; it ends when its tasks have stopped or their leases have lapsed')
+  else if (counts.waiting === 0) lines.push('all tasks have been placed')
+  else if (job.mayBePlaced && !inventoryComplete) lines.push('waits for the inventory of every worker after a change of owner; silent workers are waited for until their leases have lapsed')
+  else if (job.placeable.size === 0) lines.push('waits until earlier attempts of its tasks have stopped or their leases have lapsed')
+  else lines.push(...reasons(job, sources, now))
+  return lines.join('\n')
+}
+
+function reasons (job: JobEntry, sources: ExplainSources, now: number): string[] {
+  const { ledger, claims, health, heat, teams, gangs, heatRoom } = sources
+  const demand = job.job.resources
+  const present = [...ledger.workers.values()].filter(entry => entry.present)
+  const able = present.filter(entry => fitsWithin(demand, entry.worker.description.capacity))
+  const lines = [`each task needs ${describeResources(demand)}; team ${job.job.team} uses ${formatShare(teams.dominantShare(job.job.team))} of its quota, and teams that use less go first`]
+  const couldRun = able.reduce((sum, entry) => sum + tasksThatFit(demand, entry.worker.description.capacity), 0)
+  if (couldRun < (job.job.kind === 'gang' ? job.job.tasks : 1)) {
+    lines.push(`cannot run: the ${present.length} workers that answer could carry ${couldRun} of its tasks at once if they were empty; workers must be added or come back, or the job must be submitted smaller`)
+    return lines
+  }
+  if (!isExemptFromHeat(job) && heatRoom < demand.processorsThousandths) lines.push(`heat: ${heat.percent.toFixed(0)} % of the capacity is allowed and in use; it is placed when the share rises or tasks end`)
+  const withRoom = able.filter(entry => fitsWithin(demand, entry.worker.free))
+  const unhealthy = able.filter(entry => !health.accepts(entry, job, now))
+  const kept = withRoom.filter(entry => !claims.allows(entry, job))
+  if (unhealthy.length > 0) lines.push(`quarantine: ${unhealthy.length} workers that are large enough have failed everything lately, among them ${(unhealthy[0] as WorkerEntry).worker.name}; a finished probe releases them`)
+  if (kept.length > 0) lines.push(`${kept.length} workers have room that is kept for a gang or for urgent work`)
+  if (job.job.kind === 'gang') {
+    const fitting = withRoom.reduce((sum, entry) => sum + tasksThatFit(demand, entry.worker.free), 0)
+    lines.push(`gang: ${fitting} of ${job.placeable.size} tasks would fit now, and all must; ${gangs.current === job ? 'room is being kept for it' : gangs.current === undefined ? 'no gang has a reservation' : `gang ${gangs.current.job.identity} has the reservation before it`}`)
+  }
+  const nearest = nearestWorker(demand, able)
+  if (withRoom.length > 0) lines.push(`${withRoom.length} workers have room for a task`)
+  else if (nearest !== undefined) lines.push(`no worker has room; the nearest is ${nearest.worker.name}, which lacks ${describeLack(demand, nearest.worker.free)}; tasks that end there would change that`)
+  return lines
+}
+
+function nearestWorker (demand: Resources, workers: readonly WorkerEntry[]): WorkerEntry | undefined {
+  const lack = ({ worker: { free, description: { capacity } } }: WorkerEntry): number =>
+    Math.max(0, demand.processorsThousandths - free.processorsThousandths) / Math.max(1, capacity.processorsThousandths) +
+    Math.max(0, demand.memoryBytes - free.memoryBytes) / Math.max(1, capacity.memoryBytes) +
+    Math.max(0, demand.accelerators - free.accelerators) / Math.max(1, capacity.accelerators)
+  return workers.reduce<WorkerEntry | undefined>((best, entry) => best === undefined || lack(entry) < lack(best) ? entry : best, undefined)
+}
+
+function describeLack (demand: Resources, free: Resources): string {
+  const lack = subtractResources(demand, free)
+  return describeResources({ processorsThousandths: Math.max(0, lack.processorsThousandths), memoryBytes: Math.max(0, lack.memoryBytes), accelerators: Math.max(0, lack.accelerators) })
+}
+
+function describeResources ({ processorsThousandths, memoryBytes, accelerators }: Resources): string {
+  const parts = [
+    processorsThousandths > 0 ? `${processorsThousandths / 1000} processors` : '',
+    memoryBytes > 0 ? `${(memoryBytes / 1e9).toFixed(2)} GB of memory` : '',
+    accelerators > 0 ? `${accelerators} accelerators` : ''
+  ].filter(part => part !== '')
+  return parts.length === 0 ? 'nothing' : parts.join(', ')
+}
+
+function formatShare (share: number): string {
+  return share > 1e6 ? 'more than all' : `${Math.round(share * 100)} %`
+}
--- /dev/null
+++ b/src/scheduling/heat.ts
@@ -0,0 +1,96 @@
+import type { JobEntry, TaskEntry } from './jobState.js'
+import type { WorkerEntry } from './workerEntry.js'
+
+/** Rise of the allowed share once capacity returns, in percent a second, so that waiting work does not start in one surge. */
+const RISE_PERCENT_PER_SECOND = 1
+/** A task that cannot be checkpointed is throttled to this share of its speed. */
+export const THROTTLE_PERCENT = 50
+
+/** Tasks to checkpoint, to throttle and to run at full speed again, and what may still be started. */
+export interface HeatPlan {
+  readonly checkpoint: TaskEntry[]
+  readonly throttle: TaskEntry[]
+  readonly restore: TaskEntry[]
+  /** Processors that may be started, in thousandths; Infinity without a limit. */
+  readonly roomThousandths: number
+}
+
+const NO_LIMIT: HeatPlan = { checkpoint: [], throttle: [], restore: [], roomThousandths: Infinity }
+
+/** Keeps the processors in use below the allowed share of all workers. A lower share holds at once, a higher one is approached slowly. */
+export class HeatLimit {
+  private target = 100
+  private effective = 100
+  private advancedAt: number | undefined
+  private readonly throttled = new Set<TaskEntry>()
+
+  constructor (private readonly findTask: (task: string) => TaskEntry | undefined) {}
+
+  /** Share of the workers' capacity that may be used at present, in percent. */
+  get percent (): number {
+    return this.effective
+  }
+
+  setTarget (percent: number): void {
+    this.target = percent
+  }
+
+  plan (workers: Iterable<WorkerEntry>, now: number): HeatPlan {
+    const elapsed = now - (this.advancedAt ?? now)
+    this.advancedAt = now
+    this.effective = Math.min(this.target, this.effective + elapsed * RISE_PERCENT_PER_SECOND / 1000)
+    if (this.effective >= 100 && this.throttled.size === 0) return NO_LIMIT
+    for (const task of this.throttled) {
+      if (task.phase !== 'running') this.throttled.delete(task)
+    }
+    let capacity = 0
+    let used = 0
+    const deferrable: TaskEntry[] = []
+    for (const { worker, present } of workers) {
+      if (present) capacity += worker.description.capacity.processorsThousandths
+      for (const hold of worker.held) {
+        if (hold.state === 'stopping') continue
+        const task = this.findTask(hold.task)
+        used += hold.resources.processorsThousandths * (task !== undefined && this.throttled.has(task) ? THROTTLE_PERCENT / 100 : 1)
+        if (task?.phase === 'running' && task.job.job.urgency === 'deferrable' && task.job.job.kind !== 'service') deferrable.push(task)
+      }
+    }
+    return this.planFor(capacity * this.effective / 100 - used, deferrable)
+  }
+
+  private planFor (room: number, deferrable: TaskEntry[]): HeatPlan {
+    let roomThousandths = room
+    const checkpoint: TaskEntry[] = []
+    const throttle: TaskEntry[] = []
+    const restore: TaskEntry[] = []
+    for (const task of deferrable.filter(({ job }) => job.job.checkpointable)) {
+      if (roomThousandths >= 0) break
+      roomThousandths += processorsOf(task)
+      checkpoint.push(task)
+    }
+    for (const task of deferrable) {
+      if (roomThousandths >= 0) break
+      if (task.job.job.checkpointable || this.throttled.has(task)) continue
+      roomThousandths += processorsOf(task) * (1 - THROTTLE_PERCENT / 100)
+      this.throttled.add(task)
+      throttle.push(task)
+    }
+    for (const task of this.throttled) {
+      const needed = processorsOf(task) * (1 - THROTTLE_PERCENT / 100)
+      if (throttle.length > 0 || needed > roomThousandths) break
+      roomThousandths -= needed
+      this.throttled.delete(task)
+      restore.push(task)
+    }
+    return { checkpoint, throttle, restore, roomThousandths: this.effective >= 100 ? Infinity : roomThousandths }
+  }
+}
+
+/** Whether tasks of a job start although the allowed share is used up: urgent work and services are limited by workers only. */
+export function isExemptFromHeat (job: JobEntry): boolean {
+  return job.job.urgency === 'urgent' || job.job.kind === 'service'
+}
+
+function processorsOf (task: TaskEntry): number {
+  return task.job.job.resources.processorsThousandths
+}
--- a/src/scheduling/jobQueue.ts
+++ b/src/scheduling/jobQueue.ts
@@ -51,6 +51,7 @@
   private readonly grown = new Set<WorkerEntry>()
   private candidates: readonly WorkerEntry[] = []
   private woken: Shape[] = []
+  private held: Shape[] = []
 
   /** Adds a job with tasks to place, or does nothing if it is in the queue. */
   add (job: JobEntry): void {
@@ -120,6 +121,21 @@
     ;(this.classes[shape.rank] as UrgencyClass).parked.add(shape)
   }
 
+  /** Sets the size of a group's tasks aside until `wakeHeld`, whatever is free. */
+  hold (group: JobGroup): void {
+    group.shape.parked = true
+    this.held.push(group.shape)
+  }
+
+  /** Makes all sizes ready that were set aside by `hold`. */
+  wakeHeld (): void {
+    for (const shape of this.held) {
+      shape.parked = false
+      for (const group of shape.groups) this.makeReady(group)
+    }
+    this.held = []
+  }
+
   /** Returns the first job of the team that may fit, and drops what was set aside or has nothing to place. */
   private head (team: TeamQueue): NextJob | undefined {
     for (let group = team.ready.peek(); group !== undefined; group = team.ready.peek()) {
--- a/src/scheduling/jobState.ts
+++ b/src/scheduling/jobState.ts
@@ -19,6 +19,9 @@
   /** Start of the current attempt, and the last preemption, in monotonic milliseconds of the owner. */
   startedAt: number
   preemptedAt: number
+  /** Failed attempts, all and by worker. */
+  failures: number
+  readonly failedOn: Map<string, number>
 }
 
 /** An open job and its tasks, with counts by phase that are kept up to date at each change. */
@@ -35,7 +38,8 @@
   queued = false
   cancelled = false
   endDecided = false
-  failures = 0
+  /** Why the job has failed, or undefined. */
+  failure: string | undefined
 
   /**
    * @param order Place in the order of acceptance.
@@ -44,7 +48,7 @@
   constructor (readonly job: Job, readonly addedAt: number, readonly order: number, readonly mayBePlaced: boolean, private readonly use: TeamUse) {
     this.rank = urgencyRank(job.urgency)
     this.tasks = Array.from({ length: job.tasks }, (_, index): TaskEntry => ({
-      job: this, task: taskName(job.identity, index), index, phase: 'waiting', attempt: undefined, worker: undefined, places: 0, checkpointMilliseconds: 0, startedAt: addedAt, preemptedAt: -Infinity
+      job: this, task: taskName(job.identity, index), index, phase: 'waiting', attempt: undefined, worker: undefined, places: 0, checkpointMilliseconds: 0, startedAt: addedAt, preemptedAt: -Infinity, failures: 0, failedOn: new Map()
     }))
     this.placeable = new Set(this.tasks)
     this.counts.waiting = job.tasks
--- a/src/scheduling/ledgerObserver.ts
+++ b/src/scheduling/ledgerObserver.ts
@@ -1,4 +1,4 @@
-import type { JobEntry } from './jobState.js'
+import type { JobEntry, TaskEntry } from './jobState.js'
 import type { WorkerEntry } from './workerEntry.js'
 
 /** Outcome of a start command. `stale` means that the worker knows a newer term or attempt, so that it proves nothing about resources. */
@@ -10,6 +10,8 @@
   onWorkerChanged (entry: WorkerEntry): void
   /** Tasks, failures or cancellation of a job have changed. */
   onJobChanged (entry: JobEntry): void
+  /** An attempt has ended by itself; told once for each attempt. */
+  onTaskEnded (entry: WorkerEntry, task: TaskEntry, state: 'finished' | 'failed', now: number): void
   /** An attempt is gone without a report of its end. */
   onTaskLost (task: string, worker: string): void
 }
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -24,14 +24,15 @@
 
   constructor (private readonly claims: Claims, private readonly findTask: (task: string) => TaskEntry | undefined) {}
 
-  plan (job: JobEntry, workers: readonly WorkerEntry[], now: number): PreemptionPlan | undefined {
+  /** @param taken Tasks that are to be preempted already; what they hold counts as free. */
+  plan (job: JobEntry, workers: readonly WorkerEntry[], taken: ReadonlySet<string>, now: number): PreemptionPlan | undefined {
     let best: PreemptionPlan | undefined
     let bestCost = Infinity
     const count = Math.min(workers.length, WORKERS_PER_SEARCH)
     for (let index = 0; index < count; index += 1) {
       const entry = workers[(this.position + index) % workers.length] as WorkerEntry
       if (!entry.usable(now) || !fitsWithin(job.job.resources, entry.worker.description.capacity)) continue
-      const found = this.victimsOn(entry, job, now)
+      const found = this.victimsOn(entry, job, taken, now)
       if (found === undefined || found.cost >= bestCost) continue
       best = { entry, victims: found.victims }
       bestCost = found.cost
@@ -40,14 +41,15 @@
     return best
   }
 
-  private victimsOn (entry: WorkerEntry, job: JobEntry, now: number): { victims: TaskEntry[], cost: number } | undefined {
+  private victimsOn (entry: WorkerEntry, job: JobEntry, taken: ReadonlySet<string>, now: number): { victims: TaskEntry[], cost: number } | undefined {
     const kept = this.claims.on(entry).reduce((sum, claim) => addResources(sum, claim.resources), NO_RESOURCES)
     let free = subtractResources(entry.worker.free, kept)
     const candidates: Array<{ task: TaskEntry, cost: number, resources: Resources }> = []
     for (const hold of entry.worker.held) {
       const task = this.findTask(hold.task)
-      if (hold.state === 'stopping') free = addResources(free, hold.resources)
-      if (hold.state !== 'running' || task === undefined || task.phase !== 'running' || !isPreemptible(task.job)) continue
+      const leaving = hold.state === 'stopping' || taken.has(hold.task)
+      if (leaving) free = addResources(free, hold.resources)
+      if (leaving || hold.state !== 'running' || task === undefined || task.phase !== 'running' || !isPreemptible(task.job)) continue
       candidates.push({ task, cost: lostWork(task, now), resources: hold.resources })
     }
     candidates.sort((left, right) => left.cost - right.cost)
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -4,14 +4,20 @@
 import type { Attempt, WorkerReport } from '../contracts/workerProtocol.js'
 import type { Hold, WorkerDescription } from '../machines/worker.js'
 import { Claims } from './claims.js'
+import type { RenewalPlan, SchedulingDecision } from './decisions.js'
+import { explainJob } from './explain.js'
 import { GangReservation } from './gangReservation.js'
+import { HeatLimit, isExemptFromHeat, THROTTLE_PERCENT, type HeatPlan } from './heat.js'
 import { JobQueue } from './jobQueue.js'
 import type { JobEntry, TaskEntry } from './jobState.js'
 import { bestOf, type PlacementPolicy } from './placementPolicy.js'
 import type { LedgerObserver, StartOutcome } from './ledgerObserver.js'
 import { PreemptionPlanner } from './preemption.js'
 import { TeamShares } from './teamShares.js'
-import { MAXIMUM_TASK_FAILURES, TaskLedger } from './taskLedger.js'
+import { chooseSpread } from './rackSpread.js'
+import { UrgentRoom } from './urgentRoom.js'
+import { WorkerHealth } from './workerHealth.js'
+import { TaskLedger } from './taskLedger.js'
 import type { WorkerEntry } from './workerEntry.js'
 
 /** A worker that has not answered for this long gets no renewals, so that its leases lapse, in milliseconds. */
@@ -25,29 +31,12 @@
 /** Most tasks of one job that are placed before another team has its turn. */
 const TASKS_PER_TURN = 16
 
-/** Places that are made by preemption in one decision at most. */
-const PREEMPTIONS_PER_DECISION = 50
-/** Room that is made by preemption is kept for this long: the bound on a checkpoint, the stop after it, and its report. */
-const PREEMPTION_CLAIM_MILLISECONDS = 8000
 /** A deferrable job that has waited for this long counts as normal, in milliseconds. */
 const AGING_MILLISECONDS = 1_800_000
 const URGENT_RANK = 0
-
-/** What the scheduler asks the surrounding task to do. */
-export type SchedulingDecision =
-  | { readonly kind: 'start', readonly worker: WorkerDescription, readonly task: string, readonly attempt: Attempt, readonly job: Job, readonly taskIndex: number, readonly resumeFromMilliseconds: number }
-  | { readonly kind: 'checkpoint', readonly worker: WorkerDescription, readonly task: string, readonly attempt: Attempt }
-  | { readonly kind: 'preempted', readonly task: string, readonly worker: string, readonly by: string }
-  | { readonly kind: 'stop', readonly worker: WorkerDescription, readonly task: string, readonly attempt: Attempt }
-  | { readonly kind: 'jobEnded', readonly job: string, readonly outcome: JobOutcome, readonly reason?: string }
-  | { readonly kind: 'taskLost', readonly task: string, readonly worker: string }
-
-/** Attempts to renew on one worker and those whose end has been taken note of. */
-export interface RenewalPlan {
-  readonly worker: WorkerDescription
-  readonly tasks: ReadonlyArray<{ task: string, attempt: Attempt }>
-  readonly acknowledged: ReadonlyArray<{ task: string, attempt: Attempt }>
-}
+/** A task that has failed on this many workers fails its job, or with this many attempts where there are fewer workers. */
+const WORKERS_BEFORE_JOB_FAILS = 3
+const ATTEMPTS_BEFORE_JOB_FAILS = 6
 
 /**
  * Places the tasks of one failure domain on its workers. It decides only; commands are sent by its caller,
@@ -57,16 +46,18 @@
   private readonly ledger: TaskLedger
   private readonly queue = new JobQueue()
   private readonly teams = new TeamShares()
+  private readonly health = new WorkerHealth()
+  private readonly heat = new HeatLimit(task => this.ledger.findTask(task))
+  /** Processors that batch work and gangs may start in this decision, in thousandths. */
+  private heatRoom = Infinity
   private readonly claims = new Claims(entry => this.queue.noteGrowth(entry))
-  private readonly preemption = new PreemptionPlanner(this.claims, task => this.ledger.findTask(task))
+  private readonly urgentRoom = new UrgentRoom(this.claims, new PreemptionPlanner(this.claims, task => this.ledger.findTask(task)))
   private readonly gangs = new GangReservation(this.claims, task => this.ledger.findTask(task))
-  /** Urgent jobs that did not fit. */
-  private readonly urgentWaiting = new Set<JobEntry>()
   /** Waiting deferrable jobs, by the time at which they count as normal. */
   private readonly aging = new FlatQueue<JobEntry>()
   private readonly changedJobs = new Set<JobEntry>()
   /** Jobs that wait for the inventory of every worker. */
-  private uncertain: JobEntry[] = []
+  private readonly uncertain: JobEntry[] = []
   /** Workers that get no starts for a while, by its end. */
   private readonly avoided = new FlatQueue<WorkerEntry>()
   private lost: SchedulingDecision[] = []
@@ -103,6 +94,11 @@
     this.teams.setQuotas(teams)
   }
 
+  /** Limits the processors in use to a share of the workers' capacity; urgent work and services are exempt. */
+  setAllowedCapacity (percent: number): void {
+    this.heat.setTarget(percent)
+  }
+
   cancelJob (identity: string): void {
     const entry = this.ledger.jobs.get(identity)
     if (entry === undefined || entry.cancelled) return
@@ -112,6 +108,8 @@
 
   /** Forgets a job whose end is in the log; ended attempts are then acknowledged to their workers. */
   forgetJob (identity: string): void {
+    const entry = this.ledger.jobs.get(identity)
+    if (entry !== undefined) this.health.forgetJob(entry)
     this.ledger.forgetJob(identity)
   }
 
@@ -172,16 +170,22 @@
     this.ledger.releaseLapsed(now)
     const decisions = this.lost
     this.lost = []
-    if (this.uncertain.length > 0 && this.inventoryComplete(now)) this.enqueueUncertain()
+    if (this.inventoryComplete(now)) {
+      for (const entry of this.uncertain.splice(0)) this.changedJobs.add(entry)
+    }
     this.settleChanged(now, decisions)
     for (const { entry, hold } of this.ledger.takeCommands(now, COMMANDS_PER_DECISION)) decisions.push(...this.repeat(entry, hold))
+    this.applyHeat(now, decisions)
     this.claims.expire(now)
     this.age(now)
     this.gangs.update(this.ledger.workers.values(), now)
     const gang = this.gangs.current
-    for (const task of gang === undefined ? [] : this.gangs.takeBackfill()) this.preempt(task, gang as JobEntry, now, decisions)
+    for (const task of gang === undefined ? [] : this.gangs.takeBackfill()) this.preempt(task, gang?.job.identity ?? '', now, decisions)
     this.placeWaiting(now, limit, decisions)
-    this.preemptForUrgent(now, decisions)
+    for (const { entry, victims, job } of this.urgentRoom.plan(this.ledger.workers.values(), now)) {
+      for (const victim of victims) this.preempt(victim, job.job.identity, now, decisions)
+      this.queue.noteGrowth(entry)
+    }
     return decisions
   }
 
@@ -193,17 +197,12 @@
     return { state: entry.state, running, waiting, finished }
   }
 
-  /** Says why a job waits, in plain text. */
+  /** Says why a job waits and what would change that, in plain text. */
   explain (identity: string, now: number): string {
     const entry = this.ledger.jobs.get(identity)
     if (entry === undefined) return 'the job is not open in this failure domain'
-    if (entry.mayBePlaced && !this.inventoryComplete(now)) return 'waiting for the inventory of every worker after a change of owner'
-    const { resources } = entry.job
-    const fitting = [...this.ledger.workers.values()].filter(({ worker }) => !worker.leaving && fitsWithin(resources, worker.free)).length
-    if (entry.counts.waiting === 0) return 'all tasks have been placed'
-    if (entry.placeable.size === 0) return 'waiting until attempts of its tasks have stopped or their leases have lapsed'
-    if (entry.job.kind === 'gang') return `waiting until all ${entry.job.tasks} tasks fit at once; ${fitting} workers have room for at least one`
-    return fitting > 0 ? 'about to be placed' : 'no worker has enough free resources; the job is placed when running tasks end'
+    const { ledger, claims, health, heat, teams, gangs, heatRoom } = this
+    return explainJob(entry, { ledger, claims, health, heat, teams, gangs, heatRoom }, this.inventoryComplete(now), now)
   }
 
   /** Resources held and capacity of all workers that are not leaving. */
@@ -231,6 +230,20 @@
     this.changedJobs.add(entry)
   }
 
+  onTaskEnded (entry: WorkerEntry, task: TaskEntry, state: 'finished' | 'failed', now: number): void {
+    if (state === 'failed') {
+      task.failures += 1
+      task.failedOn.set(entry.worker.name, (task.failedOn.get(entry.worker.name) ?? 0) + 1)
+    }
+    const change = state === 'failed' ? this.health.onFailed(entry, task, now) : this.health.onFinished(entry, now)
+    const until = this.health.quarantinedUntil(entry)
+    if (until !== undefined) this.avoided.push(entry, until)
+    if (change !== undefined) this.lost.push(change)
+    if (change?.kind === 'workerReleased') this.queue.noteGrowth(entry)
+    if (task.failedOn.size < WORKERS_BEFORE_JOB_FAILS && task.failures < ATTEMPTS_BEFORE_JOB_FAILS) return
+    task.job.failure = `task ${task.index} failed in ${task.failures} attempts on ${task.failedOn.size} workers`
+  }
+
   onTaskLost (task: string, worker: string): void {
     this.lost.push({ kind: 'taskLost', task, worker })
   }
@@ -248,11 +261,6 @@
     }
   }
 
-  private enqueueUncertain (): void {
-    for (const entry of this.uncertain) this.changedJobs.add(entry)
-    this.uncertain = []
-  }
-
   private placeWaiting (now: number, limit: number, decisions: SchedulingDecision[]): void {
     while ((this.avoided.peekValue() ?? Infinity) <= now) this.queue.noteGrowth(this.avoided.pop() as WorkerEntry)
     this.queue.wake()
@@ -265,13 +273,18 @@
         return
       }
       const { job, group, candidates } = next
-      const wanted = job.job.kind === 'gang' ? job.placeable.size : Math.min(job.placeable.size, TASKS_PER_TURN, limit - starts)
-      if (wanted > limit && job.job.kind !== 'gang') return
+      const { processorsThousandths } = job.job.resources
+      if (this.tasksInHeatRoom(job) < (job.job.kind === 'gang' ? job.placeable.size : 1)) {
+        this.queue.hold(group)
+        continue
+      }
+      const wanted = job.job.kind === 'gang' ? job.placeable.size : Math.min(job.placeable.size, TASKS_PER_TURN, limit - starts, this.tasksInHeatRoom(job))
       const placed = this.place(job, wanted, candidates, now)
       starts += placed.length
+      this.heatRoom -= placed.length * processorsThousandths
       for (const decision of placed) decisions.push(decision)
       if (placed.length === wanted) continue
-      if (job.rank === URGENT_RANK) this.urgentWaiting.add(job)
+      if (job.rank === URGENT_RANK) this.urgentRoom.add(job)
       else if (job.job.kind === 'gang') this.gangs.add(job)
       this.queue.park(group)
       failedTries += 1
@@ -281,10 +294,11 @@
   /** Starts `wanted` tasks of a job, as many as fit; of a gang all or none. */
   private place (job: JobEntry, wanted: number, candidates: readonly WorkerEntry[] | undefined, now: number): SchedulingDecision[] {
     const placed: Array<{ task: TaskEntry, entry: WorkerEntry }> = []
-    const accept = (entry: WorkerEntry): boolean => now >= entry.avoidUntil && this.claims.allows(entry, job)
+    const accept = (entry: WorkerEntry): boolean => now >= entry.avoidUntil && this.health.accepts(entry, job, now) && this.claims.allows(entry, job)
     for (const task of job.placeable) {
       if (placed.length >= wanted) break
-      const entry = this.chooseFor(job, candidates, accept)
+      const elsewhere = task.failures === 0 ? undefined : this.chooseFor(job, candidates, entry => !task.failedOn.has(entry.worker.name) && accept(entry))
+      const entry = elsewhere ?? this.chooseFor(job, candidates, accept)
       if (entry === undefined || !this.ledger.place(task, entry, { term: this.term, sequence: ++this.sequence }, now)) break
       placed.push({ task, entry })
     }
@@ -305,42 +319,31 @@
     const { resources, kind } = job.job
     const choose = (accepted: typeof accept): WorkerEntry | undefined => candidates === undefined ? this.policy.choose(resources, accepted) : bestOf(resources, candidates, accepted)
     if (kind !== 'service') return choose(accept)
-    const racks = new Map<string, number>()
-    for (const task of job.tasks) {
-      const rack = task.worker === undefined ? undefined : this.ledger.workers.get(task.worker)?.worker.description.rack
-      if (rack !== undefined) racks.set(rack, (racks.get(rack) ?? 0) + 1)
-    }
-    const most = Math.max(0, ...racks.values())
-    for (let count = 0; count < most; count += 1) {
-      const spread = choose(entry => (racks.get(entry.worker.description.rack) ?? 0) <= count && accept(entry))
-      if (spread !== undefined) return spread
-    }
-    return choose(accept)
+    return chooseSpread(job, worker => this.ledger.workers.get(worker)?.worker.description.rack, accepts => choose(entry => accepts(entry) && accept(entry)))
   }
 
-  /** Makes room for urgent jobs that did not fit, and keeps it for them. */
-  private preemptForUrgent (now: number, decisions: SchedulingDecision[]): void {
-    if (this.urgentWaiting.size === 0) return
-    const workers = [...this.ledger.workers.values()]
-    let plans = 0
-    for (const job of this.urgentWaiting) {
-      if (!job.isWaiting) {
-        this.urgentWaiting.delete(job)
-        continue
-      }
-      for (let missing = job.placeable.size - this.claims.of(job).length; missing > 0; missing -= 1) {
-        if (++plans > PREEMPTIONS_PER_DECISION) return
-        const plan = this.preemption.plan(job, workers, now)
-        if (plan === undefined) break
-        this.claims.add({ entry: plan.entry, job, resources: job.job.resources, expiresAt: now + PREEMPTION_CLAIM_MILLISECONDS, open: false })
-        for (const victim of plan.victims) this.preempt(victim, job, now, decisions)
-        if (plan.victims.length === 0) this.queue.noteGrowth(plan.entry)
-      }
-    }
+  private tasksInHeatRoom (job: JobEntry): number {
+    const { processorsThousandths } = job.job.resources
+    return isExemptFromHeat(job) || processorsThousandths === 0 ? Infinity : Math.floor(this.heatRoom / processorsThousandths)
+  }
+
+  private applyHeat (now: number, decisions: SchedulingDecision[]): void {
+    const plan: HeatPlan = this.heat.plan(this.ledger.workers.values(), now)
+    this.heatRoom = plan.roomThousandths
+    if (this.heatRoom > 0) this.queue.wakeHeld()
+    for (const task of plan.checkpoint) this.preempt(task, 'the allowed capacity', now, decisions)
+    for (const task of plan.throttle) this.throttle(task, THROTTLE_PERCENT, decisions)
+    for (const task of plan.restore) this.throttle(task, 100, decisions)
+  }
+
+  private throttle (task: TaskEntry, percent: number, decisions: SchedulingDecision[]): void {
+    const entry = task.worker === undefined ? undefined : this.ledger.workers.get(task.worker)
+    if (entry === undefined || task.attempt === undefined) return
+    decisions.push({ kind: 'throttle', worker: entry.worker.description, task: task.task, attempt: task.attempt, percent })
   }
 
-  private preempt (task: TaskEntry, by: JobEntry, now: number, decisions: SchedulingDecision[]): void {
-    decisions.push({ kind: 'preempted', task: task.task, worker: task.worker ?? '', by: by.job.identity })
+  private preempt (task: TaskEntry, by: string, now: number, decisions: SchedulingDecision[]): void {
+    decisions.push({ kind: 'preempted', task: task.task, worker: task.worker ?? '', by })
     task.preemptedAt = now
     this.ledger.stopCurrent(task, now, task.job.job.checkpointable)
   }
@@ -379,13 +382,12 @@
       this.endJob(entry, decisions, 'finished')
       return
     }
-    const failed = entry.failures >= MAXIMUM_TASK_FAILURES
-    if (!entry.cancelled && !failed) return
+    if (!entry.cancelled && entry.failure === undefined) return
     if (entry.places > 0) {
       for (const task of entry.tasks) this.ledger.stopCurrent(task, now)
       return
     }
-    if (failed) this.endJob(entry, decisions, 'failed', `tasks failed ${entry.failures} times`)
+    if (entry.failure !== undefined) this.endJob(entry, decisions, 'failed', entry.failure)
     else this.endJob(entry, decisions, 'cancelled')
   }
 
--- a/src/scheduling/taskLedger.ts
+++ b/src/scheduling/taskLedger.ts
@@ -1,14 +1,12 @@
 import type { Job } from '../contracts/jobs.js'
 import type { Attempt, ReportedTask, WorkerReport } from '../contracts/workerProtocol.js'
-import { sameDescription, type Hold, type WorkerDescription } from '../machines/worker.js'
+import type { Hold, WorkerDescription } from '../machines/worker.js'
 import { HoldTimers, type HeldAttempt } from './holdTimers.js'
 import { compareAttempts, indexOfTask, JobEntry, jobOfTask, type TaskEntry } from './jobState.js'
 import type { LedgerObserver, StartOutcome } from './ledgerObserver.js'
 import type { TeamShares } from './teamShares.js'
 import { WorkerEntry } from './workerEntry.js'
 
-/** Attempts of one task that may fail before its job fails. */
-export const MAXIMUM_TASK_FAILURES = 3
 /** A worker that could not be reached, or refused a start, gets no start for this long, in milliseconds. */
 const AVOID_AFTER_REFUSAL_MILLISECONDS = 1000
 /**
@@ -67,9 +65,8 @@
     if (this.jobs.has(job.identity)) return undefined
     const added = new JobEntry(job, now, ++this.order, mayBePlaced, this.teams.useOf(job.team))
     this.jobs.set(job.identity, added)
-    const places = this.orphans.get(job.identity) ?? []
+    for (const entry of this.orphans.get(job.identity) ?? []) this.adoptOrphans(entry, added, now)
     this.orphans.delete(job.identity)
-    for (const entry of places) this.adoptOrphans(entry, added, now)
     return added
   }
 
@@ -167,8 +164,8 @@
     const entry = this.workers.get(name)
     if (report.term > this.term) this.superseded = true
     if (entry === undefined || report.term !== this.term || requestedAt < entry.reportRequestedAt) return
-    if (entry.reportedAt === undefined) this.unreported -= 1
     const first = entry.reportedAt === undefined
+    if (first) this.unreported -= 1
     entry.reportedAt = now
     entry.reportRequestedAt = requestedAt
     entry.endedOrphans.clear()
@@ -244,21 +241,12 @@
   private setWorker (listing: WorkerDescription & { leaving: boolean }): void {
     const { leaving, ...description } = listing
     const known = this.workers.get(description.name)
+    const entry = known ?? new WorkerEntry(description)
     if (known === undefined) {
-      const entry = new WorkerEntry(description)
-      entry.worker.leaving = leaving
       this.workers.set(description.name, entry)
       this.unreported += 1
-      this.observer.onWorkerChanged(entry)
-      return
     }
-    const { worker } = known
-    const same = known.listed && worker.leaving === leaving && sameDescription(worker.description, description)
-    if (same) return
-    known.listed = true
-    worker.leaving = leaving
-    worker.describe(description)
-    this.observer.onWorkerChanged(known)
+    if (entry.list(description, leaving) || known === undefined) this.observer.onWorkerChanged(entry)
   }
 
   private onReportedTask (entry: WorkerEntry, reported: ReportedTask, now: number): void {
@@ -309,7 +297,7 @@
       this.onFinished(entry, task, reported, now)
     } else {
       entry.acknowledge.set(reported.task, reported.attempt)
-      if (reported.state === 'failed' && !seen) task.job.failures += 1
+      if (reported.state === 'failed' && !seen) this.observer.onTaskEnded(entry, task, 'failed', now)
     }
     if (hold !== undefined) this.release(entry, hold)
     this.observer.onJobChanged(task.job)
@@ -318,14 +306,14 @@
   /** The report of a finished task stays at its worker until the log tells of it, for an owner that comes later. */
   private onFinished (entry: WorkerEntry, task: TaskEntry, reported: ReportedTask, now: number): void {
     if (task.phase === 'finished') {
-      const same = task.attempt !== undefined && compareAttempts(task.attempt, reported.attempt) === 0
-      if (!same) entry.acknowledge.set(reported.task, reported.attempt)
+      if (task.attempt === undefined || compareAttempts(task.attempt, reported.attempt) !== 0) entry.acknowledge.set(reported.task, reported.attempt)
       return
     }
     if (task.attempt !== undefined && compareAttempts(task.attempt, reported.attempt) !== 0) this.stopCurrent(task, now)
     task.attempt = reported.attempt
     task.worker = entry.worker.name
     task.job.setPhase(task, 'finished')
+    this.observer.onTaskEnded(entry, task, 'finished', now)
     const finished = this.newlyFinished.get(task.job.job.identity)
     if (finished === undefined) this.newlyFinished.set(task.job.job.identity, [task.index])
     else finished.push(task.index)
--- /dev/null
+++ b/src/scheduling/urgentRoom.ts
@@ -0,0 +1,44 @@
+import type { Claims } from './claims.js'
+import type { JobEntry } from './jobState.js'
+import type { PreemptionPlan, PreemptionPlanner } from './preemption.js'
+import type { WorkerEntry } from './workerEntry.js'
+
+/** Places that are made by preemption in one decision at most. */
+const PREEMPTIONS_PER_DECISION = 50
+/** Room that is made by preemption is kept for this long: the bound on a checkpoint, the stop after it, and its report. */
+const CLAIM_MILLISECONDS = 8000
+
+/** Makes room for urgent jobs that did not fit, and keeps it for them. */
+export class UrgentRoom {
+  private readonly waiting = new Set<JobEntry>()
+
+  constructor (private readonly claims: Claims, private readonly planner: PreemptionPlanner) {}
+
+  /** Notes that an urgent job did not fit. */
+  add (job: JobEntry): void {
+    this.waiting.add(job)
+  }
+
+  /** Claims room for tasks that have none yet and returns what is to be preempted for it. */
+  plan (allWorkers: Iterable<WorkerEntry>, now: number): Array<PreemptionPlan & { readonly job: JobEntry }> {
+    const plans: Array<PreemptionPlan & { readonly job: JobEntry }> = []
+    if (this.waiting.size === 0) return plans
+    const workers = [...allWorkers]
+    const victims = new Set<string>()
+    for (const job of this.waiting) {
+      if (!job.isWaiting) {
+        this.waiting.delete(job)
+        continue
+      }
+      for (let missing = job.placeable.size - this.claims.of(job).length; missing > 0; missing -= 1) {
+        if (plans.length >= PREEMPTIONS_PER_DECISION) return plans
+        const plan = this.planner.plan(job, workers, victims, now)
+        if (plan === undefined) break
+        this.claims.add({ entry: plan.entry, job, resources: job.job.resources, expiresAt: now + CLAIM_MILLISECONDS, open: false })
+        for (const victim of plan.victims) victims.add(victim.task)
+        plans.push({ ...plan, job })
+      }
+    }
+    return plans
+  }
+}
--- a/src/scheduling/workerEntry.ts
+++ b/src/scheduling/workerEntry.ts
@@ -1,6 +1,6 @@
 import { NO_RESOURCES } from '../contracts/resources.js'
 import type { Attempt, ReportedTask } from '../contracts/workerProtocol.js'
-import { Worker, type WorkerDescription } from '../machines/worker.js'
+import { sameDescription, Worker, type WorkerDescription } from '../machines/worker.js'
 
 /** What the owner knows about one worker besides its resources. Times are monotonic milliseconds of the owner. */
 export class WorkerEntry {
@@ -27,6 +27,16 @@
     this.worker = new Worker(description)
   }
 
+  /** Takes over what the list of workers says. Returns whether anything has changed. */
+  list (description: WorkerDescription, leaving: boolean): boolean {
+    const { worker } = this
+    if (this.listed && worker.leaving === leaving && sameDescription(worker.description, description)) return false
+    this.listed = true
+    worker.leaving = leaving
+    worker.describe(description)
+    return true
+  }
+
   /** Whether it takes part in placing at all. */
   get present (): boolean {
     return this.reportedAt !== undefined && this.listed && !this.worker.leaving
--- /dev/null
+++ b/src/scheduling/workerHealth.ts
@@ -0,0 +1,101 @@
+import type { JobEntry, TaskEntry } from './jobState.js'
+import type { WorkerEntry } from './workerEntry.js'
+
+/** Failed attempts in a row after which a worker is suspected. */
+const FAILURES_BEFORE_QUARANTINE = 3
+/** Jobs that must be among them, so that one bad job does not quarantine workers. */
+const JOBS_BEFORE_QUARANTINE = 2
+/** A job that has failed on this many workers is itself at fault; its failures say nothing about a worker. */
+const WORKERS_BEFORE_JOB_SUSPECTED = 3
+/** First quarantine; each further one within the memory below lasts twice as long, up to the longest. In milliseconds. */
+const FIRST_QUARANTINE_MILLISECONDS = 60_000
+const LONGEST_QUARANTINE_MILLISECONDS = 960_000
+const MEMORY_MILLISECONDS = 3_600_000
+
+interface Health {
+  /** Attempts that have failed since the last one that finished. */
+  failed: TaskEntry[]
+  quarantinedUntil: number | undefined
+  /** Quarantines so far, for their length, and the end of the last one. */
+  quarantines: number
+  releasedAt: number
+}
+
+/** Change of a worker's health. */
+export interface HealthChange {
+  readonly kind: 'workerQuarantined' | 'workerReleased'
+  readonly worker: string
+  readonly detail: string
+}
+
+/**
+ * Tells workers that fail everything from jobs that fail everywhere by counting distinct jobs and workers.
+ * A quarantined worker gets nothing for a while, then one deferrable task as a probe; only a finished task releases it.
+ */
+export class WorkerHealth {
+  private readonly health = new Map<WorkerEntry, Health>()
+  private readonly jobsFailedOn = new Map<JobEntry, Set<WorkerEntry>>()
+
+  /** Returns whether a task of the job may be started on the worker. */
+  accepts (entry: WorkerEntry, job: JobEntry, now: number): boolean {
+    const until = this.health.get(entry)?.quarantinedUntil
+    if (until === undefined) return true
+    return now >= until && job.job.urgency === 'deferrable' && job.job.kind === 'batch' && entry.worker.heldCount === 0
+  }
+
+  /** End of the worker's quarantine, or undefined if it is not in one. A probe may run after it. */
+  quarantinedUntil (entry: WorkerEntry): number | undefined {
+    return this.health.get(entry)?.quarantinedUntil
+  }
+
+  onFinished (entry: WorkerEntry, now: number): HealthChange | undefined {
+    const health = this.health.get(entry)
+    if (health === undefined) return undefined
+    health.failed = []
+    if (health.quarantinedUntil === undefined) return undefined
+    health.quarantinedUntil = undefined
+    health.releasedAt = now
+    return { kind: 'workerReleased', worker: entry.worker.name, detail: 'a probe finished' }
+  }
+
+  onFailed (entry: WorkerEntry, task: TaskEntry, now: number): HealthChange | undefined {
+    const failedOn = this.jobsFailedOn.get(task.job) ?? new Set()
+    this.jobsFailedOn.set(task.job, failedOn.add(entry))
+    const health = this.health.get(entry) ?? { failed: [], quarantinedUntil: undefined, quarantines: 0, releasedAt: -Infinity }
+    this.health.set(entry, health)
+    if (health.quarantinedUntil !== undefined) {
+      this.forgive(task, entry)
+      if (now >= health.quarantinedUntil) health.quarantinedUntil = now + this.nextLength(health)
+      return undefined
+    }
+    health.failed.push(task)
+    const telling = health.failed.filter(({ job }) => (this.jobsFailedOn.get(job)?.size ?? 0) < WORKERS_BEFORE_JOB_SUSPECTED)
+    const jobs = new Set(telling.map(({ job }) => job))
+    if (telling.length < FAILURES_BEFORE_QUARANTINE || jobs.size < JOBS_BEFORE_QUARANTINE) return undefined
+    if (now - health.releasedAt > MEMORY_MILLISECONDS) health.quarantines = 0
+    for (const failed of health.failed) this.forgive(failed, entry)
+    health.failed = []
+    health.quarantinedUntil = now + this.nextLength(health)
+    return { kind: 'workerQuarantined', worker: entry.worker.name, detail: `${telling.length} attempts of ${jobs.size} jobs failed in a row` }
+  }
+
+  forgetJob (job: JobEntry): void {
+    this.jobsFailedOn.delete(job)
+  }
+
+  forgetWorker (entry: WorkerEntry): void {
+    this.health.delete(entry)
+  }
+
+  /** A failure on a worker that fails everything does not count against the task. */
+  private forgive (task: TaskEntry, entry: WorkerEntry): void {
+    const count = task.failedOn.get(entry.worker.name) ?? 0
+    task.failures -= count
+    task.failedOn.delete(entry.worker.name)
+  }
+
+  private nextLength (health: Health): number {
+    health.quarantines += 1
+    return Math.min(LONGEST_QUARANTINE_MILLISECONDS, FIRST_QUARANTINE_MILLISECONDS * 2 ** (health.quarantines - 1))
+  }
+}
--- a/src/standins/workerStandin.ts
+++ b/src/standins/workerStandin.ts
@@ -13,6 +13,8 @@
   silent: boolean
   /** Does what it is told, then breaks the connection before the answer. */
   loseAnswers: boolean
+  /** Tasks of jobs whose name starts with this fail right after their start; nothing fails if it is empty. */
+  failJobsNamed: string
 }
 
 /** One run of a task attempt. `endedAt` is undefined while it runs; times are monotonic milliseconds. */
@@ -28,7 +30,9 @@
 interface StandinTask {
   readonly command: StartTask
   readonly run: TaskRun
-  startedAt: number
+  /** Progress in milliseconds of run time at full speed, as of `progressAt`. */
+  progress: number
+  progressAt: number
   checkpointMilliseconds: number
   throttlePercent: number
   leaseTimer: NodeJS.Timeout | undefined
@@ -37,7 +41,7 @@
 
 /** Worker that runs tasks under leases and starts what it is given, whether it fits or not. */
 export class WorkerStandin extends HttpStandin {
-  readonly faults: WorkerFaults = { failEverything: false, silent: false, loseAnswers: false }
+  readonly faults: WorkerFaults = { failEverything: false, silent: false, loseAnswers: false, failJobsNamed: '' }
   readonly runs: TaskRun[] = []
   private readonly tasks = new Map<string, StandinTask>()
   private term = 0
@@ -137,26 +141,46 @@
     if (previous?.run.state === 'running') this.end(previous, 'stopped')
     const now = performance.now()
     const run: TaskRun = { task: name, job: command.job, attempt: command.attempt, startedAt: now, endedAt: undefined, state: 'running' }
-    const task: StandinTask = { command, run, startedAt: now, checkpointMilliseconds: command.resumeFromMilliseconds, throttlePercent: 100, leaseTimer: undefined, endTimer: undefined }
+    const task: StandinTask = { command, run, progress: command.resumeFromMilliseconds, progressAt: now, checkpointMilliseconds: command.resumeFromMilliseconds, throttlePercent: 100, leaseTimer: undefined, endTimer: undefined }
     this.runs.push(run)
     this.tasks.set(name, task)
     this.context.events.record('taskStarted', { task: name, job: command.job, worker: this.name, term: command.term })
     this.startLease(task, command.leaseMilliseconds)
     this.noteUse()
-    if (this.faults.failEverything) this.end(task, 'failed')
-    else if (command.runMilliseconds !== undefined) task.endTimer = setTimeout(() => this.end(task, 'finished'), Math.max(1, command.runMilliseconds - command.resumeFromMilliseconds))
+    const { failEverything, failJobsNamed } = this.faults
+    if (failEverything || (failJobsNamed !== '' && command.name.startsWith(failJobsNamed))) this.end(task, 'failed')
+    else this.scheduleEnd(task)
   }
 
   private act (task: StandinTask, action: TaskActionName, throttlePercent: number | undefined): void {
     if (task.run.state !== 'running') return
     if (action === 'stop') this.end(task, 'stopped')
-    if (action === 'throttle') task.throttlePercent = throttlePercent ?? 100
+    if (action === 'throttle') {
+      this.noteProgress(task)
+      task.throttlePercent = throttlePercent ?? 100
+      this.scheduleEnd(task)
+    }
     if (action === 'checkpoint' && task.command.checkpointable) {
-      task.checkpointMilliseconds = task.command.resumeFromMilliseconds + performance.now() - task.startedAt
+      this.noteProgress(task)
+      task.checkpointMilliseconds = task.progress
       this.end(task, 'checkpointed')
     }
   }
 
+  /** Adds the progress since it was last noted, at the speed that the throttle allows. */
+  private noteProgress (task: StandinTask): void {
+    const now = performance.now()
+    task.progress += (now - task.progressAt) * task.throttlePercent / 100
+    task.progressAt = now
+  }
+
+  private scheduleEnd (task: StandinTask): void {
+    clearTimeout(task.endTimer)
+    const { runMilliseconds } = task.command
+    if (runMilliseconds === undefined || task.throttlePercent === 0) return
+    task.endTimer = setTimeout(() => this.end(task, 'finished'), Math.max(1, (runMilliseconds - task.progress) * 100 / task.throttlePercent))
+  }
+
   private startLease (task: StandinTask, leaseMilliseconds: number): void {
     clearTimeout(task.leaseTimer)
     task.leaseTimer = setTimeout(() => {
--- a/test/scheduling/interleavings.test.ts
+++ b/test/scheduling/interleavings.test.ts
@@ -6,7 +6,8 @@
 import type { Attempt, ReportedTask } from '../../src/contracts/workerProtocol.js'
 import { compareAttempts } from '../../src/scheduling/jobState.js'
 import { BestFitPolicy } from '../../src/scheduling/placementPolicy.js'
-import { Scheduler, type SchedulingDecision } from '../../src/scheduling/scheduler.js'
+import type { SchedulingDecision } from '../../src/scheduling/decisions.js'
+import { Scheduler } from '../../src/scheduling/scheduler.js'
 
 const LEASE = 30_000
 const CALL_TIMEOUT = 2000
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -3,7 +3,8 @@
 import type { Job } from '../../src/contracts/jobs.js'
 import type { WorkerReport } from '../../src/contracts/workerProtocol.js'
 import { BestFitPolicy } from '../../src/scheduling/placementPolicy.js'
-import { Scheduler, type SchedulingDecision } from '../../src/scheduling/scheduler.js'
+import type { SchedulingDecision } from '../../src/scheduling/decisions.js'
+import { Scheduler } from '../../src/scheduling/scheduler.js'
 
 function job (identity: string, change: Partial<Job>): Job {
   return {
--- a/test/scheduling/taskLedger.test.ts
+++ b/test/scheduling/taskLedger.test.ts
@@ -3,7 +3,8 @@
 import type { Job } from '../../src/contracts/jobs.js'
 import type { Attempt, ReportedTask, TaskState } from '../../src/contracts/workerProtocol.js'
 import { BestFitPolicy } from '../../src/scheduling/placementPolicy.js'
-import { Scheduler, type SchedulingDecision } from '../../src/scheduling/scheduler.js'
+import type { SchedulingDecision } from '../../src/scheduling/decisions.js'
+import { Scheduler } from '../../src/scheduling/scheduler.js'
 
 const SIZE = { processorsThousandths: 1000, memoryBytes: 100, accelerators: 1 }
 const CAPACITY = { processorsThousandths: 1000, memoryBytes: 100, accelerators: 1 }
@@ -55,6 +56,7 @@
   private describe (decision: SchedulingDecision): string {
     if (decision.kind === 'jobEnded') return `end ${decision.job} ${decision.outcome}`
     if (decision.kind === 'start') this.started.push(decision.attempt)
+    if (!('task' in decision)) return decision.kind
     return `${decision.kind} ${decision.task} at ${typeof decision.worker === 'string' ? decision.worker : decision.worker.name}`
   }
 }
