--- a/src/programs/embeddedSite.ts
+++ b/src/programs/embeddedSite.ts
@@ -54,7 +54,7 @@
 
   async run (scenario: Scenario): Promise<LoadResult> {
     const { address } = this.standin.platform
-    const target = { callerAddresses: this.callerAddresses, operatorToken: OPERATOR_TOKEN, standinAddress: address, runIdentity: randomUUID(), urgencyOf: (service: string) => this.text.services[service]?.urgency ?? 'normal' }
+    const target = { callerAddresses: this.callerAddresses, operatorToken: OPERATOR_TOKEN, standinAddress: address, runIdentity: `seed-${scenario.seed}`, urgencyOf: (service: string) => this.text.services[service]?.urgency ?? 'normal' }
     const events = new EventLog('load', randomUUID(), new LogicalClock(), this.sink)
     this.runner = new LoadRunner(scenario, target, this.agent, events, () => {})
     return await this.runner.run()
--- a/src/programs/load.ts
+++ b/src/programs/load.ts
@@ -24,7 +24,8 @@
   text: z.string('expected the file of the site text').min(1),
   json: textOption.optional(),
   plot: textOption.optional(),
-  events: textOption.optional()
+  events: textOption.optional(),
+  run: textOption.optional()
 })
 type LoadOptions = z.infer<typeof optionsSchema>
 
@@ -39,6 +40,7 @@
   .option('--text <file>', 'Site text, to report by urgency class')
   .option('--json <file>', 'Write the result as JSON')
   .option('--plot <file>', 'Write a self-contained page with plots')
+  .option('--run <name>', 'Name that sets the idempotency keys of this run apart; random if not stated, so that every run gets new keys')
   .option('--events <file>', 'Write the events of the callers for the time line')
   .action(async (scenarioFile: string, given: Record<string, unknown>) => {
     const options = checkLoadOptions(given)
@@ -54,7 +56,7 @@
     const agent = new Agent({ connections: 256 })
     const bar = process.stderr.isTTY ? new SingleBar({ format: '{bar} {percentage}%', stream: process.stderr }) : undefined
     bar?.start(100, 0)
-    const runner = new LoadRunner(scenario, { ...target, standinAddress: options.standin, runIdentity: randomUUID(), urgencyOf: service => text.services[service]?.urgency ?? 'normal' }, agent, events, fraction => bar?.update(Math.round(fraction * 100)))
+    const runner = new LoadRunner(scenario, { ...target, standinAddress: options.standin, runIdentity: options.run ?? randomUUID(), urgencyOf: service => text.services[service]?.urgency ?? 'normal' }, agent, events, fraction => bar?.update(Math.round(fraction * 100)))
     const result = await runner.run()
     bar?.stop()
     const ledger = await runner.readLedger()
