--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -8,8 +8,13 @@
 import { CALLER_HEADERS } from '../requests/headers.js'
 import type { ConfigurationTask } from './configurationTask.js'
 import { monotonicNow } from './entryContext.js'
-import type { CallerAnswer, FrontDoor } from './frontDoor.js'
+import type { CallerAnswer } from './callerRequest.js'
+import type { FrontDoor } from './frontDoor.js'
+import { RequestBody } from './requestBody.js'
 import { errorResponse } from './errorResponse.js'
+import type { Forwarder } from './forwarder.js'
+import { PEER_PROOF_HEADER } from '../links/peerProof.js'
+import type { KeyTask } from './keyTask.js'
 import type { JobApi } from './jobApi.js'
 import type { OperatorApi } from './operatorApi.js'
 
@@ -23,6 +28,8 @@
     private readonly frontDoor: FrontDoor,
     private readonly jobs: JobApi,
     private readonly operators: OperatorApi,
+    private readonly keys: Pick<KeyTask, 'onPeer'>,
+    private readonly forwarder: Forwarder,
     private readonly isReady: () => boolean
   ) {
     super()
@@ -39,6 +46,7 @@
     app.get('/jobs', () => this.jobs.list())
     app.get('/jobs/:job', async event => await this.jobs.read(event.context.params?.job ?? '', event.req.headers.has(CALLER_HEADERS.forwardedFrom)))
     app.delete('/jobs/:job', async event => await this.jobs.cancel(event.context.params?.job ?? ''))
+    app.post('/peer/keys', async event => await this.onKeyQuestion(event))
     this.operators.route(app)
     const server = serve(app, { port, hostname: host, silent: true, gracefulShutdown: false })
     await server.ready()
@@ -54,33 +62,45 @@
     return await this.jobs.submit(parsed.submission, event.req.headers.get(CALLER_HEADERS.idempotencyKey) ?? undefined)
   }
 
+  private async onKeyQuestion (event: H3Event): Promise<Response> {
+    const decision = await this.keys.onPeer(event.req)
+    if (decision !== undefined) return Response.json(decision)
+    return errorResponse({ code: 'unauthorized', verdict: 'notRun', message: 'the request carries no valid proof of a peer' })
+  }
+
   private async onRequest (event: H3Event): Promise<Response> {
-    const identity = randomUUID()
-    const response = await this.onIdentifiedRequest(event, identity)
+    const forwardedFrom = event.req.headers.get(CALLER_HEADERS.forwardedFrom)
+    const identity = forwardedFrom === null ? randomUUID() : event.req.headers.get(CALLER_HEADERS.request) ?? ''
+    const response = await this.onIdentifiedRequest(event, identity, forwardedFrom)
     response.headers.set(CALLER_HEADERS.request, identity)
     return response
   }
 
-  private async onIdentifiedRequest (event: H3Event, identity: string): Promise<Response> {
+  private async onIdentifiedRequest (event: H3Event, identity: string, forwardedFrom: string | null): Promise<Response> {
     const serviceName = event.context.params?.service ?? ''
     const service = this.configuration.inForce?.text.services[serviceName]
     if (this.configuration.inForce !== undefined && service === undefined) {
       return errorResponse({ code: 'unknownService', verdict: 'notRun', message: `there is no service '${serviceName}'` })
     }
+    const path = event.url.pathname + event.url.search
+    if (forwardedFrom !== null && !this.forwarder.accepts({ method: event.req.method, path, identity, from: forwardedFrom, proof: event.req.headers.get(PEER_PROOF_HEADER) ?? '' })) {
+      return errorResponse({ code: 'unauthorized', verdict: 'notRun', message: 'the forwarded request carries no valid proof of a peer, or has arrived before' })
+    }
     const deadlineMilliseconds = parseDeadline(event.req.headers.get(CALLER_HEADERS.deadlineMilliseconds), service?.deadlineMilliseconds ?? 0)
     if (deadlineMilliseconds === undefined) {
       return errorResponse({ code: 'malformedRequest', verdict: 'notRun', message: `${CALLER_HEADERS.deadlineMilliseconds}: expected a whole number of milliseconds` })
     }
     const deadline = monotonicNow() + deadlineMilliseconds
-    const body = await readBody(event.req, this.bodyLimit())
-    if (body === 'tooLarge') return errorResponse({ code: 'bodyTooLarge', verdict: 'notRun', message: `the body is larger than ${this.bodyLimit()} bytes` })
+    const body = await this.readRequestBody(event.req, deadlineMilliseconds)
+    if (!(body instanceof RequestBody)) return errorResponse(body)
     const answer = await this.frontDoor.serve({
       identity,
+      isForwarded: forwardedFrom !== null,
       service: serviceName,
       method: event.req.method,
       path: (event.url.pathname.slice(`/services/${serviceName}`.length) || '/') + event.url.search,
       headers: [...event.req.headers],
-      body: body.length > 0 ? body : undefined,
+      body,
       urgency: effectiveUrgency(service?.urgency ?? 'normal', event.req.headers.get(CALLER_HEADERS.urgency)),
       deadline,
       signal: event.req.signal
@@ -88,6 +108,22 @@
     return toResponse(answer)
   }
 
+  /** Reads the part of a body that is kept in memory; a caller that sends it slowly is given up at the deadline. */
+  private async readRequestBody (request: Request, deadlineMilliseconds: number): Promise<RequestBody | ServingError> {
+    if (request.body === null) return RequestBody.EMPTY
+    const limit = this.bodyLimit()
+    const tooLarge: ServingError = { code: 'bodyTooLarge', verdict: 'notRun', message: `the body is larger than ${limit} bytes` }
+    if (Number(request.headers.get('content-length') ?? 0) > limit) return tooLarge
+    const timeout = AbortSignal.timeout(Math.max(1, deadlineMilliseconds))
+    try {
+      const body = await RequestBody.read(request.body, limit, AbortSignal.any([request.signal, timeout]))
+      return body === 'tooLarge' ? tooLarge : body
+    } catch {
+      if (timeout.aborted) return { code: 'deadlineExpired', verdict: 'notRun', message: 'the body did not arrive before the deadline' }
+      return { code: 'cancelled', verdict: 'notRun', message: 'the caller has gone' }
+    }
+  }
+
   private bodyLimit (): number {
     return this.configuration.inForce?.text.limits.requestBodyBytes ?? DEFAULT_BODY_LIMIT_BYTES
   }
--- a/src/entry/operatorApi.ts
+++ b/src/entry/operatorApi.ts
@@ -25,6 +25,7 @@
     private readonly links: LinkTransport,
     private readonly metrics: MetricsRegistry,
     private readonly requests: RequestHistory,
+    private readonly newerRecords: () => number,
     private readonly isReady: () => boolean
   ) {}
 
@@ -61,6 +62,8 @@
       isOwner: this.ownership.isOwner(),
       activeRequests: this.frontDoor.active,
       openJobs: this.jobs.book.open().length,
+      outdated: this.newerRecords() > 0,
+      newerRecords: this.newerRecords(),
       peers: this.links.peers().map(peer => peer.instance),
       instanceListAgeMilliseconds: Number.isFinite(listAge) ? Math.round(listAge) : null,
       used: utilization?.used,
--- /dev/null
+++ b/src/scheduling/jobState.ts
@@ -0,0 +1,108 @@
+import type { Job, JobState } from '../contracts/jobs.js'
+import { urgencyRank } from '../contracts/siteText.js'
+import type { TeamUse } from './teamShares.js'
+import type { Attempt } from '../contracts/workerProtocol.js'
+
+export type TaskPhase = 'waiting' | 'starting' | 'running' | 'stopping' | 'finished'
+
+/** One task of a job. `attempt` and `worker` name its current attempt while it is starting, running or stopping. */
+export interface TaskEntry {
+  readonly job: JobEntry
+  readonly task: string
+  readonly index: number
+  phase: TaskPhase
+  attempt: Attempt | undefined
+  worker: string | undefined
+  /** Workers that hold any attempt of the task. It is placed only when there are none. */
+  places: number
+  checkpointMilliseconds: number
+  /** Start of the current attempt, and the last preemption, in monotonic milliseconds of the owner. */
+  startedAt: number
+  preemptedAt: number
+}
+
+/** An open job and its tasks, with counts by phase that are kept up to date at each change. */
+export class JobEntry {
+  readonly tasks: readonly TaskEntry[]
+  /** Tasks that may be placed: waiting and held by no worker. */
+  readonly placeable: Set<TaskEntry>
+  /** Rank of urgency by which it is placed. */
+  rank: number
+  readonly counts: Record<TaskPhase, number> = { waiting: 0, starting: 0, running: 0, stopping: 0, finished: 0 }
+  /** Workers that hold an attempt of any task. */
+  places = 0
+  /** Whether it is in the queue of waiting jobs. */
+  queued = false
+  cancelled = false
+  endDecided = false
+  failures = 0
+
+  /**
+   * @param order Place in the order of acceptance.
+   * @param mayBePlaced Whether an earlier owner may have placed tasks, so that placing waits for the inventory of every worker.
+   */
+  constructor (readonly job: Job, readonly addedAt: number, readonly order: number, readonly mayBePlaced: boolean, private readonly use: TeamUse) {
+    this.rank = urgencyRank(job.urgency)
+    this.tasks = Array.from({ length: job.tasks }, (_, index): TaskEntry => ({
+      job: this, task: taskName(job.identity, index), index, phase: 'waiting', attempt: undefined, worker: undefined, places: 0, checkpointMilliseconds: 0, startedAt: addedAt, preemptedAt: -Infinity
+    }))
+    this.placeable = new Set(this.tasks)
+    this.counts.waiting = job.tasks
+  }
+
+  setPhase (task: TaskEntry, phase: TaskPhase): void {
+    this.counts[task.phase] -= 1
+    this.counts[phase] += 1
+    task.phase = phase
+    this.notePlaceable(task)
+  }
+
+  /** Notes that one more (1) or one fewer (-1) worker holds an attempt of the task. */
+  changePlaces (task: TaskEntry, change: 1 | -1): void {
+    task.places += change
+    this.places += change
+    this.use.change(this.job.resources, change)
+    this.notePlaceable(task)
+  }
+
+  /** Whether it has tasks that may be placed now. */
+  get isWaiting (): boolean {
+    if (this.cancelled || this.endDecided || this.placeable.size === 0) return false
+    return this.job.kind !== 'gang' || this.placeable.size === this.counts.waiting
+  }
+
+  /** Takes what is still held out of the team's use when the job is forgotten. */
+  leaveTeam (): void {
+    for (let place = 0; place < this.places; place += 1) this.use.change(this.job.resources, -1)
+  }
+
+  get state (): JobState {
+    if (this.counts.running > 0) return 'running'
+    return this.counts.starting > 0 ? 'starting' : 'waiting'
+  }
+
+  private notePlaceable (task: TaskEntry): void {
+    if (task.phase === 'waiting' && task.places === 0) this.placeable.add(task)
+    else this.placeable.delete(task)
+  }
+}
+
+/** Name of a job's task. */
+export function taskName (job: string, index: number): string {
+  return `${job}#${index}`
+}
+
+/** Job that a task's name names. */
+export function jobOfTask (task: string): string {
+  return task.slice(0, task.lastIndexOf('#'))
+}
+
+/** Index within its job that a task's name names. */
+export function indexOfTask (task: string): number {
+  return Number(task.slice(task.lastIndexOf('#') + 1))
+}
+
+/** Negative if `left` is the earlier attempt, positive if it is the later, 0 if they are the same. */
+export function compareAttempts (left: Attempt, right: Attempt): number {
+  return left.term - right.term || left.sequence - right.sequence
+}
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -51,4 +51,38 @@
     assert.deepEqual(starts(scheduler.decide(30_000, 10)), [])
     assert.deepEqual(starts(scheduler.decide(32_000, 10)), ['first'])
   })
+
+  it('repeats a start that never arrived as the same attempt while its worker answers', () => {
+    const scheduler = schedulerWith(1)
+    scheduler.addJob(job('first', {}), 0)
+    const [start] = scheduler.decide(0, 10)
+    if (start?.kind !== 'start') return assert.fail('nothing was started')
+    scheduler.onStartOutcome(start.task, start.attempt, 'unknown', 2000)
+    const attempts = new Set<string>()
+    for (let now = 2500; now < 33_000; now += 500) {
+      scheduler.planRenewals(now)
+      scheduler.onReport('worker-0', { worker: 'worker-0', incarnation: '1', term: 1, tasks: [], logicalTime: 0 }, now)
+      for (const decision of scheduler.decide(now, 10)) {
+        if (decision.kind !== 'start') continue
+        attempts.add(JSON.stringify(decision.attempt))
+        scheduler.onStartOutcome(decision.task, decision.attempt, 'unknown', now)
+      }
+    }
+    assert.deepEqual([...attempts], [JSON.stringify(start.attempt)])
+  })
+
+  it('lets the lease of a start that never arrived lapse when its worker is silent', () => {
+    const scheduler = schedulerWith(1)
+    scheduler.addJob(job('first', {}), 0)
+    const [start] = scheduler.decide(0, 10)
+    if (start?.kind !== 'start') return assert.fail('nothing was started')
+    scheduler.onStartOutcome(start.task, start.attempt, 'unknown', 2000)
+    let placedAt = 0
+    for (let now = 2500; now < 60_000 && placedAt === 0; now += 500) {
+      scheduler.planRenewals(now)
+      if (starts(scheduler.decide(now, 10)).length > 0) placedAt = now
+    }
+    // Renewals end 10 s after the last report; the lease of 30 s and its margin of 1 s follow.
+    assert.ok(placedAt >= 33_000 && placedAt <= 41_500, `placed again at ${placedAt}`)
+  })
 })
