--- a/bench/capacityPlacement.ts
+++ b/bench/capacityPlacement.ts
@@ -7,7 +7,9 @@
 import { Membership } from '../src/machines/membership.js'
 import { JobBook } from '../src/scheduling/jobBook.js'
 import { BestFitPolicy } from '../src/scheduling/placementPolicy.js'
-import { Scheduler, taskName, TASK_LEASE_MILLISECONDS } from '../src/scheduling/scheduler.js'
+import { TASK_LEASE_MILLISECONDS } from '../src/scheduling/holdTimers.js'
+import { taskName } from '../src/scheduling/jobState.js'
+import { Scheduler } from '../src/scheduling/scheduler.js'
 import { CountingServer, medianMilliseconds, medianProcessorMilliseconds, printRow, printTitle, retainedBytes } from './measure.js'
 
 /** Exchanges before the first that is measured, which open connections and let the runtime compile. */
@@ -88,13 +90,15 @@
   printRow(['workers', 'tasks', 'jobs ms', 'reports ms', 'decide ms'])
   for (const [workers, tasks] of RECOVERY_SIZES) {
     const inventory = createInventory(workers, tasks, seed)
+    // The workers answer a renewal with the new owner's term; their tasks have attempts of the earlier one.
+    const reports = [...inventory.reports].map(([worker, report]) => [worker, { ...report, term: 2 }] as const)
     const empty = (): Scheduler => {
       const scheduler = new Scheduler(2, 0, new BestFitPolicy())
       scheduler.setWorkers(inventory.workers)
       return scheduler
     }
     const addJobs = (scheduler: Scheduler): void => { for (const job of inventory.jobs) scheduler.addJob(job, 0) }
-    const applyReports = (scheduler: Scheduler): void => { for (const [worker, report] of inventory.reports) scheduler.onReport(worker, report, 0) }
+    const applyReports = (scheduler: Scheduler): void => { for (const [worker, report] of reports) scheduler.onReport(worker, report, 0) }
     const withJobs = (): Scheduler => {
       const scheduler = empty()
       addJobs(scheduler)
--- a/src/operator/operatorClient.ts
+++ b/src/operator/operatorClient.ts
@@ -4,8 +4,7 @@
 import { LogicalClock } from '../base/logicalClock.js'
 import { describeError } from '../base/logger.js'
 import { RECORD_SCHEMA_VERSION, CONFIGURATION_STREAM, recordBodySchema, type RecordEnvelope, type StoredRecord } from '../contracts/records.js'
-import { HttpPlatformLog } from '../links/platformLog.js'
-import { isConnectFailure } from '../links/workerClient.js'
+import { AppendRefusedError, HttpPlatformLog } from '../links/platformLog.js'
 import { ConfigurationHistory, type PublishOutcome } from '../zones/configurationHistory.js'
 import { instanceStatusSchema, type StatusAnswer } from './statusReport.js'
 
@@ -15,7 +14,7 @@
 const CALL_TIMEOUT_MILLISECONDS = 3000
 const IN_FORCE_POLL_MILLISECONDS = 200
 
-/** What became of a publish that was asked for. `notSent` means that no byte reached the log; `unknown` that the record may be in it. */
+/** What became of a publish that was asked for. `notSent` means that the log has certainly not taken the record; `unknown` that the record may be in it. */
 export type PublishResult = PublishOutcome | { readonly kind: 'notSent' | 'unknown', readonly reason: string }
 
 /** Answer of one entry instance; `body` is undefined and `reason` says why if there is none. */
@@ -103,7 +102,7 @@
     await this.agent.destroy()
   }
 
-  /** Appends until confirmed; returns undefined, or why it failed and whether bytes may have been sent. */
+  /** Appends until confirmed; returns undefined, or why it failed and whether the record may have been taken. */
   private async append (record: RecordEnvelope): Promise<{ reason: string, sent: boolean } | undefined> {
     let reason = ''
     let sent = false
@@ -113,11 +112,11 @@
         return undefined
       } catch (error) {
         reason = describeError(error)
-        sent = sent || !isConnectFailure(error)
+        sent = sent || !(error instanceof AppendRefusedError)
         await delay(RETRY_MILLISECONDS)
       }
     }
-    return { reason: `the platform's log at ${this.platformAddress} does not answer: ${reason}`, sent }
+    return { reason: `the platform's log at ${this.platformAddress} has not confirmed the record: ${reason}`, sent }
   }
 
   private async readHistory (identity: string): Promise<{ history: ConfigurationHistory, outcome: PublishOutcome | undefined, texts: ReadonlyMap<number, PublishedText> }> {
--- a/test/programs/commandLine.test.ts
+++ b/test/programs/commandLine.test.ts
@@ -97,7 +97,7 @@
     assert.match(show.errors, /^vanillaturn: the platform's log at http:\/\/127\.0\.0\.1:1 does not answer: /)
     assert.equal(show.status, 1)
     const publish = run('vanillaturn', ['publish', SITE, '--base', '0', '--settings', operator])
-    assert.match(publish.output, /^not published: the platform's log at http:\/\/127\.0\.0\.1:1 does not answer: /)
+    assert.match(publish.output, /^not published: the platform's log at http:\/\/127\.0\.0\.1:1 has not confirmed the record: ECONNREFUSED\n$/)
     assert.equal(publish.status, 1)
   })
 
