Keep open jobs and the text in force beyond the log's retention

Cause: nothing was re-appended, so a late starter lost jobs and the text once their records had left the retention period. The model check also showed that a restated text without a position lets a losing publish win for a reader with a gap, and that a reader that fell behind went on as if nothing was missing. The owner now re-appends; restatements carry the offset through which they hold. The test found that losing publishes were taken for the text's anchor; only a restatement counts now.

--- a/src/contracts/records.ts
+++ b/src/contracts/records.ts
@@ -25,8 +25,11 @@
   text: z.string(),
   publisher: z.string()
 })
-/** Restates the text in force before its record leaves the retention period. */
-const configurationRestated = z.strictObject({ type: z.literal('configurationRestated'), revision: z.number().int().positive(), text: z.string() })
+/**
+ * Restates the text in force before its record leaves the retention period. `revision` is what the records before
+ * `throughOffset` have decided, so that a late starter knows which publish records it still has to decide.
+ */
+const configurationRestated = z.strictObject({ type: z.literal('configurationRestated'), revision: z.number().int().positive(), text: z.string(), throughOffset: z.number().int().nonnegative() })
 const instanceJoined = z.strictObject({ type: z.literal('instanceJoined'), ...holder })
 /** A claim is valid if it follows the current term and the claimant is an elector, the term was released, or owner and electors are gone. */
 const ownershipClaimed = z.strictObject({ type: z.literal('ownershipClaimed'), ...holder, afterTerm: term, electors, ownerAndElectorsGone: z.boolean() })
--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -17,6 +17,9 @@
   /** Tokens that operators' commands present. */
   operatorTokens: z.array(secret).min(1).max(2),
   logLevel,
+  /** Records and time that the platform's log keeps at least; 20,000 and one day if absent. Shorter retention is also learned from the offsets it answers. */
+  logRetentionRecords: z.number().int().positive().optional(),
+  logRetentionMilliseconds: z.number().int().positive().optional(),
   /** Longest time a planned stop waits for requests in flight, in milliseconds. */
   stopBoundMilliseconds: z.number().int().positive().default(30_000)
 })
--- a/src/entry/configurationTask.ts
+++ b/src/entry/configurationTask.ts
@@ -9,7 +9,7 @@
 
 type ConfigurationMessage =
   | { readonly kind: 'record', readonly record: StoredRecord }
-  | { readonly kind: 'truncated' }
+  | { readonly kind: 'truncated', readonly retainedFrom: number }
   | { readonly kind: 'announced', readonly revision: number, readonly source: string, readonly from: string }
 
 /** Owns the site text in force: follows the log, learns from peers, and announces new revisions to them. */
@@ -23,7 +23,7 @@
     super()
     this.register(this.didChange)
     this.register(follower.onDidReadRecord(record => this.post({ kind: 'record', record })))
-    this.register(follower.onDidTruncate(() => this.post({ kind: 'truncated' })))
+    this.register(follower.onDidTruncate(retainedFrom => this.post({ kind: 'truncated', retainedFrom })))
     this.register(links.onDidReceive(({ from, message }) => {
       if (message.type === 'configurationAnnouncement') this.post({ kind: 'announced', revision: message.revision, source: message.text, from: from.instance })
     }))
@@ -34,11 +34,16 @@
     return this.history.inForce
   }
 
+  /** Returns the record that restates the text in force, if it is known to be the decided one. */
+  restatement (): ReturnType<ConfigurationHistory['restatement']> {
+    return this.history.restatement()
+  }
+
   protected override handle (message: ConfigurationMessage): void {
     const before = this.inForce?.revision ?? 0
     switch (message.kind) {
       case 'truncated':
-        this.history.markTruncated()
+        this.history.markTruncated(message.retainedFrom)
         break
       case 'record':
         this.applyRecord(message.record)
--- a/src/entry/jobTask.ts
+++ b/src/entry/jobTask.ts
@@ -25,6 +25,8 @@
 export class JobTask extends DisposableObject {
   readonly book = new JobBook(KEPT_ENDED_JOBS)
   private readonly appenders = new Map<string, LogAppender>()
+  /** Jobs whose end has been sent and not yet read back. */
+  private readonly ending = new Set<string>()
   private readonly didChange = new Emitter<RecordBody>()
   /** Fires after a record of the own failure domain's jobs has been applied. */
   readonly onDidChangeJobs: Event<RecordBody> = this.didChange.event
@@ -40,6 +42,7 @@
     this.register(follower.onDidReadIdentity(identity => this.appenders.get(follower.stream)?.noteRead(identity)))
     this.register(follower.onDidReadRecord(record => {
       this.book.apply(record)
+      if (record.body.type === 'jobEnded') this.ending.delete(record.body.job)
       this.didChange.fire(record.body)
     }))
   }
@@ -77,8 +80,22 @@
     return { kind: 'accepted', job: identity, failureDomain }
   }
 
+  /**
+   * Repeats the record of an open job with its original identity, and its cancellation if there is one. Resolves with
+   * whether both are in the log. A job whose end has been sent is left alone, so that a late starter never reads the acceptance after the end.
+   */
+  async reappend (identity: string): Promise<boolean> {
+    const booked = this.book.find(identity)
+    if (booked === undefined || booked.outcome !== undefined || this.ending.has(identity)) return false
+    const { failureDomain } = booked
+    const accepted = this.append(failureDomain, { type: 'jobAccepted', job: booked.job, failureDomain }, `job:${identity}`)
+    const cancelled = booked.cancelRequested ? this.append(failureDomain, { type: 'jobCancelRequested', job: identity }, `cancel:${identity}`) : 'appended'
+    return (await Promise.all([accepted, cancelled])).every(outcome => outcome === 'appended')
+  }
+
   /** Appends the end of a job. */
   async end (identity: string, body: Extract<RecordBody, { type: 'jobEnded' }>): Promise<boolean> {
+    this.ending.add(identity)
     return await this.append(this.context.settings.failureDomain, body, `end:${identity}`) === 'appended'
   }
 
--- a/src/links/logFollower.ts
+++ b/src/links/logFollower.ts
@@ -17,6 +17,7 @@
 /** Reads one stream in order and fires each record once, by its identity. */
 export class LogFollower extends DisposableObject {
   private nextOffset = 0
+  private firstRetained = 0
   private failures = 0
   private caughtUp = false
   private readonly identities = new Set<string>()
@@ -60,6 +61,11 @@
     return this.newerRecordCount
   }
 
+  /** First retained offset by the last read. */
+  get retainedFrom (): number {
+    return this.firstRetained
+  }
+
   /** Offset of the next record to read. */
   get position (): number {
     return this.nextOffset
@@ -100,6 +106,7 @@
     const waitMilliseconds = this.caughtUp && this.failures === 0 ? LONG_POLL_MILLISECONDS : 0
     const answer = await this.log.read(this.stream, this.nextOffset, READ_LIMIT, waitMilliseconds, this.stopping.signal)
     if (this.stopping.signal.aborted) return
+    this.firstRetained = answer.retainedFrom
     if (answer.retainedFrom > this.nextOffset) this.didTruncate.fire(answer.retainedFrom)
     for (const { offset, record } of answer.records) this.accept(offset, record)
     this.nextOffset = Math.max(this.nextOffset, answer.retainedFrom, ...answer.records.map(({ offset }) => offset + 1))
--- a/src/operator/operatorClient.ts
+++ b/src/operator/operatorClient.ts
@@ -75,7 +75,7 @@
     let outcome: PublishOutcome | undefined
     for (let from = 0; ;) {
       const answer = await this.log.read(CONFIGURATION_STREAM, from, READ_LIMIT, 0)
-      if (answer.retainedFrom > from) history.markTruncated()
+      if (answer.retainedFrom > from) history.markTruncated(answer.retainedFrom)
       for (const { offset, record } of answer.records) {
         from = offset + 1
         const body = recordBodySchema.safeParse(record.body)
--- a/src/programs/wiring.ts
+++ b/src/programs/wiring.ts
@@ -20,6 +20,7 @@
 import { OperatorApi } from '../entry/operatorApi.js'
 import { OwnershipTask } from '../entry/ownershipTask.js'
 import { PlacementTask } from '../entry/placementTask.js'
+import { RetentionTask } from '../entry/retentionTask.js'
 import { SlotTask } from '../entry/slotTask.js'
 import { HttpExecutorClient, type ExecutorClient } from '../links/executorClient.js'
 import { HttpInstanceList, type InstanceList } from '../links/instanceList.js'
@@ -95,6 +96,7 @@
   const frontDoor: FrontDoor = own(new FrontDoor(context, configuration, membership.membership, slots.holder, executorClient, new LeastExpectedTimeChooser()))
   own(slots.onDidChangeGrants(() => frontDoor.dispatchAll()))
   const jobs = own(new JobTask(context, configuration, jobFollower, createAppender))
+  own(new RetentionTask(context, ownership, configuration, jobs, configurationFollower, jobFollower, createAppender))
   const placement = own(new PlacementTask(context, ownership, configuration, membership.membership, jobs, connections.workers))
 
   const followers = [configurationFollower, ownershipFollower, jobFollower]
