Announce configuration by digest and link to each other failure domain

Cause: every instance sent the whole text to every peer at every revision, and no link crossed failure domains, so a failure domain cut off from the platform kept its old text although another one could reach it.

Conclusion: the cost on links no longer depends on the size of the text; a cut-off failure domain has each revision within 13 s of faked time.

--- a/src/contracts/linkMessages.ts
+++ b/src/contracts/linkMessages.ts
@@ -17,7 +17,10 @@
   z.object({ type: z.literal('slotGrants'), logicalTime, term: z.number().int(), sequence: z.number().int(), answersReport: z.number().int(), validMilliseconds: z.number().int(), grants: z.array(slotGrantSchema) }),
   z.object({ type: z.literal('promiseRequest'), logicalTime, failureDomain: z.string(), term: z.number().int(), request: z.number().int(), durationMilliseconds: z.number().int() }),
   z.object({ type: z.literal('promise'), logicalTime, failureDomain: z.string(), term: z.number().int(), request: z.number().int(), granted: z.boolean() }),
-  z.object({ type: z.literal('configurationAnnouncement'), logicalTime, revision: z.number().int(), text: z.string() }),
+  /** Says which revision the sender has in force; a peer that lacks it asks for the text. `digest` is the xxhash of the text. */
+  z.object({ type: z.literal('configurationAnnouncement'), logicalTime, revision: z.number().int(), digest: z.string() }),
+  z.object({ type: z.literal('configurationRequest'), logicalTime }),
+  z.object({ type: z.literal('configurationText'), logicalTime, revision: z.number().int(), text: z.string() }),
   z.object({ type: z.literal('domainSummary'), logicalTime, failureDomain: z.string(), freeSlots: z.record(z.string(), z.number().int()), waitingTasks: z.number().int() })
 ])
 export type LinkMessage = z.infer<typeof linkMessageSchema>
--- a/src/entry/configurationTask.ts
+++ b/src/entry/configurationTask.ts
@@ -1,3 +1,4 @@
+import createHasher from 'xxhash-wasm'
 import { Emitter, type Event } from '../base/emitter.js'
 import { Task } from '../base/task.js'
 import { describeError } from '../base/logger.js'
@@ -5,16 +6,32 @@
 import type { LogFollower } from '../links/logFollower.js'
 import type { LinkTransport } from '../links/linkHub.js'
 import { ConfigurationHistory, type ConfigurationRevision } from '../zones/configurationHistory.js'
-import type { EntryContext } from './entryContext.js'
+import { monotonicNow, type EntryContext } from './entryContext.js'
 
 type ConfigurationMessage =
   | { readonly kind: 'record', readonly record: StoredRecord }
   | { readonly kind: 'truncated', readonly retainedFrom: number }
-  | { readonly kind: 'announced', readonly revision: number, readonly source: string, readonly from: string }
+  | { readonly kind: 'announced', readonly revision: number, readonly digest: string, readonly from: string }
+  | { readonly kind: 'requested', readonly from: string }
+  | { readonly kind: 'received', readonly revision: number, readonly source: string, readonly from: string }
+  | { readonly kind: 'closed', readonly peer: string }
+  | { readonly kind: 'tick' }
 
-/** Owns the site text in force: follows the log, learns from peers, and announces new revisions to them. */
+/** Wait for the log before the text is asked of a peer, so that instances that reach the log transfer no text by link. */
+const RELAY_DELAY_MILLISECONDS = 500
+const RELAY_PERIOD_MILLISECONDS = 500
+
+interface Announcement {
+  readonly revision: number
+  readonly digest: string
+  readonly receivedAt: number
+}
+
+/** Owns the site text in force: follows the log, announces each revision to peers by its digest, and asks a peer for a text that the log does not bring in time. */
 export class ConfigurationTask extends Task<ConfigurationMessage> {
   private readonly history = new ConfigurationHistory()
+  private readonly announcements = new Map<string, Announcement>()
+  private readonly hasher = createHasher()
   private readonly didChange = new Emitter<ConfigurationRevision>()
   /** Fires after a greater revision has come into force. */
   readonly onDidChangeRevision: Event<ConfigurationRevision> = this.didChange.event
@@ -25,8 +42,12 @@
     this.register(follower.onDidReadRecord(record => this.post({ kind: 'record', record })))
     this.register(follower.onDidTruncate(retainedFrom => this.post({ kind: 'truncated', retainedFrom })))
     this.register(links.onDidReceive(({ from, message }) => {
-      if (message.type === 'configurationAnnouncement') this.post({ kind: 'announced', revision: message.revision, source: message.text, from: from.instance })
+      if (message.type === 'configurationAnnouncement') this.post({ kind: 'announced', revision: message.revision, digest: message.digest, from: from.instance })
+      if (message.type === 'configurationRequest') this.post({ kind: 'requested', from: from.instance })
+      if (message.type === 'configurationText') this.post({ kind: 'received', revision: message.revision, source: message.text, from: from.instance })
     }))
+    this.register(links.onDidClose(peer => this.post({ kind: 'closed', peer: peer.instance })))
+    this.registerInterval(() => this.post({ kind: 'tick' }), RELAY_PERIOD_MILLISECONDS)
     this.register(links.onDidOpen(peer => this.announceTo(peer.instance)))
   }
 
@@ -39,7 +60,7 @@
     return this.history.restatement()
   }
 
-  protected override handle (message: ConfigurationMessage): void {
+  protected override async handle (message: ConfigurationMessage): Promise<void> {
     const before = this.inForce?.revision ?? 0
     switch (message.kind) {
       case 'truncated':
@@ -49,7 +70,19 @@
         this.applyRecord(message.record)
         break
       case 'announced':
-        if (this.history.learn(message.revision, message.source)) this.context.logger.info('learned a configuration from a peer', { peer: message.from, revision: message.revision })
+        this.announcements.set(message.from, { revision: message.revision, digest: message.digest, receivedAt: monotonicNow() })
+        return
+      case 'requested':
+        this.sendTextTo(message.from)
+        return
+      case 'closed':
+        this.announcements.delete(message.peer)
+        return
+      case 'tick':
+        this.requestMissingText()
+        return
+      case 'received':
+        await this.learn(message)
     }
     const current = this.inForce
     if (current === undefined || current.revision === before) return
@@ -70,9 +103,37 @@
     }
   }
 
-  private announceTo (peer: string): void {
+  /** Takes over a text that a peer relays if it is the one that the peer has announced. */
+  private async learn (message: Extract<ConfigurationMessage, { kind: 'received' }>): Promise<void> {
+    const announced = this.announcements.get(message.from)
+    if (announced?.revision === message.revision && announced.digest !== (await this.hasher).h64ToString(message.source)) {
+      this.context.logger.warn('a relayed text does not have the announced digest', { peer: message.from, revision: message.revision })
+      return
+    }
+    if (this.history.learn(message.revision, message.source)) this.context.logger.info('learned a configuration from a peer', { peer: message.from, revision: message.revision })
+  }
+
+  /** Asks one of the peers that have announced the greatest revision, if the log has not brought it. */
+  private requestMissingText (): void {
+    const own = this.inForce?.revision ?? 0
+    const due = monotonicNow() - RELAY_DELAY_MILLISECONDS
+    const candidates = [...this.announcements].filter(([, { revision, receivedAt }]) => revision > own && receivedAt <= due)
+    if (candidates.length === 0) return
+    const greatest = Math.max(...candidates.map(([, { revision }]) => revision))
+    const holders = candidates.filter(([, { revision }]) => revision === greatest).map(([peer]) => peer)
+    this.links.send(this.context.random.pick(holders), { type: 'configurationRequest', logicalTime: this.context.events.clock.tick() })
+  }
+
+  private sendTextTo (peer: string): void {
     const current = this.inForce
     if (current === undefined) return
-    this.links.send(peer, { type: 'configurationAnnouncement', logicalTime: this.context.events.clock.tick(), revision: current.revision, text: current.source })
+    this.links.send(peer, { type: 'configurationText', logicalTime: this.context.events.clock.tick(), revision: current.revision, text: current.source })
+  }
+
+  private async announceTo (peer: string): Promise<void> {
+    const hasher = await this.hasher
+    const current = this.inForce
+    if (current === undefined || this.isDisposed) return
+    this.links.send(peer, { type: 'configurationAnnouncement', logicalTime: this.context.events.clock.tick(), revision: current.revision, digest: hasher.h64ToString(current.source) })
   }
 }
--- a/src/entry/membershipTask.ts
+++ b/src/entry/membershipTask.ts
@@ -2,7 +2,7 @@
 import { describeError } from '../base/logger.js'
 import type { InstanceList } from '../links/instanceList.js'
 import type { LinkTransport } from '../links/linkHub.js'
-import { Membership } from '../machines/membership.js'
+import { Membership, type ListedEntry } from '../machines/membership.js'
 import { monotonicNow, type EntryContext } from './entryContext.js'
 
 const FETCH_PERIOD_MILLISECONDS = 500
@@ -36,11 +36,20 @@
     }
   }
 
-  /** One side of each pair dials: the one whose name sorts first. */
+  /** Inside the failure domain one side of each pair dials: the one whose name sorts first. Of each other failure domain one instance is linked. */
   private connectPeers (): void {
     const { instance, failureDomain } = this.context.settings
+    const others = new Map<string, ListedEntry[]>()
     for (const entry of this.membership.entries()) {
-      if (entry.failureDomain === failureDomain && entry.name > instance) this.links.connect(entry.name, entry.address)
+      if (entry.failureDomain === failureDomain) {
+        if (entry.name > instance) this.links.connect(entry.name, entry.address)
+      } else if (entry.state === 'live') others.set(entry.failureDomain, [...others.get(entry.failureDomain) ?? [], entry])
+    }
+    const linked = new Set(this.links.peers().map(peer => peer.failureDomain))
+    for (const [domain, entries] of others) {
+      if (linked.has(domain)) continue
+      const { name, address } = this.context.random.pick(entries)
+      this.links.connect(name, address)
     }
   }
 }
--- /dev/null
+++ b/test/entry/configurationTask.test.ts
@@ -0,0 +1,161 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { install } from '@sinonjs/fake-timers'
+import { Packr } from 'msgpackr'
+import { DisposableStore } from '../../src/base/disposable.js'
+import { Emitter } from '../../src/base/emitter.js'
+import { LogicalClock } from '../../src/base/logicalClock.js'
+import { Logger } from '../../src/base/logger.js'
+import { Random } from '../../src/base/random.js'
+import { EventLog } from '../../src/contracts/eventLog.js'
+import type { LinkMessage } from '../../src/contracts/linkMessages.js'
+import type { StoredRecord } from '../../src/contracts/records.js'
+import { ConfigurationTask } from '../../src/entry/configurationTask.js'
+import type { EntryContext } from '../../src/entry/entryContext.js'
+import type { PeerIdentity } from '../../src/links/handshake.js'
+import type { LinkTransport, ReceivedMessage } from '../../src/links/linkHub.js'
+import type { LogFollower } from '../../src/links/logFollower.js'
+
+const IN_FORCE_BOUND_MILLISECONDS = 13_000
+const CHANGES_A_SECOND = 6000 / 86_400
+const packer = new Packr({ useRecords: false })
+
+function text (site: string, padding = 0): string {
+  return JSON.stringify({ site, failureDomains: { 'zone-a': { region: 'north' } }, services: {}, executorPools: {}, workerPools: {}, teams: {} }) + ' '.repeat(padding)
+}
+
+/** Instances with links in memory; an instance reads the log unless it is cut off. */
+class Network {
+  private readonly store = new DisposableStore()
+  private readonly nodes = new Map<string, Node>()
+  private offset = 0
+  bytes = 0
+
+  add (name: string, cutOff: boolean): Node {
+    const node = this.store.add(new Node(name, cutOff, this))
+    this.nodes.set(name, node)
+    return node
+  }
+
+  link (left: Node, right: Node): void {
+    left.linked.push(right.identity)
+    right.linked.push(left.identity)
+    left.didOpen.fire(right.identity)
+    right.didOpen.fire(left.identity)
+  }
+
+  deliver (from: PeerIdentity, to: string, message: LinkMessage): void {
+    this.bytes += packer.pack(message).length
+    setTimeout(() => this.nodes.get(to)?.didReceive.fire({ from, message }), 1)
+  }
+
+  publish (baseRevision: number, source: string): void {
+    const record: StoredRecord = { offset: this.offset++, identity: `${this.offset}`, writer: '', logicalTime: 0, body: { type: 'configurationPublished', baseRevision, text: source, publisher: 'operator' } }
+    for (const node of this.nodes.values()) if (!node.cutOff) setTimeout(() => node.didRead.fire(record), 10)
+  }
+
+  dispose (): void {
+    this.store.dispose()
+  }
+}
+
+class Node {
+  readonly identity: PeerIdentity
+  readonly linked: PeerIdentity[] = []
+  readonly didOpen = new Emitter<PeerIdentity>()
+  readonly didReceive = new Emitter<ReceivedMessage>()
+  readonly didRead = new Emitter<StoredRecord>()
+  readonly task: ConfigurationTask
+
+  constructor (name: string, readonly cutOff: boolean, network: Network) {
+    this.identity = { instance: name, incarnation: name, failureDomain: 'zone-a' }
+    const context = { settings: { instance: name }, logger: new Logger(name, 'error', () => {}), events: new EventLog(name, name, new LogicalClock(), () => {}), random: new Random(1) } as unknown as EntryContext
+    const send = (to: string, message: LinkMessage): boolean => {
+      network.deliver(this.identity, to, message)
+      return true
+    }
+    const links = { onDidReceive: this.didReceive.event, onDidOpen: this.didOpen.event, onDidClose: new Emitter<PeerIdentity>().event, peers: () => this.linked, send } as unknown as LinkTransport
+    const follower = { onDidReadRecord: this.didRead.event, onDidTruncate: new Emitter<number>().event } as unknown as LogFollower
+    this.task = new ConfigurationTask(context, follower, links)
+  }
+
+  get revision (): number {
+    return this.task.inForce?.revision ?? 0
+  }
+
+  dispose (): void {
+    this.task.dispose()
+  }
+}
+
+async function withNetwork (run: (network: Network, pass: (milliseconds: number) => Promise<void>) => Promise<void>): Promise<void> {
+  const timers = install({ now: 0, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
+  const network = new Network()
+  try {
+    await run(network, async milliseconds => { await timers.tickAsync(milliseconds) })
+  } finally {
+    network.dispose()
+    timers.uninstall()
+  }
+}
+
+describe('ConfigurationTask', () => {
+  it('a failure domain that is cut off from the platform gets each revision over one link, in time', async () => {
+    await withNetwork(async (network, pass) => {
+      const [reader, border, inner] = [network.add('a-1', false), network.add('b-1', true), network.add('b-2', true)]
+      network.link(reader, border)
+      network.link(border, inner)
+      network.publish(0, text('one'))
+      await pass(IN_FORCE_BOUND_MILLISECONDS)
+      assert.deepEqual([reader, border, inner].map(node => node.revision), [1, 1, 1])
+      network.publish(1, text('two'))
+      await pass(IN_FORCE_BOUND_MILLISECONDS)
+      assert.deepEqual([reader, border, inner].map(node => node.revision), [2, 2, 2])
+    })
+  })
+
+  it('an instance that starts cut off learns from a peer, and an older announcement does not revert it', async () => {
+    await withNetwork(async (network, pass) => {
+      const reader = network.add('a-1', false)
+      network.publish(0, text('one'))
+      network.publish(1, text('two'))
+      await pass(1000)
+      const starter = network.add('a-2', true)
+      network.link(reader, starter)
+      await pass(IN_FORCE_BOUND_MILLISECONDS)
+      assert.equal(starter.revision, 2)
+      starter.didReceive.fire({ from: reader.identity, message: { type: 'configurationText', logicalTime: 0, revision: 1, text: text('one') } })
+      await pass(1000)
+      assert.equal(starter.revision, 2)
+    })
+  })
+
+  it('a text that differs from the announced digest is not taken over', async () => {
+    await withNetwork(async (network, pass) => {
+      const starter = network.add('a-2', true)
+      const from: PeerIdentity = { instance: 'a-1', incarnation: 'a-1', failureDomain: 'zone-a' }
+      starter.didReceive.fire({ from, message: { type: 'configurationAnnouncement', logicalTime: 0, revision: 1, digest: 'other' } })
+      starter.didReceive.fire({ from, message: { type: 'configurationText', logicalTime: 0, revision: 1, text: text('one') } })
+      await pass(1000)
+      assert.equal(starter.revision, 0)
+    })
+  })
+
+  /** Nine instances that all reach the log: each link carries both directions' announcements. The baseline sends the whole text where the announcement is sent. */
+  for (const kilobytes of [10, 100, 300]) {
+    it(`bytes on links for a text of ${kilobytes} KB`, async context => {
+      await withNetwork(async (network, pass) => {
+        const nodes = Array.from({ length: 9 }, (_, index) => network.add(`a-${index}`, false))
+        nodes.forEach((left, index) => { for (const right of nodes.slice(index + 1)) network.link(left, right) })
+        const source = text('one', kilobytes * 1000)
+        network.publish(0, source)
+        await pass(IN_FORCE_BOUND_MILLISECONDS)
+        const announcements = 9 * 8
+        const whole = announcements * packer.pack({ type: 'configurationText', logicalTime: 1, revision: 1, text: source }).length
+        const rate = (bytes: number): string => (2 * bytes / 9 * CHANGES_A_SECOND).toFixed(1)
+        context.diagnostic(`${kilobytes} KB: digest first ${rate(network.bytes)} bytes/s an instance (sent and received), whole text ${rate(whole)}`)
+        assert.ok(network.bytes < whole / 50)
+      })
+    })
+  }
+})
--- a/test/entry/retentionTask.test.ts
+++ b/test/entry/retentionTask.test.ts
@@ -37,8 +37,13 @@
   override async read (stream: string, from: number, limit: number, waitMilliseconds: number, signal?: AbortSignal): Promise<ReadAnswer> {
     if (waitMilliseconds > 0 && (this.streams.get(stream)?.length ?? 0) <= from) {
       await new Promise<void>(resolve => {
-        this.appended.event(() => resolve())
-        signal?.addEventListener('abort', () => resolve(), { once: true })
+        const finish = (): void => {
+          subscription.dispose()
+          signal?.removeEventListener('abort', finish)
+          resolve()
+        }
+        const subscription = this.appended.event(finish)
+        signal?.addEventListener('abort', finish)
       })
     }
     const all = this.streams.get(stream) ?? []
@@ -78,7 +83,7 @@
     const clock = new LogicalClock()
     const context = { settings: { failureDomain: DOMAIN, instance: 'entry', logRetentionRecords: RETAINED }, logger, events: new EventLog('entry', 'one', clock, () => {}) } as unknown as EntryContext
     const none = new Emitter<never>()
-    const links = { onDidReceive: none.event, onDidOpen: none.event, peers: () => [] } as unknown as LinkTransport
+    const links = { onDidReceive: none.event, onDidOpen: none.event, onDidClose: none.event, peers: () => [] } as unknown as LinkTransport
     const createAppender = (stream: string): LogAppender => new LogAppender(stream, 'entry', log, clock, logger, new Random(1))
     const [jobFollower, configurationFollower] = [JOBS, CONFIGURATION_STREAM].map(stream => this.store.add(new LogFollower(stream, log, clock, logger, new Random(1)))) as [LogFollower, LogFollower]
     this.followers = [jobFollower, configurationFollower]
