Merge heartbeats into the membership and refuse peers that claim the own name

Cause: an instance that got SIGTERM was offered work until the lagging list showed it as leaving; a peer that held a key could link under the name of the instance itself; an oversized frame closed the link but was not counted.

Conclusion: leaving is known to linked peers one delay after SIGTERM.

--- a/src/contracts/linkMessages.ts
+++ b/src/contracts/linkMessages.ts
@@ -12,7 +12,7 @@
 
 /** Messages between entry instances after the handshake. */
 export const linkMessageSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('heartbeat'), logicalTime, leaving: z.boolean(), revision: z.number().int() }),
+  z.object({ type: z.literal('heartbeat'), logicalTime, leaving: z.boolean() }),
   z.object({ type: z.literal('slotReport'), logicalTime, sequence: z.number().int(), appliedGrant: z.number().int(), term: z.number().int(), demand: z.record(z.string(), z.number().int()), uses: z.array(slotUseSchema) }),
   z.object({ type: z.literal('slotGrants'), logicalTime, term: z.number().int(), sequence: z.number().int(), answersReport: z.number().int(), validMilliseconds: z.number().int(), grants: z.array(slotGrantSchema) }),
   z.object({ type: z.literal('promiseRequest'), logicalTime, failureDomain: z.string(), term: z.number().int(), request: z.number().int(), durationMilliseconds: z.number().int() }),
--- a/src/entry/entryInstance.ts
+++ b/src/entry/entryInstance.ts
@@ -78,6 +78,7 @@
     const { settings, events, logger } = this.context
     this.accepting = false
     this.parts.frontDoor.stopAccepting()
+    this.parts.membership.announceLeaving()
     events.record('instanceStopping')
     const deadline = performance.now() + settings.stopBoundMilliseconds
     while (this.parts.frontDoor.active > 0 && performance.now() < deadline && !this.isDisposed) await delay(STOP_POLL_MILLISECONDS)
--- a/src/entry/membershipTask.ts
+++ b/src/entry/membershipTask.ts
@@ -6,16 +6,37 @@
 import { monotonicNow, type EntryContext } from './entryContext.js'
 
 const FETCH_PERIOD_MILLISECONDS = 500
+const HEARTBEAT_PERIOD_MILLISECONDS = 1000
 
 /** Follows the platform's instance list and keeps links to the entry instances of the own failure domain. */
 export class MembershipTask extends DisposableObject {
   readonly membership = new Membership()
+  private leaving = false
   private fetching = false
   private failing = false
 
   constructor (private readonly context: EntryContext, private readonly list: InstanceList, private readonly links: LinkTransport) {
     super()
     this.registerInterval(() => this.refresh(), FETCH_PERIOD_MILLISECONDS)
+    this.registerInterval(() => this.sendHeartbeats(), HEARTBEAT_PERIOD_MILLISECONDS)
+    this.register(links.onDidReceive(({ from, message }) => {
+      if (message.type === 'heartbeat') this.membership.noteHeartbeat(from.instance, from.incarnation, message.leaving, monotonicNow())
+    }))
+    this.register(links.onDidOpen(peer => this.sendHeartbeat(peer.instance)))
+  }
+
+  /** Tells every peer at once that this instance leaves, so that a lagging list does not matter. */
+  announceLeaving (): void {
+    this.leaving = true
+    this.sendHeartbeats()
+  }
+
+  private sendHeartbeats (): void {
+    for (const peer of this.links.peers()) this.sendHeartbeat(peer.instance)
+  }
+
+  private sendHeartbeat (peer: string): void {
+    this.links.send(peer, { type: 'heartbeat', logicalTime: this.context.events.clock.tick(), leaving: this.leaving })
   }
 
   /** Fetches the list once; keeps the last one when the platform is away. */
--- a/src/entry/operatorApi.ts
+++ b/src/entry/operatorApi.ts
@@ -60,6 +60,7 @@
       outdated: this.newerRecords() > 0,
       newerRecords: this.newerRecords(),
       peers: this.links.peers().map(peer => peer.instance),
+      suspected: this.membership.entries().filter(entry => this.membership.isSuspected(entry.name, monotonicNow())).map(entry => entry.name),
       instanceListAgeMilliseconds: Math.round(this.membership.ageMilliseconds(monotonicNow())),
       used: utilization?.used,
       capacity: utilization?.capacity
--- a/src/links/linkHub.ts
+++ b/src/links/linkHub.ts
@@ -128,6 +128,10 @@
     this.adopt(socket)
     this.awaitHandshake(socket, 'hello', hello => {
       const peer = identityOf(hello)
+      if (peer.instance === this.self.instance) {
+        this.refuse(socket, peer.instance)
+        return
+      }
       const nonce = createNonce()
       const proof = createProof(this.keys[0] as string, 'acceptor', hello.nonce, nonce, peer, this.self)
       this.transmit(socket, { type: 'challenge', ...this.self, nonce, proof })
@@ -147,7 +151,10 @@
       clearTimeout(timer)
       this.sockets.delete(socket)
     })
-    socket.on('error', error => this.logger.debug('link error', { reason: error.message }))
+    socket.on('error', error => {
+      if (String((error as { code?: unknown }).code).startsWith('WS_ERR_')) this.malformedFrameCount += 1
+      this.logger.debug('link error', { reason: error.message })
+    })
   }
 
   private awaitHandshake<Type extends HandshakeMessage['type']> (socket: WebSocket, type: Type, proceed: (message: Extract<HandshakeMessage, { type: Type }>) => void): void {
@@ -163,7 +170,7 @@
   }
 
   private refuse (socket: WebSocket, instance: string): void {
-    this.logger.warn('refused a link: the peer did not prove a valid key', { peer: instance })
+    this.logger.warn('refused a link: the peer did not prove a valid key or claims the name of this instance', { peer: instance })
     socket.terminate()
   }
 
--- a/src/machines/membership.ts
+++ b/src/machines/membership.ts
@@ -5,9 +5,22 @@
 export type ListedExecutor = Extract<ListedInstance, { kind: 'executor' }>
 export type ListedWorker = Extract<ListedInstance, { kind: 'worker' }>
 
-/** Live and leaving machines by the platform's lagging list. The last list stays in use while the platform is away. */
+/** Silence on links after which a peer is suspected: three heartbeats of 1 s and half a second for scheduling. */
+export const SUSPICION_MILLISECONDS = 3500
+
+interface Heartbeat {
+  readonly incarnation: string
+  readonly leaving: boolean
+  readonly heardAt: number
+}
+
+/**
+ * Live and leaving machines by the platform's lagging list, merged with the heartbeats of linked entry instances. The
+ * last list stays in use while the platform is away. A heartbeat that announces leaving counts although the list still shows the instance as live.
+ */
 export class Membership {
   private instances = new Map<string, ListedInstance>()
+  private readonly heartbeats = new Map<string, Heartbeat>()
   private updatedAt = -Infinity
   private readonly didChange = new Emitter<void>()
   readonly onDidChange: Event<void> = this.didChange.event
@@ -17,16 +30,32 @@
     const changed = JSON.stringify([...this.instances.values()]) !== JSON.stringify(instances)
     this.instances = new Map(instances.map(instance => [instance.name, instance]))
     this.updatedAt = now
+    for (const name of this.heartbeats.keys()) if (!this.instances.has(name)) this.heartbeats.delete(name)
     if (changed) this.didChange.fire()
   }
 
+  /** Notes a heartbeat of a linked instance; `now` is monotonic milliseconds. Leaving is final for an incarnation. */
+  noteHeartbeat (instance: string, incarnation: string, leaving: boolean, now: number): void {
+    const before = this.heartbeats.get(instance)
+    const left = leaving || (before?.incarnation === incarnation && before.leaving)
+    this.heartbeats.set(instance, { incarnation, leaving: left, heardAt: now })
+    if (left !== (before?.leaving ?? false)) this.didChange.fire()
+  }
+
+  /** Whether a peer that was once heard has been silent for longer than the suspicion time. */
+  isSuspected (instance: string, now: number): boolean {
+    const heartbeat = this.heartbeats.get(instance)
+    return heartbeat !== undefined && now - heartbeat.heardAt > SUSPICION_MILLISECONDS
+  }
+
   /** Age of the list in milliseconds; Infinity before the first. */
   ageMilliseconds (now: number): number {
     return now - this.updatedAt
   }
 
   find (name: string): ListedInstance | undefined {
-    return this.instances.get(name)
+    const listed = this.instances.get(name)
+    return listed !== undefined && this.heartbeats.get(name)?.leaving === true ? { ...listed, state: 'leaving' } : listed
   }
 
   entries (): ListedEntry[] {
@@ -42,6 +71,6 @@
   }
 
   private ofKind<Kind extends ListedInstance['kind']> (kind: Kind): Array<Extract<ListedInstance, { kind: Kind }>> {
-    return [...this.instances.values()].filter((instance): instance is Extract<ListedInstance, { kind: Kind }> => instance.kind === kind)
+    return [...this.instances.keys()].map(name => this.find(name) as ListedInstance).filter((instance): instance is Extract<ListedInstance, { kind: Kind }> => instance.kind === kind)
   }
 }
