--- a/bench/capacityMessages.ts
+++ b/bench/capacityMessages.ts
@@ -87,19 +87,19 @@
   }
 }
 
-/** Packs, parses, checks and applies an announced text, and checks a published one. */
+/** Packs, parses, checks and applies a text that a peer asked for, and checks a published one. */
 export function runConfigurationBench (runs: number): void {
-  printTitle('configuration announcement by size of the text')
+  printTitle('configuration text sent to a peer, by its size')
   printRow(['services', 'text bytes', 'frame bytes', 'pack ms', 'apply ms'])
   const packer = new Packr({ useRecords: false })
   for (const services of SERVICE_COUNTS) {
     const text = createText(services)
-    const message: LinkMessage = { type: 'configurationAnnouncement', logicalTime: 1, revision: 1, text }
+    const message: LinkMessage = { type: 'configurationText', logicalTime: 1, revision: 1, text }
     const frame = packer.pack(message)
     const pack = medianMilliseconds(runs, () => undefined, () => { packer.pack(message) })
     const apply = medianMilliseconds(runs, () => new ConfigurationHistory(), history => {
       const received = linkMessageSchema.parse(packer.unpack(frame))
-      if (received.type !== 'configurationAnnouncement' || !history.learn(received.revision, received.text)) throw new Error('the text was not accepted')
+      if (received.type !== 'configurationText' || !history.learn(received.revision, received.text)) throw new Error('the text was not accepted')
     })
     printRow([services, text.length, frame.length, pack, apply])
   }
--- a/src/operator/operatorClient.ts
+++ b/src/operator/operatorClient.ts
@@ -126,7 +126,7 @@
     let outcome: PublishOutcome | undefined
     for (let from = 0; ;) {
       const answer = await this.read(from)
-      if (answer.retainedFrom > from) history.markTruncated()
+      if (answer.retainedFrom > from) history.markTruncated(answer.retainedFrom)
       for (const { offset, record } of answer.records) {
         from = offset + 1
         this.clock.observe(record.logicalTime)
