Keep lowered run times until requests sent under them have ended; read the list on change only

Cause: after the site text lowered maximumRunMilliseconds, an owner that took over counted silent holders by the new value. Every released slot read the whole instance list, whose length grows with the number of workers. Conclusion: the gap is closed for instances that saw the earlier text.

--- a/src/entry/frontDoor.ts
+++ b/src/entry/frontDoor.ts
@@ -61,7 +61,10 @@
     super()
     this.sender = this.register(new RequestSender(context, slots, client, () => this.onSlotReleased(), executor => this.onExecutorFailed(executor)))
     this.registerInterval(() => this.dispatchAll(), EXPIRY_PERIOD_MILLISECONDS)
-    this.register(membership.onDidChange(() => this.dispatchAll()))
+    this.register(membership.onDidChange(() => {
+      this.refreshExecutors()
+      this.dispatchAll()
+    }))
     this.register(client.onDidChangeConnections(({ address, open }) => {
       for (const executor of this.executors.values()) {
         if (executor.address === address) this.slots.noteConnections(executor.name, open)
@@ -118,7 +121,6 @@
   /** Dispatches what waits as far as slots are free. */
   dispatchAll (): void {
     const now = monotonicNow()
-    this.refreshExecutors()
     for (const pool of this.pools.values()) {
       for (const expired of pool.takeExpired(now)) {
         const late = expired.deadline <= now
@@ -212,7 +214,8 @@
   }
 
   private onSlotReleased (): void {
-    this.dispatchAll()
+    const now = monotonicNow()
+    for (const pool of this.pools.values()) this.dispatch(pool, now)
     this.slotRequests.reportFreedSlots()
   }
 
--- a/src/entry/slotTask.ts
+++ b/src/entry/slotTask.ts
@@ -6,6 +6,7 @@
 import type { LinkTransport } from '../links/linkHub.js'
 import type { PeerIdentity } from '../links/handshake.js'
 import type { Membership } from '../machines/membership.js'
+import { RunBounds } from '../requests/runBounds.js'
 import { GRANT_DRIFT_MARGIN_MILLISECONDS, GRANT_VALID_MILLISECONDS, SlotAllocator, type ExecutorLimits, type HolderGrants } from '../requests/slotAllocator.js'
 import { SlotHolder } from '../requests/slotHolder.js'
 import { holderKey } from '../zones/ownership.js'
@@ -32,6 +33,7 @@
   private allocatorTerm = 0
   private lastTerm: number | undefined
   private leaving = false
+  private readonly runBounds = new RunBounds(GRANT_VALID_MILLISECONDS + GRANT_DRIFT_MARGIN_MILLISECONDS)
   private readonly instanceOfHolder = new Map<string, string>()
   private readonly didChange = new Emitter<void>()
   /** Fires when grants have been applied. */
@@ -53,6 +55,10 @@
       if (message.type === 'slotReport') this.post({ kind: 'report', from, report: message })
       if (message.type === 'slotGrants') this.post({ kind: 'grants', from: from.instance, grants: message })
     }))
+    // Instances that are not owner note lowered run times, too, for the case that they become owner.
+    this.register(configuration.onDidChangeRevision(({ text }) => {
+      for (const pool of Object.keys(text.executorPools)) this.runBounds.longest(pool, longestRun(text, pool), monotonicNow())
+    }))
     this.registerInterval(() => this.post({ kind: 'tick' }), REPORT_PERIOD_MILLISECONDS)
   }
 
@@ -129,7 +135,7 @@
   private onReport (instance: string, holder: string, report: LinkMessageOf<'slotReport'>): void {
     const text = this.configuration.inForce?.text
     if (this.allocator === undefined || text === undefined || report.term !== this.allocatorTerm || !this.mayGrant()) return
-    this.allocator.setExecutors(executorLimits(text, this.membership, this.context.settings.failureDomain))
+    this.allocator.setExecutors(executorLimits(text, this.membership, this.context.settings.failureDomain, this.runBounds, monotonicNow()))
     this.instanceOfHolder.set(holder, instance)
     this.noteEndedProcesses(instance, holder)
     for (const decision of this.allocator.onReport(holder, { ...report, uses: decodeUses(report.uses) }, monotonicNow())) {
@@ -176,13 +182,17 @@
 }
 
 /** Limits of the executors of a failure domain. */
-export function executorLimits (text: SiteText, membership: Membership, failureDomain: string): ExecutorLimits[] {
+export function executorLimits (text: SiteText, membership: Membership, failureDomain: string, runBounds: RunBounds, now: number): ExecutorLimits[] {
   const limits: ExecutorLimits[] = []
+  const longest = new Map(Object.keys(text.executorPools).map(pool => [pool, runBounds.longest(pool, longestRun(text, pool), now)]))
   for (const executor of membership.executors(failureDomain)) {
     const pool = text.executorPools[executor.pool]
     if (pool === undefined) continue
-    const runs = Object.values(text.services).filter(service => service.executorPool === executor.pool).map(service => service.maximumRunMilliseconds)
-    limits.push({ name: executor.name, pool: executor.pool, slots: pool.slots, connections: pool.connections, maximumRunMilliseconds: Math.max(0, ...runs) })
+    limits.push({ name: executor.name, pool: executor.pool, slots: pool.slots, connections: pool.connections, maximumRunMilliseconds: longest.get(executor.pool) ?? 0 })
   }
   return limits
 }
+
+function longestRun (text: SiteText, pool: string): number {
+  return Math.max(0, ...Object.values(text.services).filter(service => service.executorPool === pool).map(service => service.maximumRunMilliseconds))
+}
