--- a/src/links/logFollower.ts
+++ b/src/links/logFollower.ts
@@ -23,13 +23,17 @@
   private readonly stopping = new AbortController()
   private readonly didRead = new Emitter<StoredRecord>()
   private readonly didCatchUp = new Emitter<void>()
-  private readonly didTruncate = new Emitter<void>()
+  private readonly didTruncate = new Emitter<number>()
+  private readonly didReadIdentity = new Emitter<string>()
+  private newerRecordCount = 0
+  /** Fires with the identity of every record read, repeated and newer ones included. */
+  readonly onDidReadIdentity: Event<string> = this.didReadIdentity.event
   /** Fires for each record in log order. */
   readonly onDidReadRecord: Event<StoredRecord> = this.didRead.event
   /** Fires once all records that were in the stream at start have been read. */
   readonly onDidCatchUp: Event<void> = this.didCatchUp.event
-  /** Fires when records that were not yet read have left the retention period. */
-  readonly onDidTruncate: Event<void> = this.didTruncate.event
+  /** Fires with the first retained offset when records that were not yet read have left the retention period. */
+  readonly onDidTruncate: Event<number> = this.didTruncate.event
 
   constructor (
     readonly stream: string,
@@ -41,6 +45,7 @@
     super()
     this.register(this.didRead)
     this.register(this.didCatchUp)
+    this.register(this.didReadIdentity)
     this.register(this.didTruncate)
     this.register(toDisposable(() => this.stopping.abort()))
   }
@@ -50,6 +55,16 @@
     return this.caughtUp && this.failures === 0
   }
 
+  /** Records skipped because a newer version wrote them. */
+  get newerRecords (): number {
+    return this.newerRecordCount
+  }
+
+  /** Offset of the next record to read. */
+  get position (): number {
+    return this.nextOffset
+  }
+
   get hasCaughtUp (): boolean {
     return this.caughtUp
   }
@@ -69,11 +84,23 @@
     }
   }
 
+  /** Whether the log answers now and holds no record that has not been read. */
+  async probe (): Promise<boolean> {
+    const from = this.nextOffset
+    try {
+      const answer = await this.log.read(this.stream, from, 1, 0, this.stopping.signal)
+      return this.caughtUp && answer.nextOffset === from && this.nextOffset === from
+    } catch (error) {
+      this.logger.debug('probing a stream failed', { stream: this.stream, reason: describeError(error) })
+      return false
+    }
+  }
+
   private async readOnce (): Promise<void> {
     const waitMilliseconds = this.caughtUp && this.failures === 0 ? LONG_POLL_MILLISECONDS : 0
     const answer = await this.log.read(this.stream, this.nextOffset, READ_LIMIT, waitMilliseconds, this.stopping.signal)
     if (this.stopping.signal.aborted) return
-    if (answer.retainedFrom > this.nextOffset) this.didTruncate.fire()
+    if (answer.retainedFrom > this.nextOffset) this.didTruncate.fire(answer.retainedFrom)
     for (const { offset, record } of answer.records) this.accept(offset, record)
     this.nextOffset = Math.max(this.nextOffset, answer.retainedFrom, ...answer.records.map(({ offset }) => offset + 1))
     if (this.caughtUp || this.nextOffset < answer.nextOffset) return
@@ -82,6 +109,7 @@
   }
 
   private accept (offset: number, record: RecordEnvelope): void {
+    this.didReadIdentity.fire(record.identity)
     if (this.identities.has(record.identity)) return
     this.identities.add(record.identity)
     if (this.identities.size > REMEMBERED_IDENTITIES) {
@@ -91,6 +119,7 @@
     this.clock.observe(record.logicalTime)
     const body = recordBodySchema.safeParse(record.body)
     if (record.schemaVersion > RECORD_SCHEMA_VERSION || !body.success) {
+      if (record.schemaVersion > RECORD_SCHEMA_VERSION) this.newerRecordCount += 1
       this.logger.warn('skipping a record that this version does not understand', { stream: this.stream, offset })
       return
     }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -1,11 +1,16 @@
+import FlatQueue from 'flatqueue'
 import { NO_RESOURCES, addResources, fitsWithin, type Resources } from '../contracts/resources.js'
-import { urgencyRank } from '../contracts/siteText.js'
 import type { Job, JobOutcome, JobState } from '../contracts/jobs.js'
 import type { Attempt, WorkerReport } from '../contracts/workerProtocol.js'
-import type { Hold, Worker, WorkerDescription } from '../machines/worker.js'
+import type { Hold, WorkerDescription } from '../machines/worker.js'
+import { Claims } from './claims.js'
+import { GangReservation } from './gangReservation.js'
+import { JobQueue } from './jobQueue.js'
 import type { JobEntry, TaskEntry } from './jobState.js'
-import type { PlacementPolicy } from './placementPolicy.js'
+import { bestOf, type PlacementPolicy } from './placementPolicy.js'
 import type { LedgerObserver, StartOutcome } from './ledgerObserver.js'
+import { PreemptionPlanner } from './preemption.js'
+import { TeamShares } from './teamShares.js'
 import { MAXIMUM_TASK_FAILURES, TaskLedger } from './taskLedger.js'
 import type { WorkerEntry } from './workerEntry.js'
 
@@ -13,10 +18,26 @@
 const SILENCE_BEFORE_LAPSE_MILLISECONDS = 10_000
 /** Most stops and repeated starts in one decision. */
 const COMMANDS_PER_DECISION = 500
+/** Most changed jobs that one decision looks at, so that a wave of cancellations does not hold up placements. */
+const SETTLED_PER_DECISION = 500
+/** Most groups of jobs that one decision tries in vain. */
+const FAILED_TRIES_PER_DECISION = 200
+/** Most tasks of one job that are placed before another team has its turn. */
+const TASKS_PER_TURN = 16
+
+/** Places that are made by preemption in one decision at most. */
+const PREEMPTIONS_PER_DECISION = 50
+/** Room that is made by preemption is kept for this long: the bound on a checkpoint, the stop after it, and its report. */
+const PREEMPTION_CLAIM_MILLISECONDS = 8000
+/** A deferrable job that has waited for this long counts as normal, in milliseconds. */
+const AGING_MILLISECONDS = 1_800_000
+const URGENT_RANK = 0
 
 /** What the scheduler asks the surrounding task to do. */
 export type SchedulingDecision =
   | { readonly kind: 'start', readonly worker: WorkerDescription, readonly task: string, readonly attempt: Attempt, readonly job: Job, readonly taskIndex: number, readonly resumeFromMilliseconds: number }
+  | { readonly kind: 'checkpoint', readonly worker: WorkerDescription, readonly task: string, readonly attempt: Attempt }
+  | { readonly kind: 'preempted', readonly task: string, readonly worker: string, readonly by: string }
   | { readonly kind: 'stop', readonly worker: WorkerDescription, readonly task: string, readonly attempt: Attempt }
   | { readonly kind: 'jobEnded', readonly job: string, readonly outcome: JobOutcome, readonly reason?: string }
   | { readonly kind: 'taskLost', readonly task: string, readonly worker: string }
@@ -34,16 +55,31 @@
  */
 export class Scheduler implements LedgerObserver {
   private readonly ledger: TaskLedger
+  private readonly queue = new JobQueue()
+  private readonly teams = new TeamShares()
+  private readonly claims = new Claims(entry => this.queue.noteGrowth(entry))
+  private readonly preemption = new PreemptionPlanner(this.claims, task => this.ledger.findTask(task))
+  private readonly gangs = new GangReservation(this.claims, task => this.ledger.findTask(task))
+  /** Urgent jobs that did not fit. */
+  private readonly urgentWaiting = new Set<JobEntry>()
+  /** Waiting deferrable jobs, by the time at which they count as normal. */
+  private readonly aging = new FlatQueue<JobEntry>()
   private readonly changedJobs = new Set<JobEntry>()
+  /** Jobs that wait for the inventory of every worker. */
+  private uncertain: JobEntry[] = []
+  /** Workers that get no starts for a while, by its end. */
+  private readonly avoided = new FlatQueue<WorkerEntry>()
   private lost: SchedulingDecision[] = []
   private sequence = 0
+  /** Whether tentative placements are being taken back, which frees nothing that was not free before. */
+  private undoing = false
 
   /**
    * @param term Term of the ownership; part of every attempt.
    * @param silentWorkersLapseAt Time by which tasks started by an earlier owner on workers that do not answer have certainly ended.
    */
   constructor (private readonly term: number, private readonly silentWorkersLapseAt: number, private readonly policy: PlacementPolicy) {
-    this.ledger = new TaskLedger(term, this)
+    this.ledger = new TaskLedger(term, this, this.teams)
   }
 
   /** Takes over the list of workers. One that disappears keeps its holds until their leases have lapsed. */
@@ -57,7 +93,14 @@
    */
   addJob (job: Job, now: number, mayBePlaced = false): void {
     const entry = this.ledger.addJob(job, now, mayBePlaced)
-    if (entry !== undefined) this.changedJobs.add(entry)
+    if (entry === undefined) return
+    this.changedJobs.add(entry)
+    if (job.urgency === 'deferrable') this.aging.push(entry, now + AGING_MILLISECONDS)
+  }
+
+  /** Takes over the teams' quotas. */
+  setQuotas (teams: Readonly<Record<string, { quota: Resources }>>): void {
+    this.teams.setQuotas(teams)
   }
 
   cancelJob (identity: string): void {
@@ -125,19 +168,20 @@
   /** Decides what to start, stop and end now, at most `limit` starts. */
   decide (now: number, limit: number): SchedulingDecision[] {
     if (this.ledger.superseded) return []
+    if (now >= this.silentWorkersLapseAt) this.ledger.forgetSilentWorkers()
     this.ledger.releaseLapsed(now)
     const decisions = this.lost
     this.lost = []
-    for (const entry of this.changedJobs) this.settle(entry, now, decisions)
-    this.changedJobs.clear()
+    if (this.uncertain.length > 0 && this.inventoryComplete(now)) this.enqueueUncertain()
+    this.settleChanged(now, decisions)
     for (const { entry, hold } of this.ledger.takeCommands(now, COMMANDS_PER_DECISION)) decisions.push(...this.repeat(entry, hold))
-    let starts = 0
-    for (const entry of this.waitingJobs(now)) {
-      if (starts >= limit) break
-      const placed = this.place(entry, limit - starts, now)
-      starts += placed.length
-      decisions.push(...placed)
-    }
+    this.claims.expire(now)
+    this.age(now)
+    this.gangs.update(this.ledger.workers.values(), now)
+    const gang = this.gangs.current
+    for (const task of gang === undefined ? [] : this.gangs.takeBackfill()) this.preempt(task, gang as JobEntry, now, decisions)
+    this.placeWaiting(now, limit, decisions)
+    this.preemptForUrgent(now, decisions)
     return decisions
   }
 
@@ -173,7 +217,15 @@
     return { used, capacity }
   }
 
-  onWorkerChanged (): void {}
+  onWorkerChanged (entry: WorkerEntry): void {
+    const { present, worker: { free }, lastFree } = entry
+    this.policy.onWorkerChanged(entry, present)
+    const grown = present && !this.undoing && !fitsWithin(free, lastFree)
+    entry.lastFree = present ? free : NO_RESOURCES
+    if (entry.avoidUntil !== entry.avoidQueued) this.avoided.push(entry, entry.avoidUntil)
+    entry.avoidQueued = entry.avoidUntil
+    if (grown) this.queue.noteGrowth(entry)
+  }
 
   onJobChanged (entry: JobEntry): void {
     this.changedJobs.add(entry)
@@ -183,28 +235,125 @@
     this.lost.push({ kind: 'taskLost', task, worker })
   }
 
-  private waitingJobs (now: number): JobEntry[] {
-    const complete = this.inventoryComplete(now)
-    const waiting = [...this.ledger.jobs.values()].filter(entry => !entry.cancelled && !entry.endDecided && entry.placeable.size > 0 && (complete || !entry.mayBePlaced))
-    return waiting.sort((left, right) => urgencyRank(left.job.urgency) - urgencyRank(right.job.urgency) || left.addedAt - right.addedAt)
+  /** Looks at jobs that have changed: ends them, stops their tasks or queues them. The rest waits for the next decision. */
+  private settleChanged (now: number, decisions: SchedulingDecision[]): void {
+    let settled = 0
+    for (const entry of this.changedJobs) {
+      if (++settled > SETTLED_PER_DECISION) return
+      this.changedJobs.delete(entry)
+      this.settle(entry, now, decisions)
+      if (!entry.isWaiting || this.ledger.jobs.get(entry.job.identity) !== entry) continue
+      if (entry.mayBePlaced && !this.inventoryComplete(now)) this.uncertain.push(entry)
+      else this.queue.add(entry)
+    }
+  }
+
+  private enqueueUncertain (): void {
+    for (const entry of this.uncertain) this.changedJobs.add(entry)
+    this.uncertain = []
   }
 
-  private place (entry: JobEntry, limit: number, now: number): SchedulingDecision[] {
-    const all = entry.job.kind === 'gang'
-    if (all && (entry.placeable.size > limit || entry.placeable.size < entry.counts.waiting)) return []
+  private placeWaiting (now: number, limit: number, decisions: SchedulingDecision[]): void {
+    while ((this.avoided.peekValue() ?? Infinity) <= now) this.queue.noteGrowth(this.avoided.pop() as WorkerEntry)
+    this.queue.wake()
+    let starts = 0
+    let failedTries = 0
+    while (starts < limit && failedTries < FAILED_TRIES_PER_DECISION) {
+      const next = this.queue.next(team => this.teams.dominantShare(team))
+      if (next === undefined) {
+        this.queue.endRound()
+        return
+      }
+      const { job, group, candidates } = next
+      const wanted = job.job.kind === 'gang' ? job.placeable.size : Math.min(job.placeable.size, TASKS_PER_TURN, limit - starts)
+      if (wanted > limit && job.job.kind !== 'gang') return
+      const placed = this.place(job, wanted, candidates, now)
+      starts += placed.length
+      for (const decision of placed) decisions.push(decision)
+      if (placed.length === wanted) continue
+      if (job.rank === URGENT_RANK) this.urgentWaiting.add(job)
+      else if (job.job.kind === 'gang') this.gangs.add(job)
+      this.queue.park(group)
+      failedTries += 1
+    }
+  }
+
+  /** Starts `wanted` tasks of a job, as many as fit; of a gang all or none. */
+  private place (job: JobEntry, wanted: number, candidates: readonly WorkerEntry[] | undefined, now: number): SchedulingDecision[] {
     const placed: Array<{ task: TaskEntry, entry: WorkerEntry }> = []
-    const wanted = entry.placeable.size
-    for (const task of [...entry.placeable].slice(0, limit)) {
-      const worker = this.policy.choose(entry.job.resources, this.usableWorkers(now))
-      const chosen = worker === undefined ? undefined : this.ledger.workers.get(worker.name)
-      if (chosen === undefined || !this.ledger.place(task, chosen, { term: this.term, sequence: ++this.sequence }, now)) break
-      placed.push({ task, entry: chosen })
+    const accept = (entry: WorkerEntry): boolean => now >= entry.avoidUntil && this.claims.allows(entry, job)
+    for (const task of job.placeable) {
+      if (placed.length >= wanted) break
+      const entry = this.chooseFor(job, candidates, accept)
+      if (entry === undefined || !this.ledger.place(task, entry, { term: this.term, sequence: ++this.sequence }, now)) break
+      placed.push({ task, entry })
     }
-    if (all && placed.length < wanted) {
+    if (job.job.kind === 'gang' && placed.length < wanted) {
+      this.undoing = true
       for (const { task } of placed) this.ledger.unplace(task)
+      this.undoing = false
       return []
     }
-    return placed.map(({ task, entry: chosen }) => this.startDecision(task, chosen, task.attempt as Attempt))
+    if (this.claims.size > 0) {
+      for (const { entry } of placed) this.claims.use(job, entry)
+    }
+    return placed.map(({ task, entry }) => this.startDecision(task, entry, task.attempt as Attempt))
+  }
+
+  /** Chooses a worker; for a service one of the racks with the fewest of its tasks, if such a rack has room. */
+  private chooseFor (job: JobEntry, candidates: readonly WorkerEntry[] | undefined, accept: (entry: WorkerEntry) => boolean): WorkerEntry | undefined {
+    const { resources, kind } = job.job
+    const choose = (accepted: typeof accept): WorkerEntry | undefined => candidates === undefined ? this.policy.choose(resources, accepted) : bestOf(resources, candidates, accepted)
+    if (kind !== 'service') return choose(accept)
+    const racks = new Map<string, number>()
+    for (const task of job.tasks) {
+      const rack = task.worker === undefined ? undefined : this.ledger.workers.get(task.worker)?.worker.description.rack
+      if (rack !== undefined) racks.set(rack, (racks.get(rack) ?? 0) + 1)
+    }
+    const most = Math.max(0, ...racks.values())
+    for (let count = 0; count < most; count += 1) {
+      const spread = choose(entry => (racks.get(entry.worker.description.rack) ?? 0) <= count && accept(entry))
+      if (spread !== undefined) return spread
+    }
+    return choose(accept)
+  }
+
+  /** Makes room for urgent jobs that did not fit, and keeps it for them. */
+  private preemptForUrgent (now: number, decisions: SchedulingDecision[]): void {
+    if (this.urgentWaiting.size === 0) return
+    const workers = [...this.ledger.workers.values()]
+    let plans = 0
+    for (const job of this.urgentWaiting) {
+      if (!job.isWaiting) {
+        this.urgentWaiting.delete(job)
+        continue
+      }
+      for (let missing = job.placeable.size - this.claims.of(job).length; missing > 0; missing -= 1) {
+        if (++plans > PREEMPTIONS_PER_DECISION) return
+        const plan = this.preemption.plan(job, workers, now)
+        if (plan === undefined) break
+        this.claims.add({ entry: plan.entry, job, resources: job.job.resources, expiresAt: now + PREEMPTION_CLAIM_MILLISECONDS, open: false })
+        for (const victim of plan.victims) this.preempt(victim, job, now, decisions)
+        if (plan.victims.length === 0) this.queue.noteGrowth(plan.entry)
+      }
+    }
+  }
+
+  private preempt (task: TaskEntry, by: JobEntry, now: number, decisions: SchedulingDecision[]): void {
+    decisions.push({ kind: 'preempted', task: task.task, worker: task.worker ?? '', by: by.job.identity })
+    task.preemptedAt = now
+    this.ledger.stopCurrent(task, now, task.job.job.checkpointable)
+  }
+
+  /** Treats deferrable jobs that have waited for long as normal, so that they are not passed over for ever. */
+  private age (now: number): void {
+    while ((this.aging.peekValue() ?? Infinity) <= now) {
+      const job = this.aging.pop() as JobEntry
+      if (!job.isWaiting || this.ledger.jobs.get(job.job.identity) !== job) continue
+      job.rank -= 1
+      job.queued = false
+      this.queue.add(job)
+    }
   }
 
   private startDecision (task: TaskEntry, entry: WorkerEntry, attempt: Attempt): SchedulingDecision {
@@ -214,17 +363,15 @@
 
   private repeat (entry: WorkerEntry, hold: Hold): SchedulingDecision[] {
     const { task, attempt } = hold
-    if (hold.state === 'stopping') return [{ kind: 'stop', worker: entry.worker.description, task, attempt }]
+    if (hold.state === 'stopping') {
+      const kind = hold.checkpointFirst ? 'checkpoint' : 'stop'
+      hold.checkpointFirst = false
+      return [{ kind, worker: entry.worker.description, task, attempt }]
+    }
     const found = this.ledger.findTask(task)
     return found === undefined ? [] : [this.startDecision(found, entry, attempt)]
   }
 
-  private * usableWorkers (now: number): Generator<Worker> {
-    for (const entry of this.ledger.workers.values()) {
-      if (entry.usable(now)) yield entry.worker
-    }
-  }
-
   /** Ends a job whose tasks have all ended, and stops the tasks of one that was cancelled or has failed. */
   private settle (entry: JobEntry, now: number, decisions: SchedulingDecision[]): void {
     if (entry.endDecided || this.ledger.jobs.get(entry.job.identity) !== entry) return
--- a/src/scheduling/taskLedger.ts
+++ b/src/scheduling/taskLedger.ts
@@ -4,6 +4,7 @@
 import { HoldTimers, type HeldAttempt } from './holdTimers.js'
 import { compareAttempts, indexOfTask, JobEntry, jobOfTask, type TaskEntry } from './jobState.js'
 import type { LedgerObserver, StartOutcome } from './ledgerObserver.js'
+import type { TeamShares } from './teamShares.js'
 import { WorkerEntry } from './workerEntry.js'
 
 /** Attempts of one task that may fail before its job fails. */
@@ -24,11 +25,12 @@
   /** Worker of each start command without an outcome, by the attempt's number. */
   private readonly startsInFlight = new Map<number, WorkerEntry>()
   private unreported = 0
+  private order = 0
   private readonly timers = new HoldTimers()
   /** Workers that hold or report attempts of jobs that are not known here. */
   private readonly orphans = new Map<string, Set<WorkerEntry>>()
 
-  constructor (private readonly term: number, private readonly observer: LedgerObserver) {}
+  constructor (private readonly term: number, private readonly observer: LedgerObserver, private readonly teams: TeamShares) {}
 
   /** Whether every worker has reported to this owner. */
   get everyWorkerReported (): boolean {
@@ -47,15 +49,23 @@
         entry.listed = false
         this.observer.onWorkerChanged(entry)
       }
-      if (entry.worker.heldCount > 0) continue
+      if (entry.worker.heldCount === 0 && entry.reportedAt !== undefined) this.workers.delete(name)
+    }
+  }
+
+  /** Forgets workers that left the list without a report. Before the leases of an earlier owner have lapsed they may still run its tasks. */
+  forgetSilentWorkers (): void {
+    if (this.unreported === 0) return
+    for (const [name, entry] of this.workers) {
+      if (entry.listed || entry.reportedAt !== undefined) continue
       this.workers.delete(name)
-      if (entry.reportedAt === undefined) this.unreported -= 1
+      this.unreported -= 1
     }
   }
 
   addJob (job: Job, now: number, mayBePlaced: boolean): JobEntry | undefined {
     if (this.jobs.has(job.identity)) return undefined
-    const added = new JobEntry(job, now, mayBePlaced)
+    const added = new JobEntry(job, now, ++this.order, mayBePlaced, this.teams.useOf(job.team))
     this.jobs.set(job.identity, added)
     const places = this.orphans.get(job.identity) ?? []
     this.orphans.delete(job.identity)
@@ -75,6 +85,7 @@
         if (hold.job === identity) this.beginStop(entry, hold, 0)
       }
     }
+    job.leaveTeam()
     this.jobs.delete(identity)
   }
 
@@ -100,6 +111,7 @@
     this.timers.track(entry, hold)
     task.attempt = attempt
     task.worker = entry.worker.name
+    task.startedAt = now
     task.job.setPhase(task, 'starting')
     task.job.changePlaces(task, 1)
     this.observer.onWorkerChanged(entry)
@@ -177,11 +189,13 @@
     if (first) this.observer.onWorkerChanged(entry)
   }
 
-  /** Orders the attempt that a task has at present to be stopped. */
-  stopCurrent (task: TaskEntry, now: number): void {
+  /** Orders the attempt that a task has at present to be stopped; with `checkpoint`, to be checkpointed first. */
+  stopCurrent (task: TaskEntry, now: number, checkpoint = false): void {
     const entry = task.worker === undefined ? undefined : this.workers.get(task.worker)
     const hold = entry?.worker.find(task.task)
-    if (entry !== undefined && hold !== undefined) this.beginStop(entry, hold, now)
+    if (entry === undefined || hold === undefined) return
+    if (hold.state !== 'stopping') hold.checkpointFirst = checkpoint
+    this.beginStop(entry, hold, now)
   }
 
   /** Releases what is held by attempts whose lease has certainly lapsed. */
