--- a/src/requests/poolDivision.ts
+++ b/src/requests/poolDivision.ts
@@ -39,10 +39,10 @@
   }
 
   /** Name of the holder that gets the next free slot, counted as given; holders with waiting requests come first. */
-  takeNeediest (): string | undefined {
+  takeReceiver (): string | undefined {
     let best: HolderNeed | undefined
     for (const need of this.needs) {
-      if (best === undefined || isNeedier(need, best)) best = need
+      if (best === undefined || comesBefore(need, best)) best = need
     }
     if (best === undefined) return undefined
     best.granted += 1
@@ -102,7 +102,7 @@
   return missing >= Math.max(2, need.entitled * IDLE_HYSTERESIS) ? missing : 0
 }
 
-function isNeedier (left: HolderNeed, right: HolderNeed): boolean {
+function comesBefore (left: HolderNeed, right: HolderNeed): boolean {
   const leftWaits = left.unmet > 0
   const rightWaits = right.unmet > 0
   if (leftWaits !== rightWaits) return leftWaits
--- a/src/requests/slotAllocator.ts
+++ b/src/requests/slotAllocator.ts
@@ -76,9 +76,9 @@
  */
 export class SlotAllocator {
   private readonly holders = new Map<string, HolderState>()
-  /** Slots and connections by executor that holders brought from an earlier owner's grants. */
-  private readonly brought = new Map<string, Amount>()
-  /** Holders that have reported; a holder brings earlier grants only with its first report. */
+  /** Slots and connections by executor that holders carried over from an earlier owner's grants. */
+  private readonly carriedOver = new Map<string, Amount>()
+  /** Holders that have reported; a holder carries over earlier grants only with its first report. */
   private readonly seen = new Set<string>()
   private executors = new Map<string, ExecutorLimits>()
   private sequence = 0
@@ -130,7 +130,7 @@
     for (const executor of new Set([...state.commitments.keys(), ...uses.keys()])) {
       const use = uses.get(executor) ?? { executor, held: 0, inFlight: 0, connections: 0 }
       const commitment = this.noteUse(state, use, report.appliedGrant, isFirst, now)
-      if (isFirst) this.noteBrought(executor, commitment)
+      if (isFirst) this.noteCarriedOver(executor, commitment)
     }
   }
 
@@ -153,9 +153,9 @@
     return { slots: 0, connections: 0, unconfirmed: [], inFlight: 0, granted: NOTHING, expiresAt: now, maximumRunMilliseconds: this.executors.get(executor)?.maximumRunMilliseconds ?? 0 }
   }
 
-  private noteBrought (executor: string, commitment: Commitment): void {
-    const before = this.brought.get(executor) ?? NOTHING
-    this.brought.set(executor, { slots: before.slots + commitment.slots, connections: before.connections + commitment.connections })
+  private noteCarriedOver (executor: string, commitment: Commitment): void {
+    const before = this.carriedOver.get(executor) ?? NOTHING
+    this.carriedOver.set(executor, { slots: before.slots + commitment.slots, connections: before.connections + commitment.connections })
   }
 
   /** Answers the reporter; others get new grants only when that moves a slot. */
@@ -186,7 +186,7 @@
 
   /** Gives a free slot to the holder that needs it most. */
   private raise (executor: ExecutorLimits, division: PoolDivision, changed: Set<string>, now: number): void {
-    const holder = division.takeNeediest()
+    const holder = division.takeReceiver()
     const state = holder === undefined ? undefined : this.holders.get(holder)
     if (holder === undefined || state === undefined) return
     const commitment = state.commitments.get(executor.name) ?? this.emptyCommitment(executor.name, now)
@@ -254,11 +254,11 @@
     return Math.max(0, Math.min(own.granted.slots + spare, own.connections + available))
   }
 
-  /** While requests of an earlier owner's grants may run, only what its holders have brought is divided. */
+  /** While requests of an earlier owner's grants may run, only what holders carried over is divided. */
   private usable (executor: ExecutorLimits, now: number): Amount {
     if (now >= this.earlierGrantsEnd + executor.maximumRunMilliseconds) return executor
-    const brought = this.brought.get(executor.name) ?? NOTHING
-    return { slots: Math.min(executor.slots, brought.slots), connections: Math.min(executor.connections, brought.connections) }
+    const carriedOver = this.carriedOver.get(executor.name) ?? NOTHING
+    return { slots: Math.min(executor.slots, carriedOver.slots), connections: Math.min(executor.connections, carriedOver.connections) }
   }
 
   private committed (executor: string): Amount {
