--- /dev/null
+++ b/test/fuzz/fuzz.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { FakeSite } from '../fakes/fakeSite.js'
+import { itUnlessKnownRed } from '../knownRed.js'
+import { PLANTED_FAULTS } from './faults.js'
+import { fuzz, prove, type FuzzOptions } from './fuzzer.js'
+import { assertChecks, watch } from './oracle.js'
+
+const CASES: ReadonlyArray<Pick<FuzzOptions, 'seed' | 'runs'>> = [{ seed: 21, runs: 12 }, { seed: 22, runs: 12 }]
+/** Faults that need more runs are left to `npm run fuzz:faults`. */
+const MOST_RUNS_FOR_A_FAULT = 8
+
+describe('fuzzing', () => {
+  for (const { seed, runs } of CASES) {
+    it(`finds no violation with seed ${seed} in ${runs} runs`, async () => {
+      const failure = await fuzz({ seed, runs })
+      assert.equal(failure, undefined, failure === undefined ? '' : `${failure.problem}\n${failure.trace}`)
+    })
+  }
+
+  for (const { name, checks, seed, runs, options } of PLANTED_FAULTS) {
+    if (runs > MOST_RUNS_FOR_A_FAULT) continue
+    it(`finds the planted fault: ${name} (seed ${seed}, ${runs} runs)`, async () => {
+      const failure = await fuzz({ seed, runs, shrink: false, ...options })
+      assert.ok(failure !== undefined && checks.some(check => failure.problem.startsWith(check)), failure?.problem)
+    })
+  }
+
+  itUnlessKnownRed('a keyed booking that is submitted again to another instance runs once', async () => {
+    await prove({ seed: 0 }, async site => {
+      site.request(site.instanceAt(0), 'booking', { key: 'parcel-1' })
+      site.request(site.instanceAt(1), 'booking', { key: 'parcel-1' })
+      await site.advance(4000)
+    })
+  })
+
+  itUnlessKnownRed('executors carry at most their slots when demand moves between instances', async () => {
+    const site = new FakeSite({ seed: 107267 }, watch)
+    try {
+      await site.begin()
+      await site.advance(50)
+      for (const executor of [...site.executors.values()].slice(2)) executor.serviceMilliseconds = 2000
+      for (let count = 0; count < 30; count += 1) site.request(site.instanceAt(3), 'booking')
+      for (let count = 0; count < 12; count += 1) site.request(site.instanceAt(6), 'booking')
+      await site.advance(4000)
+      assertChecks(site)
+    } finally {
+      await site.dispose()
+    }
+  })
+
+  // Guards against timers and listeners that outlive an instance, also after faults.
+  it('leaves no timer after every instance has been disposed', async () => {
+    const site = new FakeSite({ seed: 1 })
+    await site.begin()
+    for (let count = 0; count < 20; count += 1) site.request(site.instanceAt(count), 'lookup')
+    site.submitJob(site.instanceAt(0), 'batch')
+    site.log.down = true
+    await site.advance(500)
+    assert.equal(await site.dispose(), 0)
+  })
+})
