--- a/test/fuzz/faults.ts
+++ b/test/fuzz/faults.ts
@@ -84,7 +84,7 @@
     options: { plant: replace(Worker, 'adopt', (original, _self, task, attempt, resources, state) => original(task, attempt, { ...resources as object, processorsThousandths: 0 }, state)) }
   },
   {
-    name: 'the lease is counted from when its renewal was read, and the margin is left out',
+    name: 'the lease is counted from when its renewal was read and lasts 20 s',
     checks: ['TaskNeverInTwoPlaces', 'ExecutorSlotsNeverExceeded', 'WorkerNeverOvercommitted'],
     seed: 4,
     runs: 2,
