--- a/src/links/executorClient.ts
+++ b/src/links/executorClient.ts
@@ -2,7 +2,7 @@
 import { DisposableObject, toDisposable } from '../base/disposable.js'
 import { Emitter, type Event } from '../base/emitter.js'
 import { ConnectionSet } from './connectionSet.js'
-import { isConnectFailure } from './workerClient.js'
+import { isConnectFailure } from './connectFailure.js'
 
 /** A request as it goes to an executor: hop-by-hop headers are removed. */
 export interface OutgoingRequest {
--- a/src/links/workerClient.ts
+++ b/src/links/workerClient.ts
@@ -1,4 +1,5 @@
 import { request, type Agent } from 'undici'
+import { isConnectFailure } from './connectFailure.js'
 import { commandAnswerSchema, STALE_TERM, workerReportSchema, type RenewLeases, type StartTask, type TaskAction, type TaskActionName, type WorkerReport } from '../contracts/workerProtocol.js'
 
 const CALL_TIMEOUT_MILLISECONDS = 2000
@@ -66,11 +67,3 @@
     return undefined
   }
 }
-
-const CONNECT_FAILURES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
-
-/** Whether a request failed before a connection stood, so that no byte of it was sent. */
-export function isConnectFailure (error: unknown): boolean {
-  const code = (error as { code?: unknown } | undefined)?.code
-  return typeof code === 'string' && CONNECT_FAILURES.has(code)
-}
--- a/src/operator/operatorClient.ts
+++ b/src/operator/operatorClient.ts
@@ -4,8 +4,8 @@
 import { LogicalClock } from '../base/logicalClock.js'
 import { describeError } from '../base/logger.js'
 import { RECORD_SCHEMA_VERSION, CONFIGURATION_STREAM, recordBodySchema, type RecordEnvelope, type StoredRecord } from '../contracts/records.js'
-import { HttpPlatformLog } from '../links/platformLog.js'
-import { isConnectFailure } from '../links/workerClient.js'
+import { AppendRefusedError, HttpPlatformLog } from '../links/platformLog.js'
+
 import { ConfigurationHistory, type PublishOutcome } from '../zones/configurationHistory.js'
 import { instanceStatusSchema, type StatusAnswer } from './statusReport.js'
 
@@ -113,7 +113,7 @@
         return undefined
       } catch (error) {
         reason = describeError(error)
-        sent = sent || !isConnectFailure(error)
+        sent = sent || !(error instanceof AppendRefusedError)
         await delay(RETRY_MILLISECONDS)
       }
     }
--- a/test/fakes/fakeExecutors.ts
+++ b/test/fakes/fakeExecutors.ts
@@ -76,10 +76,14 @@
     this.register({ dispose: () => this.closeAll() })
   }
 
-  override async send (address: string, request: OutgoingRequest, timeoutMilliseconds: number, _connections: number, signal: AbortSignal): Promise<ExecutorResult> {
+  override async send (address: string, request: OutgoingRequest, timeoutMilliseconds: number, connections: number, signal: AbortSignal, mayStart: () => boolean): Promise<ExecutorResult> {
     const executor = this.executors.get(address) as FakeExecutor
     const submission = String(request.headers[SUBMISSION_HEADER])
-    this.takeConnection(executor)
+    if (!this.takeConnection(executor, address, connections)) return { kind: 'notSent', reason: 'no connection is free' }
+    if (!mayStart()) {
+      this.returnConnection(executor, true)
+      return { kind: 'notSent', reason: 'not started' }
+    }
     return await new Promise<ExecutorResult>(resolve => {
       let settled = false
       const settle = (result: ExecutorResult, keep: boolean): void => {
@@ -132,16 +136,30 @@
     return body
   }
 
-  private takeConnection (executor: FakeExecutor): void {
+  override limitConnections (address: string, connections: number): void {
+    const executor = this.executors.get(address)
+    if (executor === undefined) return
+    for (const timer of this.idle.get(executor) ?? []) {
+      if ((this.open.get(executor) ?? 0) <= connections) return
+      clearTimeout(timer)
+      this.idle.get(executor)?.delete(timer)
+      this.closeOne(executor)
+    }
+  }
+
+  private takeConnection (executor: FakeExecutor, address: string, connections: number): boolean {
     const idle = this.idle.get(executor)
     const [reused] = idle ?? []
     if (reused !== undefined) {
       clearTimeout(reused)
       idle?.delete(reused)
-      return
+      return true
     }
+    if ((this.open.get(executor) ?? 0) >= connections) return false
     executor.openConnection()
     this.open.set(executor, (this.open.get(executor) ?? 0) + 1)
+    this.didChangeConnections.fire({ address, open: this.open.get(executor) ?? 0 })
+    return true
   }
 
   private returnConnection (executor: FakeExecutor, keep: boolean): void {
@@ -161,6 +179,16 @@
 
   private closeOne (executor: FakeExecutor): void {
     executor.connections -= 1
-    this.open.set(executor, (this.open.get(executor) ?? 0) - 1)
+    const open = (this.open.get(executor) ?? 0) - 1
+    this.open.set(executor, open)
+    const address = [...this.executors].find(([, candidate]) => candidate === executor)?.[0]
+    if (address !== undefined) this.self.deliver(() => this.didChangeConnections.fire({ address, open }))
+  }
+}
+
+/** Entry instances of other failure domains, none of which can be reached. */
+export class UnreachablePeers extends ExecutorClient {
+  override async send (): Promise<ExecutorResult> {
+    return { kind: 'notSent', reason: 'unreachable', unreachable: true }
   }
 }
--- a/test/fakes/fakeSite.ts
+++ b/test/fakes/fakeSite.ts
@@ -6,11 +6,11 @@
 import { checkSiteText, type SiteText, type Urgency } from '../../src/contracts/siteText.js'
 import type { Verdict } from '../../src/contracts/verdict.js'
 import type { EntryInstance } from '../../src/entry/entryInstance.js'
-import type { JobAnswer } from '../../src/entry/jobTask.js'
 import { RequestBody } from '../../src/entry/requestBody.js'
+import type { JobAnswer } from '../../src/entry/jobTask.js'
 import { CALLER_HEADERS } from '../../src/requests/headers.js'
 import { assembleEntryInstance, createEntryContext, type EntryConnections } from '../../src/programs/wiring.js'
-import { FakeExecutor, FakeExecutorClient, MAXIMUM_RUN_MILLISECONDS, SUBMISSION_HEADER } from './fakeExecutors.js'
+import { FakeExecutor, FakeExecutorClient, UnreachablePeers, MAXIMUM_RUN_MILLISECONDS, SUBMISSION_HEADER } from './fakeExecutors.js'
 import { FakeInstanceDirectory, FakeInstanceList } from './fakeInstanceList.js'
 import { FakeLinkFabric, FakeLinks } from './fakeLinks.js'
 import { FakeLog, FakePlatformLog } from './fakeLog.js'
@@ -152,6 +152,7 @@
         instanceList: new FakeInstanceList(this.directory, this.network, process),
         workers: new FakeWorkerClient(this.workers, this.network, process),
         executors: new FakeExecutorClient(this.executors, this.network, process),
+        peers: new UnreachablePeers(),
         links,
         agent: new Agent()
       }
