--- a/test/fakes/fakeSite.ts
+++ b/test/fakes/fakeSite.ts
@@ -7,7 +7,6 @@
 import type { Verdict } from '../../src/contracts/verdict.js'
 import type { EntryInstance } from '../../src/entry/entryInstance.js'
 import type { JobAnswer } from '../../src/entry/jobTask.js'
-import { RequestBody } from '../../src/entry/requestBody.js'
 import { CALLER_HEADERS } from '../../src/requests/headers.js'
 import { assembleEntryInstance, createEntryContext, type EntryConnections } from '../../src/programs/wiring.js'
 import { FakeExecutor, FakeExecutorClient, UnreachablePeers, MAXIMUM_RUN_MILLISECONDS, SUBMISSION_HEADER } from './fakeExecutors.js'
