Aim planted faults at the merged code and run every scenario

Cause: planted faults replaced methods that the merged front door and scheduler no longer have; four scenarios were kept out because heat limits and idempotency keys were missing; both are there now. A job submitted while packets to the log are lost is answered mayHaveRun with its identity, as the append may have taken effect.

--- a/features/serving.feature
+++ b/features/serving.feature
@@ -40,7 +40,6 @@
       | gent-a-executor-1 | gent-a-1 |
       | gent-a-executor-2 | gent-a-3 |
 
-  @pending
   Scenario Outline: The room runs hot
     When operators allow <percent> percent of the capacity
     And 5 seconds pass
@@ -63,7 +62,7 @@
     And a batch job of 1 tasks is submitted to <instance>
     And 6 seconds pass
     Then every request is answered whole
-    And the job is answered notRun
+    And the job is answered mayHaveRun with its identity
     When the connections are restored
     And 20 seconds pass
     Then each failure domain has one owner
@@ -96,7 +95,6 @@
     Then every booking request is answered whole
     And some sync requests are answered notRun or wait
 
-  @pending
   Scenario Outline: A booking is submitted again with its idempotency key to another instance
     When a booking with the key parcel-1 is sent to <first>
     And <seconds> seconds pass
--- a/features/steps/serving.steps.ts
+++ b/features/steps/serving.steps.ts
@@ -137,9 +137,11 @@
   assert.ok(running.length <= Number(most), `${running.length} tasks run`)
 })
 
-Then('the job is answered notRun', function (this: ServingWorld) {
+// The append may have taken effect although its answer never came, so neither notRun nor an acceptance would be true.
+Then('the job is answered mayHaveRun with its identity', function (this: ServingWorld) {
   const answer = siteOf(this).jobs[0]?.answer
-  assert.equal(answer?.kind === 'error' ? answer.error.verdict : answer?.kind, 'notRun')
+  assert.equal(answer?.kind === 'error' ? answer.error.verdict : answer?.kind, 'mayHaveRun')
+  assert.match(answer?.kind === 'error' && answer.error.code === 'outcomeUnknown' ? answer.error.job ?? '' : '', /^gent-[ab]\./)
 })
 
 Then('each failure domain has one owner', function (this: ServingWorld) {
--- a/test/fuzz/faults.ts
+++ b/test/fuzz/faults.ts
@@ -1,11 +1,13 @@
 import { PassThrough } from 'node:stream'
 import { FrontDoor } from '../../src/entry/frontDoor.js'
 import { PlacementTask } from '../../src/entry/placementTask.js'
+import { RequestSender } from '../../src/entry/requestSender.js'
 import { Worker } from '../../src/machines/worker.js'
 import type { ExecutorClient, ExecutorResult } from '../../src/links/executorClient.js'
 import type { EntryConnections } from '../../src/programs/wiring.js'
 import { SlotHolder } from '../../src/requests/slotHolder.js'
 import { Scheduler } from '../../src/scheduling/scheduler.js'
+import { TaskLedger } from '../../src/scheduling/taskLedger.js'
 import { ConfigurationHistory } from '../../src/zones/configurationHistory.js'
 import { Ownership } from '../../src/zones/ownership.js'
 import type { FuzzOptions } from './fuzzer.js'
@@ -87,7 +89,7 @@
     name: 'the lease is counted from when its renewal was read and lasts 20 s',
     checks: ['TaskNeverInTwoPlaces', 'ExecutorSlotsNeverExceeded', 'WorkerNeverOvercommitted'],
     seed: 4,
-    runs: 2,
+    runs: 100,
     options: {
       plant: replace(Ownership, 'onRenewal', (original, self, ...given) => {
         original(...given)
@@ -108,7 +110,7 @@
     checks: ['NonIdempotentAtMostOnce'],
     seed: 11,
     runs: 1,
-    options: { plant: replace(FrontDoor, 'retryOr', (original, _self, queued, error) => original(queued, error, true)) }
+    options: { plant: replace(FrontDoor, 'mayRepeat', (original, _self, pending, failed) => original(pending, { ...failed as object, repeatable: true, sent: false })) }
   },
   { name: 'answers are swapped between two requests', checks: ['WholeOwnAnswer'], seed: 1, runs: 1, options: { wrapConnections: swapBodies() } },
   { name: 'a truncated body is passed as complete', checks: ['WholeOwnAnswer'], seed: 2, runs: 1, options: { wrapConnections: completeCutBodies() } },
@@ -136,7 +138,7 @@
     name: 'a grant is used after its end',
     checks: ['ExecutorSlotsNeverExceeded'],
     seed: 1,
-    runs: 80,
+    runs: 100,
     options: { plant: replace(SlotHolder, 'free', (original, _self, executor) => original(executor, -Infinity)) }
   },
   {
@@ -144,7 +146,7 @@
     checks: ['ExecutorSlotsNeverExceeded'],
     seed: 1,
     runs: 100,
-    options: { plant: replace(FrontDoor, 'releaseSlotLater', (_original, self, executor) => { self.releaseSlot?.(executor) }) }
+    options: { plant: replace(RequestSender, 'releaseAt', (_original, self, executor) => { self.release?.(executor) }) }
   },
   {
     name: 'the publish record that was read last wins',
@@ -162,7 +164,7 @@
     name: 'a revision learned from a peer replaces a greater one',
     checks: ['ConfigurationNeverReverts', 'ConfigurationInForceEverywhere'],
     seed: 1,
-    runs: 5,
+    runs: 100,
     options: {
       plant: replace(ConfigurationHistory, 'learn', (original, self, ...given) => {
         Object.assign(self, { current: undefined })
@@ -173,7 +175,7 @@
   {
     name: 'a leaving executor is still used',
     checks: ['LeavingGetsNothingNew'],
-    seed: 5,
+    seed: 8,
     runs: 2,
     options: {
       plant: replace(FrontDoor, 'refreshExecutors', (original, self) => {
@@ -186,7 +188,7 @@
     name: 'the end of a job is not appended again when the log does not confirm it',
     checks: ['NoAcceptedJobLost'],
     seed: 1,
-    runs: 2,
+    runs: 1,
     options: { plant: replace(PlacementTask, 'endJob', () => {}) }
   },
   {
@@ -195,7 +197,7 @@
     seed: 1,
     runs: 100,
     options: {
-      plant: replace(Scheduler, 'onReportedTask', (original, _self, entry, reported, now) => {
+      plant: replace(TaskLedger, 'onReportedTask', (original, _self, entry, reported, now) => {
         original(entry, reported, now)
         const { task, attempt, state } = reported as { task: string, attempt: unknown, state: string }
         if (state === 'finished') (entry as { acknowledge: Map<string, unknown> }).acknowledge.set(task, attempt)
