Re-append the finished tasks of open jobs before the log's retention ends

Cause: an open job was re-appended without its progress, so that a late starter would have run its finished tasks again once the progress records had left the log. The identity of the repeated record is the count of finished tasks, which only grows. The unused link message domainSummary is removed.

Conclusion: jobs, cancellations and progress outlast retention; idempotency keys still rest on retention above their window.

--- a/src/contracts/linkMessages.ts
+++ b/src/contracts/linkMessages.ts
@@ -49,8 +49,7 @@
   /** Says which revision the sender has in force; a peer that lacks it asks for the text. `digest` is the xxhash of the text. */
   z.object({ type: z.literal('configurationAnnouncement'), logicalTime, revision: z.number().int(), digest: z.string() }),
   z.object({ type: z.literal('configurationRequest'), logicalTime }),
-  z.object({ type: z.literal('configurationText'), logicalTime, revision: z.number().int(), text: z.string() }),
-  z.object({ type: z.literal('domainSummary'), logicalTime, failureDomain: z.string(), freeSlots: z.record(z.string(), z.number().int()), waitingTasks: z.number().int() })
+  z.object({ type: z.literal('configurationText'), logicalTime, revision: z.number().int(), text: z.string() })
 ])
 export type LinkMessage = z.infer<typeof linkMessageSchema>
 export type LinkMessageOf<Type extends LinkMessage['type']> = Extract<LinkMessage, { type: Type }>
--- a/src/entry/jobTask.ts
+++ b/src/entry/jobTask.ts
@@ -8,7 +8,7 @@
 import type { ServingError } from '../contracts/verdict.js'
 import type { AppendOutcome, LogAppender } from '../links/logAppender.js'
 import type { LogFollower } from '../links/logFollower.js'
-import { JobBook } from '../scheduling/jobBook.js'
+import { JobBook, rangesOf, type BookedJob } from '../scheduling/jobBook.js'
 import { couldEverFit } from '../scheduling/capacity.js'
 import type { ConfigurationTask } from './configurationTask.js'
 import type { EntryContext } from './entryContext.js'
@@ -92,8 +92,8 @@
   }
 
   /**
-   * Repeats the record of an open job with its original identity, and its cancellation if there is one. Resolves with
-   * whether both are in the log. A job whose end has been sent is left alone, so that a late starter never reads the acceptance after the end.
+   * Repeats the record of an open job with its original identity, its cancellation if there is one, and its finished
+   * tasks, which must not run again. Resolves with whether all are in the log. A job whose end has been sent is left alone, so that a late starter never reads the acceptance after the end.
    */
   async reappend (identity: string): Promise<boolean> {
     const booked = this.book.find(identity)
@@ -101,7 +101,13 @@
     const { failureDomain } = booked
     const accepted = this.append(failureDomain, { type: 'jobAccepted', job: booked.job, failureDomain }, `job:${identity}`)
     const cancelled = booked.cancelRequested ? this.append(failureDomain, { type: 'jobCancelRequested', job: identity }, `cancel:${identity}`) : 'appended'
-    return (await Promise.all([accepted, cancelled])).every(outcome => outcome === 'appended')
+    const progressed = booked.finished.size > 0 ? this.reappendProgress(booked) : 'appended'
+    return (await Promise.all([accepted, cancelled, progressed])).every(outcome => outcome === 'appended')
+  }
+
+  /** Finished tasks only grow in number, so that their count identifies the record. */
+  private async reappendProgress ({ job, failureDomain, finished }: BookedJob): Promise<AppendOutcome> {
+    return await this.append(failureDomain, { type: 'jobProgress', job: job.identity, finished: rangesOf(finished) }, `progress:${job.identity}:${finished.size}`)
   }
 
   /** Appends the end of a job. */
--- a/test/entry/retentionTask.test.ts
+++ b/test/entry/retentionTask.test.ts
@@ -100,13 +100,15 @@
 
 /** Guards against jobs or the text in force that a late starter can no longer find, and against ended jobs that come back. */
 describe('RetentionTask', () => {
-  it('a late starter rebuilds open jobs and the decided text after several times the retention', async () => {
+  it('a late starter rebuilds open jobs and the decided text after several times the retention', async context => {
     const log = new MemoryLog()
     const owner = new Reader(log, true)
-    const job = (identity: string): RecordBody => ({ type: 'jobAccepted', failureDomain: DOMAIN, job: { identity, name: identity, team: 'one', kind: 'service', urgency: 'normal', tasks: 1, resources: { processorsThousandths: 1, memoryBytes: 1, accelerators: 0 }, checkpointable: false, acceptedAtMilliseconds: 0 } })
+    context.after(() => owner.dispose())
+    const job = (identity: string): RecordBody => ({ type: 'jobAccepted', failureDomain: DOMAIN, job: { identity, name: identity, team: 'one', kind: 'batch', urgency: 'normal', tasks: 4, resources: { processorsThousandths: 1, memoryBytes: 1, accelerators: 0 }, checkpointable: false, acceptedAtMilliseconds: 0 } })
     await log.write(JOBS, 'job:open', job('open'))
     await log.write(JOBS, 'job:ended', job('ended'))
     await log.write(JOBS, 'cancel:open', { type: 'jobCancelRequested', job: 'open' })
+    await log.write(JOBS, 'progress:open', { type: 'jobProgress', job: 'open', finished: [[0, 1], [3, 3]] })
     await log.write(CONFIGURATION_STREAM, 'one', published(0, 'one'))
     for (let round = 0; round < 4 * RETAINED; round += 1) {
       if (round === RETAINED) await log.write(JOBS, 'end:ended', { type: 'jobEnded', job: 'ended', outcome: 'finished', atMilliseconds: 0 })
@@ -117,13 +119,15 @@
       await settle()
     }
     const late = new Reader(log, false)
+    context.after(() => late.dispose())
     await settle()
     assert.deepEqual(late.jobs.book.open().map(booked => [booked.job.identity, booked.cancelRequested]), [['open', true]])
+    // Finished tasks that a late starter does not know would run again.
+    assert.deepEqual([...late.jobs.book.find('open')?.finished ?? []], [0, 1, 3])
     assert.equal(late.configuration.inForce?.text.site, 'two')
     assert.equal(late.configuration.inForce?.revision, 2)
     await log.write(CONFIGURATION_STREAM, 'three', published(2, 'three'))
     assert.deepEqual([owner, late].map(reader => reader.configuration.inForce?.text.site), ['three', 'three'])
-    for (const reader of [owner, late]) reader.dispose()
   })
 
   it('a record of a newer schema version is skipped and counted', async () => {
