--- a/src/contracts/jobs.ts
+++ b/src/contracts/jobs.ts
@@ -4,7 +4,6 @@
 
 /** Kinds of jobs: long-running services, deferrable batch work, and gangs that need all tasks at once. */
 export const jobKindSchema = z.enum(['service', 'batch', 'gang'])
-export type JobKind = z.infer<typeof jobKindSchema>
 
 /** Largest number of tasks of one job. */
 export const MAXIMUM_TASKS_PER_JOB = 10_000
--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -32,7 +32,6 @@
   entryAddresses: z.array(z.url()).min(1),
   operatorToken: secret
 })
-export type OperatorSettings = z.infer<typeof operatorSettingsSchema>
 
 /** Settings of the stand-in of platform, workers and executors. */
 export const standinSettingsSchema = z.strictObject({
@@ -51,4 +50,3 @@
   serviceMilliseconds: z.number().positive().default(20),
   logLevel
 })
-export type StandinSettings = z.infer<typeof standinSettingsSchema>
--- a/src/contracts/siteText.ts
+++ b/src/contracts/siteText.ts
@@ -65,8 +65,6 @@
 })
 export type SiteText = z.infer<typeof siteTextSchema>
 export type Service = SiteText['services'][string]
-export type ExecutorPool = SiteText['executorPools'][string]
-export type WorkerPool = SiteText['workerPools'][string]
 
 /** Result of checking a site text: the text, or every finding with its place. */
 export type CheckedSiteText =
--- a/src/entry/requestSender.ts
+++ b/src/entry/requestSender.ts
@@ -64,7 +64,7 @@
     }
     pending.attempts += 1
     if (!pending.request.signal.aborted) this.onExecutorFailed(executor)
-    this.releaseAt(executor, startedAt + pending.service.maximumRunMilliseconds + RUN_END_MARGIN_MILLISECONDS)
+    this.releaseAfterRun(pending, executor, startedAt)
     const error: ServingError = failure.timedOut
       ? { code: 'executorTimeout', verdict: 'mayHaveRun', message: 'the executor did not answer in time' }
       : { code: 'executorFailed', verdict: 'mayHaveRun', message: 'the connection to the executor broke' }
@@ -74,12 +74,12 @@
   private onAnswer (pending: PendingRequest, executor: Executor, answer: ExecutorAnswer, startedAt: number): FailedAttempt | undefined {
     pending.attempts += 1
     answer.body.on('error', error => this.context.logger.debug('the answer of an executor was cut short', { executor: executor.name, reason: error.message }))
-    const runEnd = startedAt + pending.service.maximumRunMilliseconds
     const refused = answer.status === 503 && answer.headers[NOT_RUN_HEADER] !== undefined
-    this.boundAnswer(answer, runEnd)
+    this.boundAnswer(answer, startedAt + pending.service.maximumRunMilliseconds)
     answer.body.once('close', () => {
       if (!answer.body.readableEnded) {
-        this.releaseAt(executor, refused ? monotonicNow() : runEnd + RUN_END_MARGIN_MILLISECONDS)
+        if (refused) this.release(executor)
+        else this.releaseAfterRun(pending, executor, startedAt)
         return
       }
       if (answer.status < 500) executor.recordSuccess(monotonicNow() - startedAt)
@@ -109,7 +109,8 @@
   }
 
   /** A request of unknown outcome counts until it cannot be running any more. */
-  private releaseAt (executor: Executor, at: number): void {
+  private releaseAfterRun ({ service }: PendingRequest, executor: Executor, startedAt: number): void {
+    const at = startedAt + service.maximumRunMilliseconds + RUN_END_MARGIN_MILLISECONDS
     if (at <= monotonicNow()) this.release(executor)
     else this.startTimer(() => this.release(executor), at)
   }
--- a/src/scheduling/placementPolicy.ts
+++ b/src/scheduling/placementPolicy.ts
@@ -51,20 +51,3 @@
   }
   return best
 }
-
-/** Baseline: takes the first worker with room. */
-export class FirstFitPolicy extends PlacementPolicy {
-  private readonly workers = new Set<WorkerEntry>()
-
-  override onWorkerChanged (entry: WorkerEntry, present: boolean): void {
-    if (present) this.workers.add(entry)
-    else this.workers.delete(entry)
-  }
-
-  override choose (demand: Resources, accept: (entry: WorkerEntry) => boolean): WorkerEntry | undefined {
-    for (const entry of this.workers) {
-      if (fitsWithin(demand, entry.worker.free) && accept(entry)) return entry
-    }
-    return undefined
-  }
-}
--- a/src/standins/siteStandin.ts
+++ b/src/standins/siteStandin.ts
@@ -9,9 +9,6 @@
 import type { StandinContext } from './standinContext.js'
 import { WorkerStandin } from './workerStandin.js'
 
-/** An entry instance as the instance list shows it. */
-export type EntryListing = Extract<ListedInstance, { kind: 'entry' }>
-
 /** Options of a whole site of stand-ins. */
 export interface SiteOptions extends PlatformOptions {
   readonly host: string
--- a/test/fuzz/faults.ts
+++ b/test/fuzz/faults.ts
@@ -146,7 +146,7 @@
     checks: ['ExecutorSlotsNeverExceeded'],
     seed: 1,
     runs: 100,
-    options: { plant: replace(RequestSender, 'releaseAt', (_original, self, executor) => { self.release?.(executor) }) }
+    options: { plant: replace(RequestSender, 'releaseAfterRun', (_original, self, _pending, executor) => { self.release?.(executor) }) }
   },
   {
     name: 'the publish record that was read last wins',
