--- /dev/null
+++ b/src/cluster/actingScheduler.ts
@@ -0,0 +1,395 @@
+import { delay } from '../base/delay.js'
+import { DisposableObject, toDisposable } from '../base/disposable.js'
+import type { Logger } from '../base/logger.js'
+import type { Random } from '../base/random.js'
+import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
+import { decodeRecord, encodeRecord, type ProgressRecord, type SubmissionRecord } from '../contracts/clusterRecords.js'
+import type { ClusterBounds } from '../contracts/clusterSettings.js'
+import type { JobState } from '../contracts/stepJob.js'
+import type { ClusterMetrics } from './clusterMetrics.js'
+import { ClusterScheduler, type PlannedStop, type SchedulerObserver } from './clusterScheduler.js'
+import { EligibilityDesk, type EligibilityLine } from './eligibilityDesk.js'
+import { progressOf, type Job, type Task } from './jobBook.js'
+import type { PlannedRun } from './placementPass.js'
+import { ProgressWriter } from './progressWriter.js'
+import { TOPICS, type KeyedRecord, type RecordLog, type StoredRecord } from './recordLog.js'
+import { cancelKey, isCancelKey, jobOfCancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
+import { TopicFollower } from './topicFollower.js'
+import type { WorkerEntry, WorkerPort, WorkerReport } from './workerPort.js'
+import { WorkerSession } from './workerSession.js'
+import type { WorkerState } from './workerState.js'
+
+/** Without contact to the log for this long, leases of workers are no longer renewed, in milliseconds; longer than the outages the log is known for. */
+export const RENEWAL_WITHOUT_LOG_MILLISECONDS = 10_000
+/** Slowest rate of a worker's clock. */
+const SLOWEST_CLOCK = 0.98
+/** Wait of a read of submissions in milliseconds, and least time between two reads. */
+const SUBMISSION_WAIT_MILLISECONDS = 1500
+const SUBMISSION_PERIOD_MILLISECONDS = 12
+/** Period of work that depends on time alone (recurring jobs, stuck runs, tickets), in milliseconds. */
+const TICK_MILLISECONDS = 100
+/** Period in which finished jobs are evicted, in milliseconds. */
+const EVICTION_PERIOD_MILLISECONDS = 10_000
+/** Age of the last read of submissions beyond which an unknown job may exist, in milliseconds. */
+const FRESH_MILLISECONDS = SUBMISSION_WAIT_MILLISECONDS + 1000
+
+/** Answer to a question about a job. `unsure`: the job may exist without being known here yet. */
+export type StateAnswer = JobState | 'unknown' | 'unsure'
+
+export interface ActingSchedulerOptions {
+  readonly term: number
+  readonly bounds: ClusterBounds
+  /** Time of the last renewal of the role that the log has stored, in milliseconds of the monotonic clock. */
+  readonly renewedAt: () => number
+  /** Lines to the eligibility service of all instances that can be reached. */
+  readonly lines: () => readonly EligibilityLine[]
+  /** The role has passed to another instance. */
+  readonly onDeposed: () => void
+}
+
+/** Acts as the scheduler during one term: follows submissions, places tasks, records progress, and orders workers. */
+export class ActingScheduler extends DisposableObject implements SchedulerObserver {
+  private readonly scheduler: ClusterScheduler
+  private readonly writer: ProgressWriter
+  private readonly desk: EligibilityDesk
+  private readonly submissions: TopicFollower[]
+  private readonly sessions = new Map<string, WorkerSession>()
+  private readonly abort = new AbortController()
+  private readonly startedAt: number
+  private wake: (() => void) | undefined
+  private isWoken = false
+  private restored: Map<string, ProgressRecord> | undefined
+  private isOperating = false
+
+  constructor (
+    private readonly log: RecordLog,
+    private readonly workers: WorkerPort,
+    private readonly options: ActingSchedulerOptions,
+    private readonly metrics: ClusterMetrics,
+    private readonly logger: Logger,
+    random: Random,
+    private readonly now: () => number
+  ) {
+    super()
+    this.startedAt = now()
+    this.scheduler = new ClusterScheduler(this)
+    this.writer = this.register(new ProgressWriter(log, options.term, reason => logger.warn('progress could not be recorded; the append is repeated', { term: options.term, reason })))
+    this.desk = new EligibilityDesk(this.scheduler, options.lines, () => this.trigger(), now)
+    this.submissions = Array.from({ length: SUBMISSION_PARTITIONS }, (_, partition) => this.register(new TopicFollower(
+      log,
+      { topic: TOPICS.submissions, partition, waitMilliseconds: SUBMISSION_WAIT_MILLISECONDS, periodMilliseconds: SUBMISSION_PERIOD_MILLISECONDS },
+      {
+        onRecords: records => this.onSubmissions(records),
+        onDidChangeReachable: (reachable, reason) => logger.info(reachable ? 'submissions can be read again' : 'submissions cannot be read', { term: options.term, reason })
+      },
+      random, now
+    )))
+    this.register(toDisposable(() => {
+      this.abort.abort()
+      for (const session of this.sessions.values()) session.dispose()
+      this.wake?.()
+    }))
+  }
+
+  /** Takes the role over from the log; resolves once it operates, or when the role is lost. */
+  async takeOver (configuration: ClusterConfiguration, entries: Iterable<WorkerEntry>): Promise<void> {
+    const fenced = await this.writer.fence()
+    if (fenced !== 'stored') {
+      if (fenced === 'fenced') this.options.onDeposed()
+      return
+    }
+    this.scheduler.configure(configuration)
+    this.restored = await this.readProgress()
+    for (const entry of entries) this.setWorker(entry)
+    for (const follower of this.submissions) await this.loadUntilDone(follower)
+    if (this.isDisposed) return
+    this.restored = undefined
+    this.isOperating = true
+    for (const follower of this.submissions) follower.follow()
+    for (const worker of this.scheduler.workers.values()) this.openSession(worker)
+    this.registerInterval(() => this.onTick(), TICK_MILLISECONDS)
+    this.registerInterval(() => this.evict(), EVICTION_PERIOD_MILLISECONDS)
+    this.logger.info('acting as scheduler', { term: this.options.term, count: this.scheduler.jobs.size, durationMilliseconds: Math.round(this.now() - this.startedAt) })
+    this.metrics.takeover(this.now() - this.startedAt)
+    this.recordAndOrder()
+    this.trigger()
+  }
+
+  setConfiguration (configuration: ClusterConfiguration): void {
+    this.scheduler.configure(configuration)
+    this.trigger()
+  }
+
+  /** Takes over the registry's entry of a worker. */
+  setWorker (entry: WorkerEntry): void {
+    const worker = this.scheduler.upsertWorker(entry)
+    this.sessions.get(entry.identity)?.setAddress(entry.address)
+    if (this.isOperating) this.openSession(worker)
+    this.trigger()
+  }
+
+  /** Takes note that the registry has dropped a worker. */
+  removeWorker (identity: string): void {
+    this.scheduler.unlistWorker(identity)
+    if (this.scheduler.workers.has(identity)) return
+    this.sessions.get(identity)?.dispose()
+    this.sessions.delete(identity)
+  }
+
+  /** State of a job for callers. */
+  stateOf (identity: string): StateAnswer {
+    if (!this.isOperating) return 'unsure'
+    const job = this.scheduler.jobs.get(identity)
+    if (job !== undefined) return job.shownState
+    return this.isFresh() ? 'unknown' : 'unsure'
+  }
+
+  /** Jobs of a queue of which no task has started; undefined while that is not known. */
+  waitingOf (queue: string): number | undefined {
+    return this.isOperating ? this.scheduler.waitingJobs(queue) : undefined
+  }
+
+  /** Numbers for metrics. */
+  get figures (): { jobs: number, openSteps: number, workers: number } {
+    return { jobs: this.scheduler.jobs.size, openSteps: this.scheduler.openSteps.size, workers: this.scheduler.workers.size }
+  }
+
+  onDidFinish (job: Job): void {
+    this.metrics.jobFinished(job.state)
+    this.logger.info('job finished', { job: job.identity, code: job.state, reason: job.reason, durationMilliseconds: Math.round(this.now() - job.acceptedAt) })
+  }
+
+  onDidEndRun (task: Task, worker: WorkerState, kind: string, durationMilliseconds: number): void {
+    this.metrics.runEnded(kind)
+    if (kind === 'done') return
+    this.logger.info('run ended', { task: task.name, count: task.run, worker: worker.identity, code: kind, durationMilliseconds: Math.round(durationMilliseconds) })
+  }
+
+  onDidQuarantine (worker: WorkerState): void {
+    this.logger.warn('worker gets no work for a while; its runs have failed in a row', { worker: worker.identity })
+  }
+
+  onDidFindStrayRun (worker: WorkerState, task: string, run: number): void {
+    this.logger.warn('a worker runs what it should not; it is told to stop', { worker: worker.identity, task, count: run })
+  }
+
+  private isFresh (): boolean {
+    return this.submissions.every(follower => follower.currentAsOf !== undefined && this.now() - follower.currentAsOf < FRESH_MILLISECONDS)
+  }
+
+  private async readProgress (): Promise<Map<string, ProgressRecord>> {
+    const found = new Map<string, ProgressRecord>()
+    while (!this.isDisposed) {
+      const outcome = await this.log.snapshot(TOPICS.progress, 0)
+      if (outcome.kind === 'snapshot') {
+        for (const record of outcome.records) {
+          if (record.value !== undefined) found.set(record.key, decodeRecord<ProgressRecord>(record.value))
+        }
+        return found
+      }
+      this.logger.warn('progress cannot be read', { term: this.options.term, reason: outcome.reason })
+      await delay(TICK_MILLISECONDS, this.abort.signal)
+    }
+    return found
+  }
+
+  private async loadUntilDone (follower: TopicFollower): Promise<void> {
+    while (!this.isDisposed && !await follower.load()) await delay(TICK_MILLISECONDS, this.abort.signal)
+  }
+
+  private onSubmissions (records: readonly StoredRecord[]): void {
+    const now = this.now()
+    for (const { key, value } of records) {
+      if (value === undefined) continue
+      if (isCancelKey(key)) this.onCancel(jobOfCancelKey(key), now)
+      else if (!this.scheduler.jobs.has(key)) this.scheduler.addJob(key, decodeRecord<SubmissionRecord>(value), now, this.restored?.get(key))
+    }
+    this.trigger()
+  }
+
+  private onCancel (job: string, now: number): void {
+    this.logger.info('job cancelled', { job })
+    this.scheduler.cancelJob(job, now)
+  }
+
+  private openSession (worker: WorkerState): void {
+    if (this.sessions.has(worker.identity)) return
+    const identity = worker.identity
+    const lease = this.options.bounds.workerLeaseMilliseconds
+    const session = new WorkerSession(
+      { identity, address: worker.entry.address },
+      this.workers,
+      {
+        onReport: (report, sentAt, acknowledgedEnd) => this.onReport(identity, report, sentAt, acknowledgedEnd),
+        onSilent: reason => this.onSilent(identity, reason),
+        onEnded: () => this.onWorkerEnded(identity),
+        onFenced: () => this.onFenced(identity),
+        onStopConfirmed: (task, run) => this.scheduler.onStopConfirmed(identity, task, run, this.now()),
+        acknowledgedEnd: () => this.scheduler.workers.get(identity)?.recordedEnd ?? 0,
+        needsLooks: () => this.needsLooks(identity)
+      },
+      { term: this.options.term, leaseMilliseconds: lease, formerLeasesEndAt: this.startedAt + RENEWAL_WITHOUT_LOG_MILLISECONDS + lease / SLOWEST_CLOCK },
+      () => this.now() - this.options.renewedAt() < RENEWAL_WITHOUT_LOG_MILLISECONDS,
+      this.now
+    )
+    this.sessions.set(identity, session)
+    session.open()
+  }
+
+  private needsLooks (identity: string): boolean {
+    const worker = this.scheduler.workers.get(identity)
+    if (worker === undefined) return false
+    return worker.runs.size > 0 || worker.processedEnd > worker.recordedEnd || worker.acknowledgedEnd < worker.recordedEnd || (worker.isSilent && worker.isListed)
+  }
+
+  private onReport (identity: string, report: WorkerReport, sentAt: number, acknowledgedEnd: number): void {
+    const worker = this.scheduler.workers.get(identity)
+    if (worker === undefined) return
+    if (worker.isSilent) this.logger.info('worker answers again', { worker: identity })
+    this.metrics.look('report')
+    worker.acknowledgedEnd = acknowledgedEnd
+    this.scheduler.onReport(identity, report, sentAt, this.now())
+    this.trigger()
+  }
+
+  private onSilent (identity: string, reason: string): void {
+    this.metrics.look('failed')
+    const worker = this.scheduler.workers.get(identity)
+    if (worker === undefined) return
+    if (!worker.isSilent) this.logger.warn('worker does not answer', { worker: identity, reason, count: worker.runs.size })
+    this.scheduler.onSilent(identity)
+  }
+
+  private onWorkerEnded (identity: string): void {
+    const worker = this.scheduler.workers.get(identity)
+    if (worker === undefined) return
+    this.logger.info('nothing can run on a worker any more', { worker: identity, count: worker.runs.size })
+    this.scheduler.onSilent(identity)
+    this.scheduler.onWorkerEnded(identity)
+    if (!this.scheduler.workers.has(identity)) {
+      this.sessions.get(identity)?.dispose()
+      this.sessions.delete(identity)
+    }
+    this.trigger()
+  }
+
+  private onFenced (identity: string): void {
+    if (this.isDisposed) return
+    this.logger.warn('a worker obeys a later term', { worker: identity, term: this.options.term })
+    this.options.onDeposed()
+  }
+
+  private onTick (): void {
+    const now = this.now()
+    this.scheduler.openDue(now, Date.now())
+    for (const task of this.scheduler.stopStuckRuns(now)) this.logger.warn('run makes no progress; it is stopped', { task: task.name, worker: task.worker, count: task.run })
+    this.trigger()
+  }
+
+  private evict (): void {
+    const evicted = this.scheduler.evictFinishedBefore(this.now() - this.options.bounds.stateRetentionMilliseconds)
+    if (evicted.length === 0) return
+    this.writer.write(evicted.map(key => ({ key })))
+    for (const identity of evicted) this.dropSubmission(identity)
+  }
+
+  private async dropSubmission (identity: string): Promise<void> {
+    const outcome = await this.log.append(TOPICS.submissions, 0, [{ key: identity }, { key: cancelKey(identity) }])
+    if (outcome.kind !== 'stored') this.logger.warn('an old submission could not be dropped from the log', { job: identity, reason: outcome.kind })
+  }
+
+  private trigger (): void {
+    this.isWoken = true
+    this.wake?.()
+  }
+
+  /** Places, records and orders, one append at a time, until disposed. */
+  private async recordAndOrder (): Promise<void> {
+    while (!this.isDisposed) {
+      if (!this.isWoken) await new Promise<void>(resolve => { this.wake = resolve })
+      this.wake = undefined
+      if (this.isDisposed) return
+      this.isWoken = false
+      await this.runRound()
+    }
+  }
+
+  private async runRound (): Promise<void> {
+    const now = this.now()
+    const planned = this.scheduler.place(now)
+    this.sendStops(this.scheduler.takeStops())
+    this.desk.pump()
+    const jobs = [...this.scheduler.unrecorded]
+    if (jobs.length === 0) {
+      this.acknowledgeEnds(this.processedEnds())
+      return
+    }
+    this.scheduler.unrecorded.clear()
+    const ends = this.processedEnds()
+    const states = jobs.map(job => job.state)
+    const records = jobs.map((job): KeyedRecord => ({ key: job.identity, value: encodeRecord(progressOf(job)) }))
+    const outcome = await this.writer.write(records)
+    if (this.isDisposed || outcome === 'disposed') return
+    if (outcome === 'fenced') {
+      this.options.onDeposed()
+      return
+    }
+    this.metrics.recorded(this.now() - now)
+    jobs.forEach((job, index) => this.scheduler.onRecorded(job, states[index] as JobState))
+    this.acknowledgeEnds(ends)
+    for (const run of planned) this.order(run)
+  }
+
+  private processedEnds (): Map<WorkerState, number> {
+    const ends = new Map<WorkerState, number>()
+    for (const worker of this.scheduler.workers.values()) {
+      if (worker.processedEnd !== worker.recordedEnd) ends.set(worker, worker.processedEnd)
+    }
+    return ends
+  }
+
+  /** Ends whose effect is in the log may be forgotten by their workers. */
+  private acknowledgeEnds (ends: ReadonlyMap<WorkerState, number>): void {
+    for (const [worker, end] of ends) {
+      if (end > worker.processedEnd) continue // The worker has started again since.
+      worker.recordedEnd = end
+      this.sessions.get(worker.identity)?.poke()
+    }
+  }
+
+  private sendStops (stops: readonly PlannedStop[]): void {
+    for (const { worker, task, run } of stops) this.sessions.get(worker)?.stop(task, run)
+  }
+
+  private async order ({ task, run, worker, ticket }: PlannedRun): Promise<void> {
+    const session = this.sessions.get(worker.identity)
+    if (session === undefined || !this.scheduler.beginStart(task, run, this.now())) return
+    const sentAt = this.now()
+    const outcome = await session.start({ task: task.name, run, specification: task.step.job.submission.job.specification, checkpoint: task.checkpoint, ticket })
+    if (this.isDisposed) return
+    this.metrics.startOrdered(outcome.kind, this.now() - sentAt)
+    if (outcome.kind !== 'done') this.logger.info('start was not confirmed', { task: task.name, count: run, worker: worker.identity, code: outcome.kind, reason: 'reason' in outcome ? outcome.reason : undefined })
+    switch (outcome.kind) {
+      case 'done':
+        this.scheduler.onStartOutcome(task, run, 'started', this.now())
+        break
+      case 'unknown':
+        this.scheduler.onStartOutcome(task, run, 'uncertain', this.now())
+        await this.settle(session, task, run)
+        break
+      case 'refused':
+        if (outcome.reason === 'ticket') task.step.eligibility.tickets.delete(worker.identity)
+        this.scheduler.onStartOutcome(task, run, 'notStarted', this.now())
+        break
+      default:
+        this.scheduler.onStartOutcome(task, run, 'notStarted', this.now())
+    }
+    this.trigger()
+  }
+
+  /** Finds out whether an unanswered start was carried out; if it was not, keeps it from being carried out later. */
+  private async settle (session: WorkerSession, task: Task, run: number): Promise<void> {
+    await session.lookNow()
+    if (task.phase === 'uncertain' && task.run === run) await session.stop(task.name, run)
+  }
+}
--- /dev/null
+++ b/src/cluster/clusterInstance.ts
@@ -0,0 +1,347 @@
+import { randomUUID } from 'node:crypto'
+import { delay } from '../base/delay.js'
+import { DisposableObject, toDisposable } from '../base/disposable.js'
+import type { Logger } from '../base/logger.js'
+import type { Random } from '../base/random.js'
+import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
+import type { ClusterMessage } from '../contracts/clusterMessages.js'
+import { decodeRecord, encodeRecord, type LeadershipRecord } from '../contracts/clusterRecords.js'
+import type { ClusterSettings } from '../contracts/clusterSettings.js'
+import { ClusterLink, ClusterLinkServer, openClusterLink } from '../links/clusterLink.js'
+import { ActingScheduler, type StateAnswer } from './actingScheduler.js'
+import type { ClusterMetrics } from './clusterMetrics.js'
+import type { EligibilityLine } from './eligibilityDesk.js'
+import { JobFront, type SchedulerQuestions } from './jobFront.js'
+import { Leadership, RENEWAL_PERIOD_MILLISECONDS } from './leadership.js'
+import { TOPICS, type RecordLog, type StoredRecord } from './recordLog.js'
+import { TopicFollower } from './topicFollower.js'
+import type { EligibilityOutcome, EligibilityPort, WorkerEntry, WorkerPort } from './workerPort.js'
+
+/** Key of the one record in the leadership topic. */
+const LEADERSHIP_KEY = 'scheduler'
+/** Wait of a read of leadership and configuration, in milliseconds; a connection that went silent is noticed this late. */
+const FOLLOW_WAIT_MILLISECONDS = 1500
+/** Least time between two reads of the workers' registry, in milliseconds; its entries change every heartbeat. */
+const REGISTRY_PERIOD_MILLISECONDS = 300
+/** Period in which the role is watched, in milliseconds. */
+const WATCH_PERIOD_MILLISECONDS = 50
+/** Pause before a link that could not be opened is tried again, in milliseconds. */
+const LINK_RETRY_MILLISECONDS = 150
+/** Processor share in cores times rank: an instance with the whole of a core has this rank. */
+const RANK_OF_ONE_CORE = 4
+/** Time added to a question to another instance for the way there and back, in milliseconds. */
+const LINK_SLACK_MILLISECONDS = 50
+/** Without a read of the log for this long, an instance reports itself as not ready, in milliseconds. */
+const UNREADY_WITHOUT_LOG_MILLISECONDS = FOLLOW_WAIT_MILLISECONDS + 1000
+
+/** Sources of what operators and workers write, which the platform's adapter decodes. */
+export interface ClusterFeeds {
+  readonly configurationTopic: string
+  readonly workerTopic: string
+  /** The configuration in a record; undefined if the record is something else or cannot be read. */
+  decodeConfiguration (record: StoredRecord): ClusterConfiguration | undefined
+  /** The worker in a record; undefined if it names none that can be used. */
+  decodeWorker (record: StoredRecord): WorkerEntry | undefined
+}
+
+/** One instance: serves callers, and acts as the scheduler while it holds the role. */
+export class ClusterInstance extends DisposableObject implements SchedulerQuestions {
+  readonly front: JobFront
+  private readonly incarnation = randomUUID()
+  private readonly leadership: Leadership
+  private readonly leadershipFollower: TopicFollower
+  private readonly configurationFollower: TopicFollower
+  private readonly registryFollower: TopicFollower
+  private readonly workerEntries = new Map<string, WorkerEntry>()
+  private readonly linkServer: ClusterLinkServer
+  private readonly peers = new Map<string, ClusterLink>()
+  private configurationInForce: ClusterConfiguration | undefined
+  private acting: ActingScheduler | undefined
+  private schedulerLink: { readonly incarnation: string, readonly link: ClusterLink } | undefined
+  private isConnecting = false
+  private isClaiming = false
+  private isStopping = false
+  private renewedAt = 0
+  private linkAddress: string
+
+  constructor (
+    private readonly settings: ClusterSettings,
+    private readonly log: RecordLog,
+    private readonly workers: WorkerPort,
+    private readonly eligibility: EligibilityPort,
+    private readonly feeds: ClusterFeeds,
+    private readonly metrics: ClusterMetrics,
+    private readonly logger: Logger,
+    private readonly random: Random,
+    private readonly now: () => number
+  ) {
+    super()
+    this.linkAddress = `${settings.link.host}:${settings.link.port}`
+    this.leadership = new Leadership(this.incarnation, Math.round(RANK_OF_ONE_CORE / settings.processorShare))
+    this.front = this.register(new JobFront(log, this, logger, now))
+    this.linkServer = this.register(new ClusterLinkServer(logger, now))
+    this.register(this.linkServer.onDidOpen(link => this.onLinkOpened(link)))
+    this.leadershipFollower = this.follower(TOPICS.leadership, 0, (records, isSnapshot) => this.onLeadership(records, isSnapshot))
+    this.configurationFollower = this.follower(feeds.configurationTopic, 0, records => this.onConfiguration(records))
+    this.registryFollower = this.follower(feeds.workerTopic, REGISTRY_PERIOD_MILLISECONDS, (records, isSnapshot) => this.onRegistry(records, isSnapshot))
+    this.register(toDisposable(() => {
+      this.acting?.dispose()
+      this.schedulerLink?.link.dispose()
+    }))
+    metrics.addGauge('acting', '1 while this instance acts as the scheduler', () => this.acting === undefined ? 0 : 1)
+    metrics.addGauge('term', 'Term of the acting scheduler as this instance knows it', () => this.leadership.current?.term ?? 0)
+    metrics.addGauge('configuration_revision', 'Revision of the configuration in force here', () => this.configurationInForce?.revision ?? 0)
+    metrics.addGauge('jobs', 'Jobs that the acting scheduler here keeps', () => this.acting?.figures.jobs ?? 0)
+    metrics.addGauge('open_steps', 'Steps with tasks that wait for room', () => this.acting?.figures.openSteps ?? 0)
+    metrics.addGauge('workers', 'Workers that the acting scheduler here knows', () => this.acting?.figures.workers ?? 0)
+  }
+
+  /** Starts listening for links and following the log. */
+  async start (): Promise<void> {
+    const port = await this.linkServer.listen(this.settings.link)
+    this.linkAddress = `${this.settings.link.host}:${port}`
+    this.leadershipFollower.follow()
+    this.configurationFollower.follow()
+    this.registryFollower.follow()
+    this.registerInterval(() => this.watchRole(), WATCH_PERIOD_MILLISECONDS)
+    this.registerInterval(() => this.renew(), RENEWAL_PERIOD_MILLISECONDS)
+  }
+
+  /** The newest configuration that this instance has read. */
+  get configuration (): ClusterConfiguration | undefined {
+    return this.configurationInForce
+  }
+
+  /** Whether new callers should be sent here. */
+  get isReady (): boolean {
+    const readAt = this.configurationFollower.lastReadAt
+    return !this.isStopping && this.configurationInForce !== undefined && readAt !== undefined && this.now() - readAt < UNREADY_WITHOUT_LOG_MILLISECONDS && !this.front.isLogAway
+  }
+
+  /** Gives the role up and reports itself as not ready; callers that still come are served. */
+  async prepareStop (): Promise<void> {
+    this.isStopping = true
+    const current = this.leadership.current
+    if (!this.leadership.isHeldHere || current === undefined) return
+    this.stopActing('the instance stops')
+    const outcome = await this.append({ ...current, resigned: true }, this.leadershipFollower.position)
+    this.logger.info('role of scheduler given up', { term: current.term, code: outcome })
+  }
+
+  async stateOf (job: string, timeoutMilliseconds: number): Promise<StateAnswer | undefined> {
+    if (this.acting !== undefined) return this.acting.stateOf(job)
+    const reply = await this.schedulerLink?.link.ask({ type: 'stateQuestion', job }, timeoutMilliseconds)
+    return reply?.type === 'stateReply' ? reply.state as StateAnswer : undefined
+  }
+
+  async waitingOf (queue: string, timeoutMilliseconds: number): Promise<number | undefined> {
+    if (this.acting !== undefined) return this.acting.waitingOf(queue)
+    const reply = await this.schedulerLink?.link.ask({ type: 'waitingQuestion', queue }, timeoutMilliseconds)
+    return reply?.type === 'waitingReply' && reply.waiting >= 0 ? reply.waiting : undefined
+  }
+
+  private follower (topic: string, periodMilliseconds: number, onRecords: (records: readonly StoredRecord[], isSnapshot: boolean) => void): TopicFollower {
+    return this.register(new TopicFollower(
+      this.log,
+      { topic, partition: 0, waitMilliseconds: FOLLOW_WAIT_MILLISECONDS, periodMilliseconds },
+      { onRecords, onDidChangeReachable: (reachable, reason) => this.logger.info(reachable ? 'the log can be read again' : 'the log cannot be read', { stream: topic, reason }) },
+      this.random, this.now
+    ))
+  }
+
+  private onConfiguration (records: readonly StoredRecord[]): void {
+    for (const record of records) {
+      const configuration = this.feeds.decodeConfiguration(record)
+      if (configuration === undefined || configuration.revision <= (this.configurationInForce?.revision ?? -1)) continue
+      this.configurationInForce = configuration
+      this.logger.info('configuration in force', { revision: configuration.revision, offset: record.offset, count: configuration.queues.length })
+    }
+    if (this.configurationInForce !== undefined) this.acting?.setConfiguration(this.configurationInForce)
+  }
+
+  private onRegistry (records: readonly StoredRecord[], isSnapshot: boolean): void {
+    const missing = new Set(isSnapshot ? this.workerEntries.keys() : [])
+    for (const record of records) {
+      missing.delete(record.key)
+      const entry = record.value === undefined ? undefined : this.feeds.decodeWorker(record)
+      if (entry === undefined) {
+        if (record.value === undefined) this.removeWorker(record.key)
+        else this.logger.warn('unusable entry in the registry of workers', { worker: record.key, offset: record.offset })
+        continue
+      }
+      const known = this.workerEntries.get(entry.identity)
+      if (known?.state !== entry.state) this.logger.info('worker listed', { worker: entry.identity, code: entry.state, address: entry.address })
+      this.workerEntries.set(entry.identity, entry)
+      this.acting?.setWorker(entry)
+    }
+    for (const identity of missing) this.removeWorker(identity)
+  }
+
+  private removeWorker (identity: string): void {
+    if (!this.workerEntries.delete(identity)) return
+    this.logger.info('worker no longer listed', { worker: identity })
+    this.acting?.removeWorker(identity)
+  }
+
+  private onLeadership (records: readonly StoredRecord[], isSnapshot: boolean): void {
+    const now = this.now()
+    if (isSnapshot && records.length === 0) this.leadership.onEmpty(now)
+    for (const { value, offset } of records) {
+      if (value === undefined) continue
+      const record = decodeRecord<LeadershipRecord>(value)
+      if (!this.leadership.onRecord(record, now)) continue
+      this.logger.info(record.resigned ? 'the scheduler role is free' : 'the scheduler role is held', { peer: record.instance, term: record.term, address: record.address, offset })
+    }
+    this.followRole()
+  }
+
+  /** Starts or stops acting, and links to the holder of the role. */
+  private followRole (): void {
+    if (!this.leadership.isHeldHere) this.stopActing('another instance holds the role')
+    else if (this.acting === undefined && !this.isStopping) this.act()
+    const current = this.leadership.current
+    if (this.schedulerLink !== undefined && this.schedulerLink.incarnation !== current?.incarnation) {
+      this.schedulerLink.link.dispose()
+      this.schedulerLink = undefined
+    }
+    if (current !== undefined && !current.resigned && !this.leadership.isHeldHere) this.connect(current)
+  }
+
+  private async connect (holder: LeadershipRecord): Promise<void> {
+    if (this.schedulerLink !== undefined || this.isConnecting) return
+    this.isConnecting = true
+    const link = await openClusterLink(holder.address, this.logger, this.now)
+    this.isConnecting = false
+    if (!(link instanceof ClusterLink)) {
+      if (link === 'refused') this.leadership.onHolderEnded(holder.incarnation, this.now())
+      await delay(LINK_RETRY_MILLISECONDS)
+      if (!this.isDisposed) this.followRole()
+      return
+    }
+    if (this.isDisposed || this.leadership.current?.incarnation !== holder.incarnation) {
+      link.dispose()
+      if (!this.isDisposed) this.followRole()
+      return
+    }
+    this.schedulerLink = { incarnation: holder.incarnation, link }
+    link.send({ type: 'hello', instance: this.settings.instance, failureDomain: this.settings.failureDomain })
+    link.onDidReceive(message => this.onQuestion(link, message))
+    link.onDidClose(() => {
+      if (this.schedulerLink?.link === link) this.schedulerLink = undefined
+      if (!this.isDisposed) this.followRole()
+    })
+  }
+
+  private onLinkOpened (link: ClusterLink): void {
+    let instance: string | undefined
+    link.onDidReceive(message => {
+      if (message.type === 'hello') {
+        instance = message.instance
+        this.peers.set(instance, link)
+      } else this.onQuestion(link, message)
+    })
+    link.onDidClose(() => {
+      if (instance !== undefined && this.peers.get(instance) === link) this.peers.delete(instance)
+    })
+  }
+
+  private async onQuestion (link: ClusterLink, message: ClusterMessage): Promise<void> {
+    switch (message.type) {
+      case 'stateQuestion':
+        link.send({ type: 'stateReply', id: message.id, state: this.acting?.stateOf(message.job) ?? 'unsure' })
+        return
+      case 'waitingQuestion':
+        link.send({ type: 'waitingReply', id: message.id, waiting: this.acting?.waitingOf(message.queue) ?? -1 })
+        return
+      case 'eligibilityQuestion': {
+        const outcome = await this.eligibility.ask(message.step, message.workers, message.timeoutMilliseconds)
+        link.send({
+          type: 'eligibilityReply',
+          id: message.id,
+          reason: outcome.kind === 'failed' ? outcome.reason : '',
+          workers: outcome.kind === 'failed' ? [] : outcome.workers.map(({ worker, ticket }) => [worker, ticket]),
+          validMilliseconds: outcome.kind === 'failed' ? 0 : outcome.validMilliseconds
+        })
+      }
+    }
+  }
+
+  /** Lines to the eligibility service: this instance's own and those of all linked instances. */
+  private eligibilityLines (): EligibilityLine[] {
+    const own: EligibilityLine = { instance: this.settings.instance, ask: async (step, workers, timeout) => await this.eligibility.ask(step, workers, timeout) }
+    const others = [...this.peers].map(([instance, link]): EligibilityLine => ({ instance, ask: async (step, workers, timeout) => await askOverLink(link, step, workers, timeout) }))
+    return [own, ...others]
+  }
+
+  private watchRole (): void {
+    if (this.isStopping || this.isClaiming || this.configurationInForce === undefined) return
+    const asOf = this.leadershipFollower.currentAsOf
+    if (this.leadership.shouldClaim(this.now(), asOf)) this.claim()
+  }
+
+  private async claim (): Promise<void> {
+    const position = this.leadershipFollower.position
+    if (position === undefined) return
+    this.isClaiming = true
+    const term = this.leadership.nextTerm
+    const sentAt = this.now()
+    const record = { term, instance: this.settings.instance, incarnation: this.incarnation, address: this.linkAddress, resigned: false }
+    const outcome = await this.append(record, position)
+    this.isClaiming = false
+    this.logger.info('claimed the scheduler role', { term, code: outcome, offset: position })
+    if (outcome !== 'stored' || this.isDisposed) return
+    this.renewedAt = sentAt
+    this.leadership.onRecord(record, this.now())
+    this.followRole()
+  }
+
+  /** Restates the role. A claim of another instance makes the append fail, because the log no longer ends where it did. */
+  private async renew (): Promise<void> {
+    const current = this.leadership.current
+    if (!this.leadership.isHeldHere || current === undefined || this.isClaiming || this.isStopping) return
+    this.isClaiming = true
+    const sentAt = this.now()
+    const outcome = await this.append(current, this.leadershipFollower.position)
+    this.isClaiming = false
+    if (outcome === 'stored') this.renewedAt = sentAt
+  }
+
+  private async append (record: LeadershipRecord, atOffset: number | undefined): Promise<string> {
+    const outcome = await this.log.append(TOPICS.leadership, 0, [{ key: LEADERSHIP_KEY, value: encodeRecord(record) }], { atOffset })
+    return outcome.kind
+  }
+
+  private act (): void {
+    const term = this.leadership.current?.term
+    if (term === undefined || this.configurationInForce === undefined) return
+    const acting = new ActingScheduler(this.log, this.workers, {
+      term,
+      bounds: this.settings.bounds,
+      renewedAt: () => this.renewedAt,
+      lines: () => this.eligibilityLines(),
+      onDeposed: () => this.onDeposed(acting)
+    }, this.metrics, this.logger, this.random, this.now)
+    this.acting = acting
+    acting.takeOver(this.configurationInForce, this.workerEntries.values())
+  }
+
+  private onDeposed (acting: ActingScheduler): void {
+    if (this.acting !== acting) return
+    this.leadership.onDeposed()
+    this.stopActing('a later term is in force')
+  }
+
+  private stopActing (reason: string): void {
+    if (this.acting === undefined) return
+    this.acting.dispose()
+    this.acting = undefined
+    this.logger.info('no longer acting as scheduler', { term: this.leadership.current?.term, reason })
+  }
+}
+
+async function askOverLink (link: ClusterLink, step: string, workers: readonly string[], timeoutMilliseconds: number): Promise<EligibilityOutcome> {
+  const reply = await link.ask({ type: 'eligibilityQuestion', step, workers, timeoutMilliseconds }, timeoutMilliseconds + LINK_SLACK_MILLISECONDS)
+  if (reply?.type !== 'eligibilityReply') return { kind: 'failed', reason: 'the instance did not answer' }
+  if (reply.reason !== '') return { kind: 'failed', reason: reply.reason }
+  return { kind: 'eligible', workers: reply.workers.map(([worker, ticket]) => ({ worker, ticket })), validMilliseconds: reply.validMilliseconds }
+}
--- /dev/null
+++ b/src/cluster/clusterMetrics.ts
@@ -0,0 +1,80 @@
+import { build, type Histogram } from 'hdr-histogram-js'
+import { Counter, Gauge, Registry } from 'prom-client'
+
+/** Quantiles that are shown of each distribution. */
+const SHOWN_PERCENTILES = [50, 90, 99, 100]
+/** Greatest duration that distributions tell apart, in milliseconds. */
+const HIGHEST_MILLISECONDS = 600_000
+
+/** Counters and distributions of one instance in the Prometheus text format. */
+export class ClusterMetrics {
+  private readonly registry = new Registry()
+  private readonly answers = this.counter('answers_total', 'Answers to callers', ['operation', 'status'])
+  private readonly looks = this.counter('looks_total', 'Looks at workers', ['outcome'])
+  private readonly starts = this.counter('starts_total', 'Start orders', ['outcome'])
+  private readonly ends = this.counter('run_ends_total', 'Ends of runs', ['kind'])
+  private readonly jobs = this.counter('jobs_finished_total', 'Jobs that reached a final state', ['state'])
+  private readonly takeovers = this.counter('takeovers_total', 'Times that this instance took the scheduler role over', [])
+  private readonly durations = new Map<string, Histogram>()
+
+  /** Registers a gauge whose value is read when metrics are asked for. */
+  addGauge (name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({ name: `vanillaturn_${name}`, help, registers: [this.registry], collect: (): void => gauge.set(read()) })
+  }
+
+  answered (operation: string, status: number, milliseconds: number): void {
+    this.answers.inc({ operation, status: String(status) })
+    this.observe(`answer_${operation}`, milliseconds)
+  }
+
+  look (outcome: string): void {
+    this.looks.inc({ outcome })
+  }
+
+  startOrdered (outcome: string, milliseconds: number): void {
+    this.starts.inc({ outcome })
+    this.observe('start', milliseconds)
+  }
+
+  runEnded (kind: string): void {
+    this.ends.inc({ kind })
+  }
+
+  jobFinished (state: string): void {
+    this.jobs.inc({ state })
+  }
+
+  recorded (milliseconds: number): void {
+    this.observe('record', milliseconds)
+  }
+
+  takeover (milliseconds: number): void {
+    this.takeovers.inc()
+    this.observe('takeover', milliseconds)
+  }
+
+  /** The text of all metrics. */
+  async text (): Promise<string> {
+    const lines = [await this.registry.metrics()]
+    for (const [name, histogram] of this.durations) {
+      const metric = `vanillaturn_${name}_milliseconds`
+      lines.push(`# TYPE ${metric} summary`)
+      for (const percentile of SHOWN_PERCENTILES) lines.push(`${metric}{quantile="${percentile / 100}"} ${histogram.getValueAtPercentile(percentile)}`)
+      lines.push(`${metric}_count ${histogram.totalCount}`)
+    }
+    return lines.join('\n') + '\n'
+  }
+
+  private counter (name: string, help: string, labelNames: string[]): Counter {
+    return new Counter({ name: `vanillaturn_${name}`, help, labelNames, registers: [this.registry] })
+  }
+
+  private observe (name: string, milliseconds: number): void {
+    let histogram = this.durations.get(name)
+    if (histogram === undefined) {
+      histogram = build({ bitBucketSize: 32, highestTrackableValue: HIGHEST_MILLISECONDS, numberOfSignificantValueDigits: 2 })
+      this.durations.set(name, histogram)
+    }
+    histogram.recordValue(Math.min(HIGHEST_MILLISECONDS, Math.max(0, Math.round(milliseconds))))
+  }
+}
--- /dev/null
+++ b/src/cluster/clusterScheduler.ts
@@ -0,0 +1,414 @@
+import type { ClusterConfiguration, Queue } from '../contracts/clusterConfiguration.js'
+import type { ProgressRecord, SubmissionRecord } from '../contracts/clusterRecords.js'
+import { Job, Occurrence, restoreProgress, type Step, type Task } from './jobBook.js'
+import { estimateObjective } from './objective.js'
+import { PlacementPass, type PlannedRun } from './placementPass.js'
+import type { EndReport, WorkerEntry, WorkerReport } from './workerPort.js'
+import { WorkerState } from './workerState.js'
+
+/** Time without progress after which a run counts as stuck, in milliseconds; a slow task of 16 s still advances by a percent in a fifth of it. */
+const STUCK_RUN_MILLISECONDS = 3500
+
+/** Greatest age that a job is taken to have when it arrives, in milliseconds; the clocks of two instances may differ by seconds. */
+const MAXIMUM_ADOPTED_AGE_MILLISECONDS = 60_000
+
+/** What the scheduler tells about its decisions. */
+export interface SchedulerObserver {
+  onDidFinish (job: Job): void
+  onDidEndRun (task: Task, worker: WorkerState, kind: EndReport['kind'], durationMilliseconds: number): void
+  onDidQuarantine (worker: WorkerState): void
+  onDidFindStrayRun (worker: WorkerState, task: string, run: number): void
+}
+
+/** A run that is to be stopped. */
+export interface PlannedStop {
+  readonly worker: string
+  readonly task: string
+  readonly run: number
+}
+
+/**
+ * Decides where tasks run. Pure: it receives observations and the time, and keeps lists of what is to be done.
+ * Times are milliseconds of the monotonic clock unless stated otherwise.
+ */
+export class ClusterScheduler {
+  readonly jobs = new Map<string, Job>()
+  readonly workers = new Map<string, WorkerState>()
+  /** Jobs whose progress has changed since it was last recorded. */
+  readonly unrecorded = new Set<Job>()
+  /** Steps with tasks that wait and whose earlier steps are done. */
+  readonly openSteps = new Set<Step>()
+  private readonly cancelledEarly = new Set<string>()
+  private plannedStops: PlannedStop[] = []
+  private configuration: ClusterConfiguration | undefined
+  private readonly queues = new Map<string, Queue>()
+
+  constructor (private readonly observer: SchedulerObserver) {}
+
+  /** Takes over a configuration; an older one than the current is ignored. */
+  configure (configuration: ClusterConfiguration): void {
+    if (this.configuration !== undefined && configuration.revision <= this.configuration.revision) return
+    this.configuration = configuration
+    this.queues.clear()
+    for (const queue of configuration.queues) this.queues.set(queue.name, queue)
+  }
+
+  /** Policy of a job's queue; undefined if no configuration names it any more. */
+  queueOf (job: Job): Queue | undefined {
+    return this.queues.get(job.submission.queue)
+  }
+
+  /** Adds a worker or takes over its new entry. Returns its state. */
+  upsertWorker (entry: WorkerEntry): WorkerState {
+    const known = this.workers.get(entry.identity)
+    if (known !== undefined) {
+      known.entry = entry
+      known.isListed = true
+      return known
+    }
+    const worker = new WorkerState(entry)
+    this.workers.set(entry.identity, worker)
+    return worker
+  }
+
+  /** Notes that the registry no longer lists a worker. What runs there is given up only when its lease has ended. */
+  unlistWorker (identity: string): void {
+    const worker = this.workers.get(identity)
+    if (worker === undefined) return
+    worker.isListed = false
+    if (worker.runs.size === 0) this.workers.delete(identity)
+  }
+
+  /** Adds a job that the log holds. A repeat is ignored. */
+  addJob (identity: string, submission: SubmissionRecord, now: number, progress?: ProgressRecord): Job {
+    const known = this.jobs.get(identity)
+    if (known !== undefined) return known
+    const job = new Job(identity, submission, now)
+    this.jobs.set(identity, job)
+    if (progress !== undefined) restoreProgress(job, progress)
+    const queue = this.queueOf(job)
+    const age = Math.min(MAXIMUM_ADOPTED_AGE_MILLISECONDS, Math.max(0, Date.now() - submission.acceptedAt))
+    job.objectiveAt = now - age + (queue === undefined ? 0 : estimateObjective(submission.job, queue))
+    if (this.cancelledEarly.delete(identity)) this.cancelJob(identity, now)
+    if (job.isFinal) return job
+    for (const task of job.tasks()) this.adoptRestoredRun(task)
+    this.openDueOccurrences(job, now, Date.now())
+    for (const occurrence of job.occurrences.values()) this.openReadySteps(occurrence, now)
+    return job
+  }
+
+  /** Cancels a job; its runs are stopped. A cancel of a job that is not known yet takes effect when it arrives. */
+  cancelJob (identity: string, now: number): void {
+    const job = this.jobs.get(identity)
+    if (job === undefined) {
+      this.cancelledEarly.add(identity)
+      return
+    }
+    if (!job.isFinal) this.finish(job, 'cancelled', undefined, now)
+  }
+
+  /** Runs that are to be stopped since the last call. */
+  takeStops (): PlannedStop[] {
+    const stops = this.plannedStops
+    this.plannedStops = []
+    return stops
+  }
+
+  /** Number of jobs without recurrence of a queue of which no task has started. */
+  waitingJobs (queue: string): number {
+    let count = 0
+    for (const job of this.jobs.values()) {
+      if (job.submission.queue === queue && job.state === 'pending' && job.submission.job.occurrences === 0) count += 1
+    }
+    return count
+  }
+
+  /** Opens occurrences that are due. `unixMilliseconds` is the time of day. */
+  openDue (now: number, unixMilliseconds: number): void {
+    for (const job of this.jobs.values()) {
+      if (!job.isFinal && job.submission.job.occurrences > 0) this.openDueOccurrences(job, now, unixMilliseconds)
+    }
+  }
+
+  /** Chooses runs for tasks that wait. The runs have room from now on; each is to be recorded before it is ordered. */
+  place (now: number): PlannedRun[] {
+    const pass = new PlacementPass([...this.openSteps], this.workers, step => this.queueOf(step.job), now)
+    const planned = pass.run()
+    for (const { task } of planned) this.onPlaced(task, now)
+    return planned
+  }
+
+  /** Notes that the start of a placed run is being sent; false if it is no longer wanted. */
+  beginStart (task: Task, run: number, now: number): boolean {
+    if (task.phase !== 'placed' || task.run !== run) return false
+    task.phase = 'starting'
+    task.startedAt = now
+    return true
+  }
+
+  /** Notes the outcome of a start order. */
+  onStartOutcome (task: Task, run: number, outcome: 'started' | 'notStarted' | 'uncertain', now: number): void {
+    if (task.run !== run || task.phase !== 'starting') return
+    if (outcome === 'uncertain') {
+      task.phase = 'uncertain'
+      return
+    }
+    if (outcome === 'notStarted') {
+      this.giveUpRun(task)
+      return
+    }
+    this.onRunning(task, now)
+  }
+
+  /** Notes that a worker has confirmed a stop: a look sent later shows whether the run is gone. */
+  onStopConfirmed (worker: string, taskName: string, run: number, now: number): void {
+    const task = this.workers.get(worker)?.runs.get(taskName)
+    if (task !== undefined && task.run === run) task.stopConfirmedAt = now
+  }
+
+  /** Takes a worker's report into account. `sentAt` is when the look was sent. `wasKnown` is false for the first report under a term. */
+  onReport (identity: string, report: WorkerReport, sentAt: number, now: number): void {
+    const worker = this.workers.get(identity)
+    if (worker === undefined) return
+    const isFirst = !worker.isKnown
+    if (worker.bornAt !== 0 && report.bornAt !== 0 && report.bornAt !== worker.bornAt) this.onWorkerRestarted(worker)
+    if (report.bornAt !== 0) worker.bornAt = report.bornAt
+    worker.isKnown = true
+    worker.isSilent = false
+    for (const end of report.ended) {
+      if (end.number <= worker.processedEnd) continue
+      worker.processedEnd = end.number
+      this.onEnd(worker, end, now)
+    }
+    const listed = new Set<string>()
+    for (const row of report.running) {
+      listed.add(row.task)
+      this.onRunningRow(worker, row.task, row.run, row.checkpoint, row.percent, now)
+    }
+    for (const task of [...worker.runs.values()]) {
+      if (listed.has(task.name)) continue
+      if (this.isGone(task, isFirst, sentAt)) this.giveUpRun(task)
+    }
+  }
+
+  /** Notes that a look has failed. */
+  onSilent (identity: string): void {
+    const worker = this.workers.get(identity)
+    if (worker !== undefined) worker.isSilent = true
+  }
+
+  /** Notes that nothing can be running on a worker any more: its process has ended, or every lease has. */
+  onWorkerEnded (identity: string): void {
+    const worker = this.workers.get(identity)
+    if (worker === undefined) return
+    for (const task of [...worker.runs.values()]) this.giveUpRun(task)
+    if (!worker.isListed) this.workers.delete(identity)
+  }
+
+  /** Runs that make no progress are stopped, to be started again elsewhere. */
+  stopStuckRuns (now: number): Task[] {
+    const stuck: Task[] = []
+    for (const worker of this.workers.values()) {
+      if (worker.isSilent) continue
+      for (const task of worker.runs.values()) {
+        if (task.phase !== 'running' || task.step.specification.longRunning) continue
+        if (now - task.progressedAt > STUCK_RUN_MILLISECONDS) stuck.push(task)
+      }
+    }
+    for (const task of stuck) this.stopRun(task)
+    return stuck
+  }
+
+  /** Notes that a job's progress up to its last change is in the log. */
+  onRecorded (job: Job, state: Job['state']): void {
+    job.recordedState = state
+  }
+
+  /** Forgets jobs that finished before a time; returns their identities. */
+  evictFinishedBefore (time: number): string[] {
+    const evicted: string[] = []
+    for (const job of this.jobs.values()) {
+      if (job.isFinal && job.finishedAt < time && job.recordedState === job.state) evicted.push(job.identity)
+    }
+    for (const identity of evicted) this.jobs.delete(identity)
+    return evicted
+  }
+
+  /** A new process of the worker knows nothing of the runs of the old one, and counts its ends anew. */
+  private onWorkerRestarted (worker: WorkerState): void {
+    worker.processedEnd = 0
+    worker.recordedEnd = 0
+    worker.acknowledgedEnd = 0
+    for (const task of [...worker.runs.values()]) this.giveUpRun(task)
+  }
+
+  private openDueOccurrences (job: Job, now: number, unixMilliseconds: number): void {
+    const { occurrences, firstDueMilliseconds, intervalMilliseconds } = job.submission.job
+    for (let index = job.occurrences.size; index < job.occurrenceCount; index += 1) {
+      if (occurrences > 0 && unixMilliseconds < firstDueMilliseconds + index * intervalMilliseconds) return
+      const occurrence = new Occurrence(job, index)
+      job.occurrences.set(index, occurrence)
+      this.openReadySteps(occurrence, now)
+    }
+  }
+
+  private openReadySteps (occurrence: Occurrence, now: number): void {
+    for (const step of occurrence.steps) {
+      if (step.readyAt !== undefined || step.isDone) continue
+      if (!step.specification.after.every(earlier => occurrence.steps[earlier]?.isDone)) continue
+      step.readyAt = now
+      if (step.waitingCount > 0) this.openSteps.add(step)
+    }
+  }
+
+  private adoptRestoredRun (task: Task): void {
+    if (task.phase !== 'uncertain') return
+    // A worker that the registry has dropped may still be running the task until its lease ends.
+    const worker = this.workers.get(task.worker) ?? this.addUnlistedWorker(task)
+    worker.occupy(task)
+  }
+
+  private addUnlistedWorker (task: Task): WorkerState {
+    const worker = new WorkerState({
+      identity: task.worker, pool: task.step.job.submission.pool, address: '', failureDomain: '', state: 'draining', processorsThousandths: 0, memoryMegabytes: 0, accelerators: 0, labels: [], bornAt: 0
+    })
+    worker.isListed = false
+    this.workers.set(task.worker, worker)
+    return worker
+  }
+
+  private onPlaced (task: Task, now: number): void {
+    const step = task.step
+    step.waitingCount -= 1
+    if (step.waitingCount === 0) this.openSteps.delete(step)
+    task.progressedAt = now
+    task.stopConfirmedAt = Infinity
+    this.unrecorded.add(step.job)
+  }
+
+  private onRunning (task: Task, now: number): void {
+    task.phase = 'running'
+    task.progressedAt = now
+    task.percent = 0
+    const job = task.step.job
+    if (job.state === 'pending') job.state = 'running'
+  }
+
+  private onRunningRow (worker: WorkerState, taskName: string, run: number, checkpoint: string, percent: number, now: number): void {
+    const task = worker.runs.get(taskName)
+    if (task === undefined || task.run !== run) {
+      this.observer.onDidFindStrayRun(worker, taskName, run)
+      this.plannedStops.push({ worker: worker.identity, task: taskName, run })
+      return
+    }
+    if (checkpoint !== '') task.checkpoint = checkpoint
+    if (task.phase === 'starting' || task.phase === 'uncertain') this.onRunning(task, now)
+    if (percent === task.percent) return
+    task.percent = percent
+    task.progressedAt = now
+  }
+
+  /** Whether a run that a report does not list can no longer come to be. */
+  private isGone (task: Task, isFirstReport: boolean, sentAt: number): boolean {
+    if (task.phase === 'placed') return false
+    if (isFirstReport && task.phase === 'uncertain') return true
+    if (task.phase === 'running') return task.progressedAt < sentAt && task.startedAt < sentAt
+    return task.stopConfirmedAt <= sentAt
+  }
+
+  private onEnd (worker: WorkerState, end: EndReport, now: number): void {
+    const task = worker.runs.get(end.task)
+    if (task === undefined || task.run !== end.run) return
+    if (end.checkpoint !== '') task.checkpoint = end.checkpoint
+    this.observer.onDidEndRun(task, worker, end.kind, now - task.startedAt)
+    const job = task.step.job
+    if (end.kind === 'done' && !task.step.specification.longRunning) {
+      worker.recordSuccess(task.step.specification.estimateMilliseconds, task.phase === 'running' && task.startedAt > 0 ? now - task.startedAt : 0)
+      this.onDone(task, worker, now)
+      return
+    }
+    if (end.kind === 'failed' && worker.recordFailure(job.identity, now)) this.observer.onDidQuarantine(worker)
+    this.giveUpRun(task)
+    if (end.kind === 'failed' && !job.isFinal && !task.step.specification.longRunning) this.onFailure(task, now)
+  }
+
+  private onDone (task: Task, worker: WorkerState, now: number): void {
+    worker.release(task)
+    const step = task.step
+    const job = step.job
+    this.unrecorded.add(job)
+    // A gang ends together, so that the end of one member stands for all.
+    const ended = step.specification.gang ? step.tasks : [task]
+    for (const member of ended) this.markDone(member)
+    if (job.isFinal || !step.isDone) return
+    this.openSteps.delete(step)
+    this.openReadySteps(step.occurrence, now)
+    if (!step.occurrence.isDone) return
+    job.finishedOccurrences += 1
+    if (job.finishedOccurrences === job.occurrenceCount) this.finish(job, 'completed', undefined, now)
+  }
+
+  private markDone (task: Task): void {
+    if (task.phase === 'done') return
+    if (task.hasRun) this.workers.get(task.worker)?.release(task)
+    else task.step.waitingCount -= 1
+    task.phase = 'done'
+    task.step.doneCount += 1
+  }
+
+  private onFailure (task: Task, now: number): void {
+    const step = task.step
+    if (step.specification.gang && step.lastFailedRun === task.run) return
+    step.lastFailedRun = task.run
+    const failed = step.specification.gang ? step.tasks : [task]
+    for (const member of failed) member.failures += 1
+    const attempts = this.queueOf(step.job)?.attempts ?? 1
+    if (task.failures < attempts) return
+    this.finish(step.job, 'failed', `task ${task.name} has failed ${task.failures} times`, now)
+  }
+
+  private finish (job: Job, state: 'completed' | 'failed' | 'cancelled', reason: string | undefined, now: number): void {
+    job.state = state
+    job.reason = reason
+    job.finishedAt = now
+    this.unrecorded.add(job)
+    for (const task of job.tasks()) this.stopRun(task)
+    for (const occurrence of job.occurrences.values()) {
+      for (const step of occurrence.steps) this.openSteps.delete(step)
+    }
+    this.observer.onDidFinish(job)
+  }
+
+  /** Stops a run; one whose order has not been sent is given up at once. */
+  private stopRun (task: Task): void {
+    if (task.phase === 'placed') {
+      this.workers.get(task.worker)?.release(task)
+      this.returnToWaiting(task)
+      return
+    }
+    if (!task.hasRun || task.phase === 'stopping') return
+    task.phase = 'stopping'
+    this.plannedStops.push({ worker: task.worker, task: task.name, run: task.run })
+  }
+
+  /** Notes that a run does not exist any more; the task waits again. A gang is started again as a whole. */
+  private giveUpRun (task: Task): void {
+    this.workers.get(task.worker)?.release(task)
+    if (task.phase === 'done') return
+    this.returnToWaiting(task)
+    if (task.step.specification.gang) {
+      for (const member of task.step.tasks) this.stopRun(member)
+    }
+  }
+
+  private returnToWaiting (task: Task): void {
+    const step = task.step
+    task.phase = 'waiting'
+    task.worker = ''
+    task.stopConfirmedAt = Infinity
+    step.waitingCount += 1
+    if (step.job.isFinal) return
+    this.unrecorded.add(step.job)
+    if (step.readyAt !== undefined) this.openSteps.add(step)
+  }
+}
--- /dev/null
+++ b/src/cluster/eligibilityDesk.ts
@@ -0,0 +1,119 @@
+import type { Queue } from '../contracts/clusterConfiguration.js'
+import type { ClusterScheduler } from './clusterScheduler.js'
+import type { Step } from './jobBook.js'
+import { sortByUrgency } from './placementPass.js'
+import type { EligibilityOutcome } from './workerPort.js'
+import type { WorkerState } from './workerState.js'
+
+/** Workers that one question may name; the service takes no more. */
+const MAXIMUM_WORKERS_PER_QUESTION = 100
+/** Expected duration from which a question counts as long, in milliseconds. Long ones may not occupy all lines. */
+const LONG_QUESTION_MILLISECONDS = 60
+/** Part of the lines that is kept for short questions. */
+const SHORT_LINE_SHARE = 0.34
+/** Time that an answer may take beyond the expected one, in milliseconds. */
+const ANSWER_SLACK_MILLISECONDS = 500
+/** Validity that must be left for a ticket not to be asked for again, in milliseconds. */
+const REFRESH_MARGIN_MILLISECONDS = 400
+/** Pause after a failed question about a step, in milliseconds. */
+const RETRY_PAUSE_MILLISECONDS = 150
+/** Steps of non-urgent work, in their order, that are asked about ahead of room. */
+const ASKED_AHEAD = 12
+
+/** One place from which questions are asked; the service handles one of its questions at a time. */
+export interface EligibilityLine {
+  readonly instance: string
+  ask (step: string, workers: readonly string[], timeoutMilliseconds: number): Promise<EligibilityOutcome>
+}
+
+interface Question {
+  readonly step: Step
+  readonly workers: readonly string[]
+  readonly expectedMilliseconds: number
+}
+
+/** Asks the eligibility service on behalf of the acting scheduler, over the lines of all instances, for the steps whose turn comes first. */
+export class EligibilityDesk {
+  private readonly busy = new Set<string>()
+
+  constructor (
+    private readonly scheduler: ClusterScheduler,
+    private readonly lines: () => readonly EligibilityLine[],
+    private readonly onAnswer: () => void,
+    private readonly now: () => number
+  ) {}
+
+  /** Sends questions on all free lines. */
+  pump (): void {
+    const lines = this.lines()
+    const free = lines.filter(line => !this.busy.has(line.instance))
+    if (free.length === 0) return
+    let longAllowed = Math.max(1, Math.floor(lines.length * (1 - SHORT_LINE_SHARE))) - (lines.length - free.length)
+    for (const question of this.questions()) {
+      const isLong = question.expectedMilliseconds >= LONG_QUESTION_MILLISECONDS
+      if (isLong && longAllowed <= 0) continue
+      const line = free.pop()
+      if (line === undefined) return
+      if (isLong) longAllowed -= 1
+      this.ask(line, question)
+    }
+  }
+
+  private * questions (): Generator<Question> {
+    const now = this.now()
+    const steps = [...this.scheduler.openSteps]
+    sortByUrgency(steps, step => this.scheduler.queueOf(step.job), now)
+    let ahead = 0
+    for (const step of steps) {
+      const queue = this.scheduler.queueOf(step.job)
+      if (queue?.eligibility === undefined) continue
+      if (queue.priority > 0) ahead += 1
+      if (ahead > ASKED_AHEAD) return
+      if (step.eligibility.asking || now < step.eligibility.notBefore) continue
+      const workers = this.workersToAsk(step, queue, now)
+      if (workers.length === 0) continue
+      yield { step, workers, expectedMilliseconds: queue.eligibility.decisionMilliseconds + workers.length * queue.eligibility.perWorkerMilliseconds }
+    }
+  }
+
+  private workersToAsk (step: Step, queue: Queue, now: number): string[] {
+    const { tickets, asked } = step.eligibility
+    const suitable = [...this.scheduler.workers.values()].filter(worker => worker.entry.pool === queue.pool && worker.isUsable(now) && worker.couldCarry(step.specification))
+    const unknown = suitable.filter(worker => !asked.has(worker.identity))
+    if (asked.size === 0) return identities(unknown)
+    const named = suitable.filter(worker => tickets.has(worker.identity))
+    if (named.length === 0) return identities(unknown)
+    const stale = named.filter(worker => (tickets.get(worker.identity)?.validUntil ?? 0) - REFRESH_MARGIN_MILLISECONDS <= now)
+    if (step.specification.gang) return stale.length > 0 && (step.reservation !== undefined || stale.some(worker => worker.fits(step.specification))) ? identities(named) : []
+    const valid = named.filter(worker => !stale.includes(worker) && worker.fits(step.specification))
+    if (valid.length > 0) return []
+    return identities(stale.filter(worker => worker.fits(step.specification)))
+  }
+
+  private async ask (line: EligibilityLine, question: Question): Promise<void> {
+    const eligibility = question.step.eligibility
+    eligibility.asking = true
+    this.busy.add(line.instance)
+    const sentAt = this.now()
+    const outcome = await line.ask(question.step.name, question.workers, question.expectedMilliseconds + ANSWER_SLACK_MILLISECONDS)
+    this.busy.delete(line.instance)
+    eligibility.asking = false
+    if (outcome.kind === 'failed') {
+      eligibility.notBefore = this.now() + RETRY_PAUSE_MILLISECONDS
+    } else {
+      // The service dates a ticket by its decision, which is not before the expected duration had passed.
+      const validFrom = Math.min(this.now(), sentAt + question.expectedMilliseconds)
+      for (const worker of question.workers) eligibility.asked.add(worker)
+      for (const { worker, ticket } of outcome.workers) eligibility.tickets.set(worker, { ticket, validUntil: validFrom + outcome.validMilliseconds })
+      if (outcome.workers.length === 0) eligibility.notBefore = this.now() + RETRY_PAUSE_MILLISECONDS
+    }
+    this.onAnswer()
+  }
+}
+
+function identities (workers: readonly WorkerState[]): string[] {
+  return [...workers]
+    .sort((left, right) => right.freeProcessors - left.freeProcessors)
+    .slice(0, MAXIMUM_WORKERS_PER_QUESTION)
+    .map(worker => worker.identity)
+}
--- /dev/null
+++ b/src/cluster/leadership.ts
@@ -0,0 +1,77 @@
+import type { LeadershipRecord } from '../contracts/clusterRecords.js'
+
+/** Time between the renewals of the acting scheduler, in milliseconds. */
+export const RENEWAL_PERIOD_MILLISECONDS = 700
+/** Silence of the acting scheduler after which another instance claims the role, in milliseconds; two renewals and the time of an append. */
+const SILENCE_BEFORE_CLAIM_MILLISECONDS = 1600
+/** Wait after the holder's process is known to have ended, in milliseconds; it keeps claims from colliding. */
+const CLAIM_AFTER_END_MILLISECONDS = 50
+/** Difference between the waits of two instances of neighbouring rank, in milliseconds; about one append. */
+const RANK_STEP_MILLISECONDS = 60
+/** Wait before the first claim of a new system, in milliseconds. */
+const FIRST_CLAIM_MILLISECONDS = 200
+
+/** What an instance knows about the role of acting scheduler. Pure: it receives records and the time in milliseconds of the monotonic clock. */
+export class Leadership {
+  private latest: LeadershipRecord | undefined
+  /** When the latest record was read or, without one, when the log was first known to hold none. */
+  private seenAt: number | undefined
+  private holderEndedAt: number | undefined
+  private deposedTerm = 0
+
+  /** `rank`: 0 for the instance that should claim first. */
+  constructor (private readonly incarnation: string, private readonly rank: number) {}
+
+  /** The latest claim or renewal. */
+  get current (): LeadershipRecord | undefined {
+    return this.latest
+  }
+
+  get isHeldHere (): boolean {
+    return this.latest !== undefined && this.latest.incarnation === this.incarnation && !this.latest.resigned && this.latest.term > this.deposedTerm
+  }
+
+  /** Term of the next claim. */
+  get nextTerm (): number {
+    return (this.latest?.term ?? 0) + 1
+  }
+
+  /** Takes a record into account; returns whether the holder has changed. */
+  onRecord (record: LeadershipRecord, now: number): boolean {
+    if (this.latest !== undefined && record.term < this.latest.term) return false
+    const changed = this.latest?.incarnation !== record.incarnation || this.latest.resigned !== record.resigned
+    this.latest = record
+    this.seenAt = now
+    if (changed) this.holderEndedAt = undefined
+    return changed
+  }
+
+  /** Notes that a greater term than the one held here is in force, although its record has not been read yet. */
+  onDeposed (): void {
+    this.deposedTerm = this.latest?.term ?? 0
+  }
+
+  /** Notes that the log holds no record of the role. */
+  onEmpty (now: number): void {
+    this.seenAt ??= now
+  }
+
+  /** Notes that the holder's process has ended: its connections were closed and no new one can be opened. */
+  onHolderEnded (incarnation: string, now: number): void {
+    if (this.latest?.incarnation === incarnation) this.holderEndedAt ??= now
+  }
+
+  /**
+   * Whether this instance should claim the role. `logCurrentAsOf` is when the latest successful read of the log was sent:
+   * a silent log is no evidence of a silent holder.
+   */
+  shouldClaim (now: number, logCurrentAsOf: number | undefined): boolean {
+    if (this.isHeldHere || this.seenAt === undefined || logCurrentAsOf === undefined) return false
+    const stagger = this.rank * RANK_STEP_MILLISECONDS
+    if (this.latest === undefined) return now >= this.seenAt + FIRST_CLAIM_MILLISECONDS + stagger
+    if (this.latest.resigned) return now >= this.seenAt + stagger
+    if (this.holderEndedAt !== undefined && now >= this.holderEndedAt + CLAIM_AFTER_END_MILLISECONDS + stagger) return true
+    const silentSince = this.seenAt + SILENCE_BEFORE_CLAIM_MILLISECONDS + stagger
+    return now >= silentSince && logCurrentAsOf >= this.seenAt
+  }
+}
--- /dev/null
+++ b/src/cluster/placementPass.ts
@@ -0,0 +1,228 @@
+import type { Queue } from '../contracts/clusterConfiguration.js'
+import type { Step, Task } from './jobBook.js'
+import { processorsOf, type WorkerState } from './workerState.js'
+
+/** Part of a ticket's validity that must be left when a start is placed, in milliseconds: the record and the order take that long. */
+const TICKET_MARGIN_MILLISECONDS = 250
+/** Gangs for which room may be kept at one time. */
+const MAXIMUM_RESERVATIONS = 3
+/** Priority of urgent work; it may use room that is kept for gangs. */
+const URGENT_PRIORITY = 0
+
+/** Weight of a worker's speed against the share of its processors left free, for urgent and for other work. */
+const URGENT_SPEED_WEIGHT = 2
+const BATCH_SPEED_WEIGHT = 0
+
+/** A run that is to be recorded and then ordered. */
+export interface PlannedRun {
+  readonly task: Task
+  readonly run: number
+  readonly worker: WorkerState
+  readonly ticket: string
+}
+
+/** One pass over the steps with tasks that wait: chooses a worker for each task that has one. */
+export class PlacementPass {
+  private readonly planned: PlannedRun[] = []
+  private readonly reserved = new Set<string>()
+  private reservations = 0
+
+  constructor (
+    private readonly steps: Step[],
+    private readonly workers: ReadonlyMap<string, WorkerState>,
+    private readonly queueOf: (step: Step) => Queue | undefined,
+    private readonly now: number
+  ) {}
+
+  run (): PlannedRun[] {
+    sortByUrgency(this.steps, this.queueOf, this.now)
+    for (const step of this.steps) {
+      if (step.specification.gang) this.placeGang(step)
+      else this.placeEach(step)
+    }
+    return this.planned
+  }
+
+  private placeEach (step: Step): void {
+    const candidates = this.candidates(step)
+    if (candidates.length === 0) return
+    const perWorker = countPerWorker(step)
+    for (const task of step.tasks) {
+      if (task.phase !== 'waiting') continue
+      const worker = this.choose(step, candidates, perWorker)
+      if (worker === undefined) return
+      perWorker.set(worker.identity, (perWorker.get(worker.identity) ?? 0) + 1)
+      this.assign(task, task.run + 1, worker)
+    }
+  }
+
+  /** Places all members or none. A gang that does not fit keeps room on the workers that are free soonest. */
+  private placeGang (step: Step): void {
+    if (step.waitingCount < step.tasks.length) return
+    const candidates = this.candidates(step)
+    const racks = step.specification.sameRack ? groupByRack(candidates) : [candidates]
+    for (const group of [...racks, candidates]) {
+      const chosen = this.chooseForGang(step, group)
+      if (chosen === undefined) continue
+      step.reservation = undefined
+      const run = 1 + Math.max(...step.tasks.map(task => task.run))
+      const checkpoint = step.tasks.find(task => task.checkpoint !== '')?.checkpoint ?? ''
+      step.tasks.forEach((task, index) => {
+        task.checkpoint = checkpoint
+        this.assign(task, run, chosen[index] as WorkerState)
+      })
+      return
+    }
+    this.reserve(step)
+  }
+
+  private chooseForGang (step: Step, candidates: readonly WorkerState[]): WorkerState[] | undefined {
+    const chosen: WorkerState[] = []
+    const perWorker = new Map<string, number>()
+    const specification = step.specification
+    const limit = specification.maximumPerWorker === 0 ? Infinity : specification.maximumPerWorker
+    for (const worker of [...candidates].sort((left, right) => right.freeProcessors - left.freeProcessors)) {
+      let room = roomFor(worker, step)
+      while (room > 0 && chosen.length < step.tasks.length && (perWorker.get(worker.identity) ?? 0) < limit) {
+        chosen.push(worker)
+        perWorker.set(worker.identity, (perWorker.get(worker.identity) ?? 0) + 1)
+        room -= 1
+      }
+      if (chosen.length === step.tasks.length) return chosen
+    }
+    return undefined
+  }
+
+  private reserve (step: Step): void {
+    if (this.reservations >= MAXIMUM_RESERVATIONS) return
+    const eligible = this.eligibleWorkers(step).filter(worker => worker.couldCarry(step.specification) && !this.reserved.has(worker.identity))
+    if (eligible.length === 0) return
+    const kept = step.reservation ?? new Set<string>()
+    // Workers that are already kept come first, so that the room gathers in one place.
+    eligible.sort((left, right) => Number(kept.has(right.identity)) - Number(kept.has(left.identity)) || remainingWork(left) - remainingWork(right))
+    const reservation = new Set<string>()
+    let members = 0
+    for (const worker of eligible) {
+      reservation.add(worker.identity)
+      members += capacityFor(worker, step)
+      if (members >= step.tasks.length) break
+    }
+    step.reservation = reservation
+    this.reservations += 1
+    for (const identity of reservation) this.reserved.add(identity)
+  }
+
+  /** Workers that may take a task of the step now. */
+  private candidates (step: Step): WorkerState[] {
+    const urgent = this.queueOf(step)?.priority === URGENT_PRIORITY
+    return this.eligibleWorkers(step).filter(worker => {
+      if (!worker.isUsable(this.now) || !worker.fits(step.specification)) return false
+      if (!urgent && this.reserved.has(worker.identity)) return false
+      return this.ticketOf(step, worker) !== undefined
+    })
+  }
+
+  /** Workers of the queue's pool that have the label and, where a service decides, are named by it. */
+  private eligibleWorkers (step: Step): WorkerState[] {
+    const queue = this.queueOf(step)
+    const pool = queue?.pool ?? step.job.submission.pool
+    const named = queue?.eligibility === undefined ? undefined : step.eligibility.tickets
+    const found: WorkerState[] = []
+    for (const worker of named === undefined ? this.workers.values() : [...named.keys()].map(identity => this.workers.get(identity))) {
+      if (worker !== undefined && worker.entry.pool === pool && worker.isListed && worker.entry.state === 'ready' && worker.hasLabel(step.specification)) found.push(worker)
+    }
+    return found
+  }
+
+  /** Ticket for a start now; empty where none is needed, undefined where there is no valid one. */
+  private ticketOf (step: Step, worker: WorkerState): string | undefined {
+    if (this.queueOf(step)?.eligibility === undefined) return ''
+    const ticket = step.eligibility.tickets.get(worker.identity)
+    return ticket !== undefined && ticket.validUntil - TICKET_MARGIN_MILLISECONDS > this.now ? ticket.ticket : undefined
+  }
+
+  private choose (step: Step, candidates: readonly WorkerState[], perWorker: ReadonlyMap<string, number>): WorkerState | undefined {
+    const specification = step.specification
+    const speedWeight = this.queueOf(step)?.priority === URGENT_PRIORITY ? URGENT_SPEED_WEIGHT : BATCH_SPEED_WEIGHT
+    let best: WorkerState | undefined
+    let bestScore = Infinity
+    for (const worker of candidates) {
+      if (!worker.fits(specification)) continue
+      if (specification.maximumPerWorker > 0 && (perWorker.get(worker.identity) ?? 0) >= specification.maximumPerWorker) continue
+      const leftOver = (worker.freeProcessors - processorsOf(specification)) / Math.max(1, worker.entry.processorsThousandths)
+      const away = specification.preferredRack !== '' && !worker.entry.labels.includes(specification.preferredRack) ? 1 : 0
+      const score = leftOver - speedWeight * worker.speed + away
+      if (score >= bestScore) continue
+      best = worker
+      bestScore = score
+    }
+    return best
+  }
+
+  private assign (task: Task, run: number, worker: WorkerState): void {
+    const ticket = this.ticketOf(task.step, worker) ?? ''
+    task.run = run
+    task.worker = worker.identity
+    task.phase = 'placed'
+    worker.occupy(task)
+    this.planned.push({ task, run, worker, ticket })
+  }
+}
+
+/** Urgent work first; then work that can still be in time, by its objective; then what is late. */
+export function sortByUrgency (steps: Step[], queueOf: (step: Step) => Queue | undefined, now: number): void {
+  const rank = new Map<Step, number>()
+  for (const step of steps) {
+    const urgent = queueOf(step)?.priority === URGENT_PRIORITY ? 0 : 1
+    const late = step.job.objectiveAt < now ? 1 : 0
+    rank.set(step, urgent + 2 * late)
+  }
+  steps.sort((left, right) => (rank.get(left) as number) - (rank.get(right) as number) || left.job.objectiveAt - right.job.objectiveAt || left.index - right.index)
+}
+
+function countPerWorker (step: Step): Map<string, number> {
+  const counts = new Map<string, number>()
+  if (step.specification.maximumPerWorker === 0) return counts
+  for (const task of step.tasks) {
+    if (task.hasRun) counts.set(task.worker, (counts.get(task.worker) ?? 0) + 1)
+  }
+  return counts
+}
+
+/** Tasks of the step that fit beside what is on the worker. */
+function roomFor (worker: WorkerState, step: Step): number {
+  return tasksWithin(step, worker.freeProcessors, worker.freeMemory, worker.entry.accelerators - worker.usedAccelerators)
+}
+
+/** Tasks of the step that the empty worker could carry. */
+function capacityFor (worker: WorkerState, step: Step): number {
+  return tasksWithin(step, worker.entry.processorsThousandths, worker.entry.memoryMegabytes, worker.entry.accelerators)
+}
+
+function tasksWithin (step: Step, processors: number, memory: number, accelerators: number): number {
+  const specification = step.specification
+  const limits = [[processors, processorsOf(specification)], [memory, specification.memoryMegabytes], [accelerators, specification.accelerators]] as const
+  return limits.reduce((fewest, [available, demand]) => demand === 0 ? fewest : Math.min(fewest, Math.floor(available / demand)), step.tasks.length)
+}
+
+/** Estimated work that is left on a worker, in thousandths of a core times milliseconds. */
+function remainingWork (worker: WorkerState): number {
+  let work = 0
+  for (const task of worker.runs.values()) {
+    const step = task.step.specification
+    work += processorsOf(step) * step.estimateMilliseconds * (1 - task.percent / 100)
+  }
+  return work
+}
+
+/** Groups by the label that looks like a rack: workers that share all labels are taken as one group. */
+function groupByRack (workers: readonly WorkerState[]): WorkerState[][] {
+  const groups = new Map<string, WorkerState[]>()
+  for (const worker of workers) {
+    const rack = worker.entry.labels.at(-1) ?? ''
+    const group = groups.get(rack) ?? []
+    group.push(worker)
+    groups.set(rack, group)
+  }
+  return [...groups.values()].sort((left, right) => right.length - left.length)
+}
--- /dev/null
+++ b/src/cluster/progressWriter.ts
@@ -0,0 +1,80 @@
+import { delay } from '../base/delay.js'
+import { DisposableObject, toDisposable } from '../base/disposable.js'
+import { TOPICS, type KeyedRecord, type RecordLog } from './recordLog.js'
+
+/** Name of the fenced writer of progress. */
+const WRITER_NAME = 'scheduler'
+/** Pause before an append is repeated, in milliseconds. */
+const RETRY_PAUSE_MILLISECONDS = 60
+/** Most bytes of one append; the log takes up to 2 MB. */
+const MAXIMUM_APPEND_BYTES = 1_000_000
+
+export type WriteOutcome = 'stored' | 'fenced' | 'disposed'
+
+/** Writes progress under a term. Once a greater term has written, nothing more is stored. */
+export class ProgressWriter extends DisposableObject {
+  private sequence = 0
+  private readonly abort = new AbortController()
+
+  constructor (private readonly log: RecordLog, private readonly term: number, private readonly onFailure: (reason: string) => void) {
+    super()
+    this.register(toDisposable(() => this.abort.abort()))
+  }
+
+  /** Shuts out writers of lower terms. */
+  async fence (): Promise<WriteOutcome> {
+    while (!this.isDisposed) {
+      const outcome = await this.log.append(TOPICS.progress, 0, [], { writer: { name: WRITER_NAME, term: this.term, sequence: this.sequence } })
+      if (outcome.kind === 'stored') return 'stored'
+      if (outcome.kind === 'fenced') return 'fenced'
+      this.onFailure(outcome.kind === 'refused' || outcome.kind === 'unknown' ? outcome.reason : outcome.kind)
+      await delay(RETRY_PAUSE_MILLISECONDS, this.abort.signal)
+    }
+    return 'disposed'
+  }
+
+  /** Writes records in order; repeats until they are stored or the term has passed. */
+  async write (records: readonly KeyedRecord[]): Promise<WriteOutcome> {
+    for (const batch of split(records)) {
+      const outcome = await this.writeBatch(batch)
+      if (outcome !== 'stored') return outcome
+    }
+    return 'stored'
+  }
+
+  private async writeBatch (records: readonly KeyedRecord[]): Promise<WriteOutcome> {
+    this.sequence += 1
+    while (!this.isDisposed) {
+      const outcome = await this.log.append(TOPICS.progress, 0, records, { writer: { name: WRITER_NAME, term: this.term, sequence: this.sequence } })
+      if (outcome.kind === 'stored') return 'stored'
+      if (outcome.kind === 'fenced') return 'fenced'
+      if (outcome.kind === 'outOfSequence') {
+        // The log expects the next number when an earlier attempt has been stored without an answer.
+        if (outcome.expected > this.sequence) return 'stored'
+        this.sequence = outcome.expected
+        continue
+      }
+      this.onFailure(outcome.kind === 'conflict' ? 'conflict' : outcome.reason)
+      await delay(RETRY_PAUSE_MILLISECONDS, this.abort.signal)
+    }
+    return 'disposed'
+  }
+}
+
+function split (records: readonly KeyedRecord[]): KeyedRecord[][] {
+  const batches: KeyedRecord[][] = []
+  let batch: KeyedRecord[] = []
+  let bytes = 0
+  for (const record of records) {
+    const size = record.key.length + (record.value?.length ?? 0)
+    if (batch.length > 0 && bytes + size > MAXIMUM_APPEND_BYTES) {
+      batches.push(batch)
+      batch = []
+      bytes = 0
+    }
+    batch.push(record)
+    bytes += size
+  }
+  if (batch.length > 0) batches.push(batch)
+  return batches
+}
--- /dev/null
+++ b/src/cluster/workerPort.ts
@@ -0,0 +1,109 @@
+/** What the platform's registry says of a worker. */
+export interface WorkerEntry {
+  readonly identity: string
+  readonly pool: string
+  readonly address: string
+  readonly failureDomain: string
+  readonly state: 'ready' | 'draining'
+  readonly processorsThousandths: number
+  readonly memoryMegabytes: number
+  readonly accelerators: number
+  readonly labels: readonly string[]
+  /** Start of the worker's process as Unix milliseconds; 0 if not stated. Tells a restart under the same identity. */
+  readonly bornAt: number
+}
+
+/** A run that the worker reports as present. */
+export interface RunningReport {
+  readonly task: string
+  readonly run: number
+  readonly checkpoint: string
+  /** Progress in percent; of a long-running task 100 means that it is at work. */
+  readonly percent: number
+}
+
+export type EndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone'
+
+/** The end of a run. `number` counts the ends of one process of the worker, from 1. */
+export interface EndReport {
+  readonly number: number
+  readonly task: string
+  readonly run: number
+  readonly kind: EndKind
+  readonly checkpoint: string
+}
+
+/** A worker's answer to a look. */
+export interface WorkerReport {
+  /** The worker's own steady clock, in milliseconds. */
+  readonly clockMilliseconds: number
+  readonly bornAt: number
+  readonly running: readonly RunningReport[]
+  readonly ended: readonly EndReport[]
+}
+
+export type LookOutcome =
+  | { readonly kind: 'report', readonly report: WorkerReport }
+  /** The worker has obeyed a greater term. */
+  | { readonly kind: 'fenced' }
+  /** Another worker answers at this address. */
+  | { readonly kind: 'replaced' }
+  | { readonly kind: 'failed', readonly reason: string }
+
+/** Outcome of an order. `unknown` means that it may be carried out, now or seconds later. */
+export type OrderOutcome =
+  | { readonly kind: 'done' }
+  | { readonly kind: 'refused', readonly reason: 'old' | 'late' | 'room' | 'ticket' | 'unhealthy' | 'invalid' }
+  | { readonly kind: 'fenced' }
+  | { readonly kind: 'replaced' }
+  | { readonly kind: 'notSent', readonly reason: string }
+  | { readonly kind: 'unknown', readonly reason: string }
+
+/** Identity and address of the worker that an order is meant for. */
+export interface WorkerAddress {
+  readonly identity: string
+  readonly address: string
+}
+
+export interface StartOrder {
+  readonly task: string
+  readonly run: number
+  readonly specification: string
+  readonly leaseUntil: number
+  readonly term: number
+  readonly checkpoint: string
+  readonly ticket: string
+}
+
+export interface LookOrder {
+  readonly term: number
+  /** Ends up to this number may be forgotten by the worker. */
+  readonly acknowledgedEnd: number
+  /** End of the lease on the worker's clock in milliseconds; absent where nothing is to be kept running. */
+  readonly leaseUntil?: number
+  /** How long the worker may wait for an end before it answers. */
+  readonly waitMilliseconds: number
+}
+
+/** Orders to workers. No method rejects; failures are outcomes. */
+export abstract class WorkerPort {
+  abstract look (worker: WorkerAddress, order: LookOrder, signal?: AbortSignal): Promise<LookOutcome>
+  abstract start (worker: WorkerAddress, order: StartOrder): Promise<OrderOutcome>
+  abstract stop (worker: WorkerAddress, task: string, run: number, term: number): Promise<OrderOutcome>
+}
+
+/** A worker that may run a step, with the ticket that proves it. */
+export interface EligibleWorker {
+  readonly worker: string
+  readonly ticket: string
+}
+
+export type EligibilityOutcome =
+  | { readonly kind: 'eligible', readonly workers: readonly EligibleWorker[], readonly validMilliseconds: number }
+  | { readonly kind: 'failed', readonly reason: string }
+
+/** The service that decides which workers may run a step. */
+export abstract class EligibilityPort {
+  /** `workers`: at most 100 identities. */
+  abstract ask (step: string, workers: readonly string[], timeoutMilliseconds: number): Promise<EligibilityOutcome>
+}
--- /dev/null
+++ b/src/cluster/workerSession.ts
@@ -0,0 +1,205 @@
+import { delay } from '../base/delay.js'
+import { DisposableObject, toDisposable } from '../base/disposable.js'
+import type { LookOutcome, OrderOutcome, StartOrder, WorkerAddress, WorkerPort, WorkerReport } from './workerPort.js'
+
+/** How long a worker may wait for an end before it answers a look, in milliseconds; a quarter of the longest lease, so that three looks may fail. */
+const LOOK_WAIT_MILLISECONDS = 1500
+/** Least time from one look to the next, in milliseconds; ends that come close together share an answer. */
+const LOOK_PERIOD_MILLISECONDS = 40
+/** Pause after a failed look or stop, in milliseconds. */
+const RETRY_PAUSE_MILLISECONDS = 200
+/** Part by which a worker's clock may be slow. */
+const CLOCK_DRIFT = 0.02
+/** Added to the latest end of a lease before it counts as certain, in milliseconds. */
+const LAPSE_MARGIN_MILLISECONDS = 150
+
+/** What a session learns about its worker. */
+export interface WorkerSessionObserver {
+  /** `acknowledgedEnd` is the end up to which the look allowed the worker to forget. */
+  onReport (report: WorkerReport, sentAt: number, acknowledgedEnd: number): void
+  onSilent (reason: string): void
+  /** Nothing can run on the worker any more. */
+  onEnded (): void
+  /** The worker obeys a greater term. */
+  onFenced (): void
+  /** A stop was confirmed; a look sent from now on shows whether the run is gone. */
+  onStopConfirmed (task: string, run: number): void
+  /** Up to which end the worker may forget. */
+  acknowledgedEnd (): number
+  /** Whether the worker must be looked at: something may run there, or ends wait for an acknowledgement. */
+  needsLooks (): boolean
+}
+
+export interface WorkerSessionOptions {
+  readonly term: number
+  readonly leaseMilliseconds: number
+  /** Local time by which leases that former schedulers gave have ended, in milliseconds of the monotonic clock. */
+  readonly formerLeasesEndAt: number
+}
+
+/** Looks at one worker while something may run there, keeps its lease, and carries orders to it. */
+export class WorkerSession extends DisposableObject {
+  private readonly abort = new AbortController()
+  /** Latest report: the worker's clock, and the local time before which it was read. */
+  private clock: { readonly worker: number, readonly local: number } | undefined
+  /** Latest end of a lease that the worker may have been given, on its clock. */
+  private latestLease = 0
+  private leasesEndAt: number
+  private wake: (() => void) | undefined
+  private hasEnded = false
+  private hasReported = false
+
+  constructor (
+    private worker: WorkerAddress,
+    private readonly port: WorkerPort,
+    private readonly observer: WorkerSessionObserver,
+    private readonly options: WorkerSessionOptions,
+    private readonly mayRenew: () => boolean,
+    private readonly now: () => number
+  ) {
+    super()
+    this.leasesEndAt = options.formerLeasesEndAt
+    this.register(toDisposable(() => {
+      this.abort.abort()
+      this.wake?.()
+    }))
+  }
+
+  /** Takes over the worker's present address. */
+  setAddress (address: string): void {
+    this.worker = { identity: this.worker.identity, address }
+  }
+
+  /** Starts looking; the first look is sent at once. */
+  open (): void {
+    this.lookWhileNeeded()
+  }
+
+  /** Something has been placed here or waits for an acknowledgement. */
+  poke (): void {
+    this.wake?.()
+  }
+
+  async start (order: Omit<StartOrder, 'leaseUntil' | 'term'>): Promise<OrderOutcome> {
+    const leaseUntil = this.nextLeaseEnd()
+    if (leaseUntil === undefined) return { kind: 'notSent', reason: 'the clock of the worker is not known' }
+    this.poke()
+    const outcome = await this.port.start(this.worker, { ...order, leaseUntil, term: this.options.term })
+    this.onOrderOutcome(outcome)
+    return outcome
+  }
+
+  /** Sends a stop until the worker confirms it, has ended or the session is disposed. */
+  async stop (task: string, run: number): Promise<void> {
+    while (!this.isDisposed && !this.hasEnded) {
+      const outcome = await this.port.stop(this.worker, task, run, this.options.term)
+      this.onOrderOutcome(outcome)
+      if (this.isDisposed || outcome.kind === 'fenced') return
+      if (outcome.kind === 'done' || outcome.kind === 'refused') {
+        this.observer.onStopConfirmed(task, run)
+        await this.look(0)
+        return
+      }
+      await delay(RETRY_PAUSE_MILLISECONDS, this.abort.signal)
+    }
+  }
+
+  /** Looks once, without waiting for an end. */
+  async lookNow (): Promise<boolean> {
+    return await this.look(0)
+  }
+
+  private async lookWhileNeeded (): Promise<void> {
+    let isFirst = true
+    while (!this.isDisposed) {
+      if (!isFirst && !this.observer.needsLooks()) await this.untilPoked()
+      if (this.isDisposed) return
+      const sentAt = this.now()
+      const succeeded = await this.look(isFirst ? 0 : LOOK_WAIT_MILLISECONDS)
+      if (this.isDisposed) return
+      if (succeeded) isFirst = false
+      if (!succeeded) this.checkLapse()
+      const pause = succeeded ? LOOK_PERIOD_MILLISECONDS - (this.now() - sentAt) : RETRY_PAUSE_MILLISECONDS
+      if (pause > 0) await delay(pause, this.abort.signal)
+    }
+  }
+
+  private async untilPoked (): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.wake = resolve
+    })
+    this.wake = undefined
+  }
+
+  private async look (waitMilliseconds: number): Promise<boolean> {
+    const sentAt = this.now()
+    const leaseUntil = this.mayRenew() ? this.nextLeaseEnd() : undefined
+    const acknowledgedEnd = this.observer.acknowledgedEnd()
+    const order = { term: this.options.term, acknowledgedEnd, leaseUntil, waitMilliseconds }
+    const outcome = await this.port.look(this.worker, order, this.abort.signal)
+    if (this.isDisposed) return false
+    this.onLookOutcome(outcome, sentAt, acknowledgedEnd)
+    return outcome.kind === 'report'
+  }
+
+  private onLookOutcome (outcome: LookOutcome, sentAt: number, acknowledgedEnd: number): void {
+    switch (outcome.kind) {
+      case 'report':
+        this.onReport(outcome.report, sentAt, acknowledgedEnd)
+        return
+      case 'fenced':
+        this.observer.onFenced()
+        return
+      case 'replaced':
+        this.onEnded()
+        return
+      case 'failed':
+        this.observer.onSilent(outcome.reason)
+    }
+  }
+
+  private onReport (report: WorkerReport, sentAt: number, acknowledgedEnd: number): void {
+    this.hasEnded = false
+    if (this.clock !== undefined && report.clockMilliseconds < this.clock.worker - this.options.leaseMilliseconds) this.latestLease = 0
+    if (this.clock === undefined || report.clockMilliseconds > this.clock.worker || this.latestLease === 0) {
+      this.clock = { worker: report.clockMilliseconds, local: this.now() }
+    }
+    const isFirst = !this.hasReported
+    this.hasReported = true
+    // Leases of former schedulers end at the latest a full lease after the worker obeys this term.
+    if (isFirst) this.latestLease = Math.max(this.latestLease, report.clockMilliseconds + this.options.leaseMilliseconds)
+    this.updateLapse()
+    this.observer.onReport(report, sentAt, acknowledgedEnd)
+  }
+
+  /** A full lease from now on the worker's clock, or undefined before the first report. */
+  private nextLeaseEnd (): number | undefined {
+    if (this.clock === undefined) return undefined
+    const end = this.clock.worker + (this.now() - this.clock.local) + this.options.leaseMilliseconds
+    this.latestLease = Math.max(this.latestLease, end)
+    this.updateLapse()
+    return end
+  }
+
+  private updateLapse (): void {
+    if (this.clock === undefined) return
+    this.leasesEndAt = this.clock.local + (this.latestLease - this.clock.worker) / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_MILLISECONDS
+  }
+
+  private checkLapse (): void {
+    if (this.hasEnded || this.now() < this.leasesEndAt) return
+    this.onEnded()
+  }
+
+  private onEnded (): void {
+    if (this.hasEnded) return
+    this.hasEnded = true
+    this.observer.onEnded()
+  }
+
+  private onOrderOutcome (outcome: OrderOutcome): void {
+    if (this.isDisposed) return
+    if (outcome.kind === 'fenced') this.observer.onFenced()
+    if (outcome.kind === 'replaced') this.onEnded()
+  }
+}
--- /dev/null
+++ b/src/cluster/workerState.ts
@@ -0,0 +1,110 @@
+import type { JobStep } from '../contracts/stepJob.js'
+import type { Task } from './jobBook.js'
+import type { WorkerEntry } from './workerPort.js'
+
+/** Weight of the latest run in the learned speed. */
+const SPEED_LEARNING_RATE = 0.25
+/** Bounds of one observation of speed, as a factor; estimates are often far off. */
+const MINIMUM_OBSERVED_SPEED = 0.2
+const MAXIMUM_OBSERVED_SPEED = 4
+/** Failed runs of different jobs in a row after which a worker gets no more work for a while. */
+const FAILURES_BEFORE_QUARANTINE = 2
+/** Time without work after failures in a row, in milliseconds; about the duration of the troubles seen. */
+const QUARANTINE_MILLISECONDS = 4000
+
+/** What the acting scheduler knows of one worker: its room, what may run there, and how well it does. */
+export class WorkerState {
+  usedProcessors = 0
+  usedMemory = 0
+  usedAccelerators = 0
+  /** Tasks that may run here, by name. */
+  readonly runs = new Map<string, Task>()
+  /** The worker has answered under the current term, so that what runs there is known. */
+  isKnown = false
+  /** The latest look failed. */
+  isSilent = false
+  /** The registry lists the worker. */
+  isListed = true
+  /** Speed relative to the tasks' estimates. */
+  speed = 1
+  quarantinedUntil = 0
+  /** Latest end that has been taken into account, and latest that the log covers. */
+  processedEnd = 0
+  recordedEnd = 0
+  /** Latest end that a successful look has told the worker to forget. */
+  acknowledgedEnd = 0
+  bornAt = 0
+  private failuresInRow = 0
+  private lastFailedJob = ''
+
+  constructor (public entry: WorkerEntry) {}
+
+  get identity (): string {
+    return this.entry.identity
+  }
+
+  get freeProcessors (): number {
+    return this.entry.processorsThousandths - this.usedProcessors
+  }
+
+  get freeMemory (): number {
+    return this.entry.memoryMegabytes - this.usedMemory
+  }
+
+  /** Whether new runs may be placed here. */
+  isUsable (now: number): boolean {
+    return this.isKnown && !this.isSilent && this.isListed && this.entry.state === 'ready' && now >= this.quarantinedUntil
+  }
+
+  fits (step: JobStep): boolean {
+    return processorsOf(step) <= this.freeProcessors && step.memoryMegabytes <= this.freeMemory && step.accelerators <= this.entry.accelerators - this.usedAccelerators
+  }
+
+  /** Whether the empty worker could carry a task of the step. */
+  couldCarry (step: JobStep): boolean {
+    return processorsOf(step) <= this.entry.processorsThousandths && step.memoryMegabytes <= this.entry.memoryMegabytes && step.accelerators <= this.entry.accelerators && this.hasLabel(step)
+  }
+
+  hasLabel (step: JobStep): boolean {
+    return step.requiredLabel === '' || this.entry.labels.includes(step.requiredLabel)
+  }
+
+  occupy (task: Task): void {
+    if (this.runs.has(task.name)) return
+    this.runs.set(task.name, task)
+    this.count(task.step.specification, 1)
+  }
+
+  release (task: Task): void {
+    if (this.runs.delete(task.name)) this.count(task.step.specification, -1)
+  }
+
+  /** Learns from a run that ended well. */
+  recordSuccess (estimateMilliseconds: number, durationMilliseconds: number): void {
+    this.failuresInRow = 0
+    if (estimateMilliseconds === 0 || durationMilliseconds <= 0) return
+    const observed = Math.min(MAXIMUM_OBSERVED_SPEED, Math.max(MINIMUM_OBSERVED_SPEED, estimateMilliseconds / durationMilliseconds))
+    this.speed += SPEED_LEARNING_RATE * (observed - this.speed)
+  }
+
+  /** Learns from a failed run; returns whether the worker is put into quarantine. */
+  recordFailure (job: string, now: number): boolean {
+    if (job === this.lastFailedJob) return false
+    this.lastFailedJob = job
+    this.failuresInRow += 1
+    if (this.failuresInRow < FAILURES_BEFORE_QUARANTINE) return false
+    this.quarantinedUntil = now + QUARANTINE_MILLISECONDS
+    return true
+  }
+
+  private count (step: JobStep, sign: 1 | -1): void {
+    this.usedProcessors += sign * processorsOf(step)
+    this.usedMemory += sign * step.memoryMegabytes
+    this.usedAccelerators += sign * step.accelerators
+  }
+}
+
+/** Processors that a task counts against a worker's capacity, in thousandths; filler work counts none. */
+export function processorsOf (step: JobStep): number {
+  return step.filler ? 0 : step.processorsThousandths
+}
--- /dev/null
+++ b/src/contracts/clusterMessages.ts
@@ -0,0 +1,21 @@
+import { z } from 'zod'
+
+const identifier = z.number().int().nonnegative()
+
+/** Messages between an instance and the acting scheduler. Every question carries an id, which its reply repeats. */
+export const clusterMessageSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('hello'), instance: z.string(), failureDomain: z.string() }),
+  z.object({ type: z.literal('stateQuestion'), id: identifier, job: z.string() }),
+  z.object({ type: z.literal('waitingQuestion'), id: identifier, queue: z.string() }),
+  z.object({ type: z.literal('eligibilityQuestion'), id: identifier, step: z.string(), workers: z.array(z.string()), timeoutMilliseconds: z.number() }),
+  z.object({ type: z.literal('stateReply'), id: identifier, state: z.string() }),
+  z.object({ type: z.literal('waitingReply'), id: identifier, waiting: z.number().int() }),
+  z.object({ type: z.literal('eligibilityReply'), id: identifier, reason: z.string(), workers: z.array(z.tuple([z.string(), z.string()])), validMilliseconds: z.number() })
+])
+export type ClusterMessage = z.infer<typeof clusterMessageSchema>
+export type ClusterReply = Extract<ClusterMessage, { type: 'stateReply' | 'waitingReply' | 'eligibilityReply' }>
+/** A question before it is given its id. */
+export type ClusterQuestion =
+  | { readonly type: 'stateQuestion', readonly job: string }
+  | { readonly type: 'waitingQuestion', readonly queue: string }
+  | { readonly type: 'eligibilityQuestion', readonly step: string, readonly workers: readonly string[], readonly timeoutMilliseconds: number }
--- /dev/null
+++ b/src/contracts/clusterRecords.ts
@@ -0,0 +1,51 @@
+import { Packr } from 'msgpackr'
+import type { StepJob, JobState } from './stepJob.js'
+
+/** Progress of one task that is not done: index, last run, worker (empty if none), failed runs, checkpoint (empty if none). */
+export type TaskRow = readonly [index: number, run: number, worker: string, failures: number, checkpoint: string]
+
+/** Progress of one step: indexes of the tasks that are done, and rows of the others that have started. */
+export type StepRow = readonly [done: readonly number[], tasks: readonly TaskRow[]]
+
+/** Progress of one occurrence. */
+export type OccurrenceRow = readonly [occurrence: number, steps: readonly StepRow[]]
+
+/** A job that has been accepted. Written once by the instance that accepted it; a repeat is the same record. */
+export interface SubmissionRecord {
+  readonly queue: string
+  readonly pool: string
+  readonly job: StepJob
+  /** Unix time of acceptance, in milliseconds; used for ordering and statistics only. */
+  readonly acceptedAt: number
+}
+
+/** Progress of a job as the acting scheduler knows it. The latest record of a job holds. */
+export interface ProgressRecord {
+  readonly state: JobState
+  readonly reason?: string
+  readonly occurrences: readonly OccurrenceRow[]
+}
+
+/** Claim or renewal of the role of acting scheduler. */
+export interface LeadershipRecord {
+  readonly term: number
+  readonly instance: string
+  /** Random identity of the process that holds the role. */
+  readonly incarnation: string
+  /** Address of the holder's link, as host:port. */
+  readonly address: string
+  /** The holder gives the role up; anyone may claim it at once. */
+  readonly resigned: boolean
+}
+
+const packer = new Packr({ useRecords: false })
+
+/** Encodes a record for the log. */
+export function encodeRecord (record: SubmissionRecord | ProgressRecord | LeadershipRecord): Buffer {
+  return packer.pack(record)
+}
+
+/** Decodes a record that an instance of this version has written; throws if the bytes are no such record. */
+export function decodeRecord<T extends SubmissionRecord | ProgressRecord | LeadershipRecord> (value: Uint8Array): T {
+  return packer.unpack(value) as T
+}
