Ignore rows of gang members whose run is known to be done

Cause: the end of one gang member ends the whole gang, and rows of the other members that were read shortly before counted as stray runs and were told to stop. The remaining stops are of gang members that stand at 100 percent while others finish.

--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -297,6 +297,7 @@
   private onRunningRow (worker: WorkerState, taskName: string, run: number, checkpoint: string, percent: number, now: number): void {
     const task = worker.runs.get(taskName)
     if (task === undefined || task.run !== run) {
+      if (this.isDoneRun(taskName, run)) return
       this.observer.onDidFindStrayRun(worker, taskName, run)
       this.plannedStops.push({ worker: worker.identity, task: taskName, run })
       return
@@ -308,6 +309,13 @@
     task.progressedAt = now
   }
 
+  /** Whether a task is known to be done by this run: the end of another gang member, or a later report, has told so first. */
+  private isDoneRun (taskName: string, run: number): boolean {
+    const [identity, occurrence, step, index] = taskName.split('.')
+    const task = this.jobs.get(identity ?? '')?.occurrences.get(Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)]
+    return task !== undefined && task.phase === 'done' && task.run === run
+  }
+
   /** Whether a run that a report does not list can no longer come to be. */
   private isGone (task: Task, isFirstReport: boolean, sentAt: number): boolean {
     if (task.phase === 'placed') return false
