Do not stop gang members that have finished and wait for the others

Cause: members of a gang end together, so a finished member stands at 100 percent; after 3.5 s it counted as stuck and was stopped, which broke the gang.

--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -212,7 +212,8 @@
       if (worker.isSilent) continue
       for (const task of worker.runs.values()) {
         if (task.phase !== 'running' || task.step.specification.longRunning) continue
-        if (now - task.progressedAt > STUCK_RUN_MILLISECONDS) stuck.push(task)
+        // A gang member that has finished waits for the others at 100 percent.
+        if (task.percent < 100 && now - task.progressedAt > STUCK_RUN_MILLISECONDS) stuck.push(task)
       }
     }
     for (const task of stuck) this.stopRun(task)
