Repeat a stop that an unhealthy worker has refused

Cause: a stop answered with 429 or 503 counted as confirmed. Ruled out: gang members released early (their ends differ by less than an append), takeover (the scheduler did not change). A test with a late start and a stop refused as unhealthy failed before and passes now.

--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -161,7 +161,6 @@
 
   onDidEndRun (task: Task, worker: WorkerState, kind: string, durationMilliseconds: number): void {
     this.metrics.runEnded(kind)
-    if (kind === 'done') return
     this.logger.info('run ended', { task: task.name, count: task.run, worker: worker.identity, code: kind, durationMilliseconds: Math.round(durationMilliseconds) })
   }
 
@@ -365,6 +364,7 @@
     const session = this.sessions.get(worker.identity)
     if (session === undefined || !this.scheduler.beginStart(task, run, this.now())) return
     const sentAt = this.now()
+    this.logger.info('run ordered', { task: task.name, count: run, worker: worker.identity })
     const outcome = await session.start({ task: task.name, run, specification: task.step.job.submission.job.specification, checkpoint: task.checkpoint, ticket })
     if (this.isDisposed) return
     this.metrics.startOrdered(outcome.kind, this.now() - sentAt)
--- a/src/cluster/workerSession.ts
+++ b/src/cluster/workerSession.ts
@@ -95,7 +95,8 @@
       const outcome = await this.port.stop(this.worker, task, run, this.options.term)
       this.onOrderOutcome(outcome)
       if (this.isDisposed || outcome.kind === 'fenced') return
-      if (outcome.kind === 'done' || outcome.kind === 'refused') {
+      // An unhealthy worker has done nothing: a start that it was sent before may still come.
+      if (outcome.kind === 'done' || (outcome.kind === 'refused' && outcome.reason === 'old')) {
         this.observer.onStopConfirmed(task, run)
         await this.look(0)
         return
--- /dev/null
+++ b/test/cluster/actingScheduler.test.ts
@@ -0,0 +1,202 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import FakeTimers from '@sinonjs/fake-timers'
+import { Logger } from '../../src/base/logger.js'
+import { Random } from '../../src/base/random.js'
+import { ActingScheduler } from '../../src/cluster/actingScheduler.js'
+import { ClusterMetrics } from '../../src/cluster/clusterMetrics.js'
+import { TOPICS } from '../../src/cluster/recordLog.js'
+import { cancelKey } from '../../src/cluster/submissions.js'
+import type { ClusterConfiguration } from '../../src/contracts/clusterConfiguration.js'
+import { encodeRecord } from '../../src/contracts/clusterRecords.js'
+import { stepJobSchema } from '../../src/contracts/stepJob.js'
+import { FakeWorker, FakeWorkerPort, type OrderFault } from '../fakes/fakeClusterWorkers.js'
+import { FakeRecordLog, type LogFault } from '../fakes/fakeRecordLog.js'
+
+const BOUNDS = { workerLeaseMilliseconds: 6000, stopMilliseconds: 900, gangWaitMilliseconds: 3000, graceMilliseconds: 6000, stateRetentionMilliseconds: 120_000, farFactor: 2 }
+
+const CONFIGURATION: ClusterConfiguration = {
+  revision: 1,
+  queues: [{ name: 'queue', host: 'host', pathPrefix: '/q/', pool: 'pool', priority: 0, attempts: 3, stretch: 2, targetMilliseconds: 500 }],
+  pools: [{ name: 'pool', enforcesCapacity: false }],
+  maximumBodyBytes: 100_000
+}
+
+const JOB = '00000000000000aa'
+
+interface Site {
+  readonly clock: ReturnType<typeof FakeTimers.install>
+  readonly log: FakeRecordLog
+  readonly port: FakeWorkerPort
+  deposed: number
+  renewedAt: number
+}
+
+/** Runs a body with a paused clock; disposes what it made. */
+async function withSite (body: (site: Site, act: (term: number) => ActingScheduler) => Promise<void>): Promise<void> {
+  const clock = FakeTimers.install({ now: 1_000_000 })
+  const site: Site = { clock, log: new FakeRecordLog(), port: new FakeWorkerPort(), deposed: 0, renewedAt: 0 }
+  const acting: ActingScheduler[] = []
+  const act = (term: number): ActingScheduler => {
+    const scheduler = new ActingScheduler(site.log, site.port, {
+      term, bounds: BOUNDS, renewedAt: () => site.renewedAt === 0 ? performance.now() : site.renewedAt, lines: () => [], onDeposed: () => { site.deposed += 1 }
+    }, new ClusterMetrics(), new Logger('test', 'error', () => {}), new Random(1), () => performance.now())
+    acting.push(scheduler)
+    scheduler.takeOver(CONFIGURATION, [...site.port.workers.values()].map(worker => worker.entry))
+    return scheduler
+  }
+  try {
+    await body(site, act)
+  } finally {
+    for (const scheduler of acting) scheduler.dispose()
+    clock.uninstall()
+  }
+}
+
+function submit (log: FakeRecordLog, identity: string, steps: object[]): void {
+  const job = stepJobSchema.parse({ specification: 'text', steps })
+  log.write(TOPICS.submissions, identity, encodeRecord({ queue: 'queue', pool: 'pool', job, acceptedAt: Date.now() }))
+}
+
+function step (fields: object = {}): object {
+  return { count: 1, processorsThousandths: 1000, memoryMegabytes: 10, estimateMilliseconds: 1000, ...fields }
+}
+
+describe('ActingScheduler', () => {
+  /** A job of any shape ends completed, each task runs once, and no worker gets more than it can carry. */
+  const SHAPES: ReadonlyArray<{ readonly name: string, readonly steps: object[], readonly starts: number }> = [
+    { name: 'one task', steps: [step()], starts: 1 },
+    { name: 'more tasks than room', steps: [step({ count: 9 })], starts: 9 },
+    { name: 'steps in a row', steps: [step({ count: 2 }), step({ count: 2, after: [0] })], starts: 4 },
+    { name: 'a gang', steps: [step({ count: 3, gang: true })], starts: 3 },
+    { name: 'two gangs that share the room', steps: [step({ count: 3, gang: true }), step({ count: 3, gang: true })], starts: 6 }
+  ]
+  for (const shape of SHAPES) {
+    it(`completes ${shape.name}`, async () => await withSite(async (site, act) => {
+      const workers = [site.port.add(new FakeWorker('w1', 2, () => 1000)), site.port.add(new FakeWorker('w2', 2, () => 1000))]
+      const scheduler = act(1)
+      submit(site.log, JOB, shape.steps)
+      await site.clock.tickAsync(9000)
+      assert.equal(scheduler.stateOf(JOB), 'completed')
+      const starts = workers.flatMap(worker => worker.started)
+      assert.equal(starts.length, shape.starts)
+      assert.equal(new Set(starts).size, shape.starts)
+      assert.deepEqual(workers.flatMap(worker => worker.overcommitted), [])
+    }))
+  }
+
+  /** Orders of unknown outcome: the run is found out about before its room or its task is used again. */
+  const ORDER_FAULTS: readonly OrderFault[] = ['answerLost', 'notDelivered', 'late', 'unhealthy']
+  for (const fault of ORDER_FAULTS) {
+    it(`neither overcommits nor runs a task twice after orders of fault ${fault}`, async () => await withSite(async (site, act) => {
+      const workers = ['w1', 'w2'].map(name => site.port.add(new FakeWorker(name, 1, () => 5000)))
+      act(1)
+      await site.clock.tickAsync(100)
+      for (const worker of workers) worker.fault = fault
+      submit(site.log, JOB, [step({ count: 2 })])
+      await site.clock.tickAsync(1000)
+      for (const worker of workers) worker.fault = 'none'
+      let alive = 0
+      for (let second = 0; second < 20; second += 1) {
+        await site.clock.tickAsync(1000)
+        for (const task of [`${JOB}.0.0.0`, `${JOB}.0.0.1`]) alive = Math.max(alive, workers.filter(worker => worker.running.has(task)).length)
+      }
+      assert.deepEqual(workers.flatMap(worker => worker.overcommitted), [])
+      assert.ok(alive <= 1, 'a task ran on two workers at once')
+    }))
+  }
+
+  /** A stop that an unhealthy worker refuses has not been carried out: the start before it may still come. */
+  it('repeats a stop that was refused as unhealthy', async () => await withSite(async (site, act) => {
+    const first = site.port.add(new FakeWorker('w1', 1, () => 5000))
+    act(1)
+    await site.clock.tickAsync(100)
+    first.fault = 'late'
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(300)
+    first.fault = 'unhealthy'
+    await site.clock.tickAsync(1500)
+    const second = site.port.add(new FakeWorker('w2', 1, () => 5000))
+    first.fault = 'none'
+    await site.clock.tickAsync(4000)
+    assert.deepEqual(first.overcommitted, [])
+    assert.ok(first.started.length + second.started.length <= 1, `starts: ${[...first.started, ...second.started].join(' ')}`)
+  }))
+
+  /** What is recorded before an order goes out lets a successor know what may be running. */
+  const TAKEOVERS: ReadonlyArray<{ readonly name: string, readonly unreachable: boolean, readonly waits: boolean }> = [
+    { name: 'adopts what runs on workers that answer', unreachable: false, waits: false },
+    { name: 'waits for the end of leases on workers that do not answer', unreachable: true, waits: true }
+  ]
+  for (const { name, unreachable, waits } of TAKEOVERS) {
+    it(`${name}`, async () => await withSite(async (site, act) => {
+      const workers = ['w1', 'w2'].map(identity => site.port.add(new FakeWorker(identity, 1, () => 4000)))
+      const former = act(1)
+      submit(site.log, JOB, [step()])
+      await site.clock.tickAsync(500)
+      const holder = workers.find(worker => worker.running.size === 1)
+      assert.ok(holder)
+      former.dispose()
+      holder.isReachable = !unreachable
+      const successor = act(2)
+      await site.clock.tickAsync(5000)
+      const starts = workers.flatMap(worker => worker.started)
+      assert.deepEqual(starts, [`${JOB}.0.0.0/1`])
+      assert.equal(successor.stateOf(JOB), waits ? 'running' : 'completed')
+      if (!waits) return
+      await site.clock.tickAsync(20_000)
+      assert.equal(successor.stateOf(JOB), 'completed')
+    }))
+  }
+
+  it('is deposed by a later term and orders nothing more', async () => await withSite(async (site, act) => {
+    const worker = site.port.add(new FakeWorker('w1', 4, () => 1000))
+    act(1)
+    await site.clock.tickAsync(100)
+    act(2)
+    await site.clock.tickAsync(100)
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(3000)
+    assert.ok(site.deposed > 0)
+    assert.equal(worker.started.length, 1)
+  }))
+
+  it('stops the runs of a cancelled job and shows it as cancelled', async () => await withSite(async (site, act) => {
+    const worker = site.port.add(new FakeWorker('w1', 2, () => 10_000))
+    const scheduler = act(1)
+    submit(site.log, JOB, [step({ count: 3 })])
+    await site.clock.tickAsync(500)
+    site.log.write(TOPICS.submissions, cancelKey(JOB), Buffer.from([1]))
+    await site.clock.tickAsync(500)
+    assert.equal(worker.running.size, 0)
+    assert.equal(scheduler.stateOf(JOB), 'cancelled')
+    assert.equal(worker.started.length, 2)
+  }))
+
+  /** Nothing is started that the log does not hold. */
+  const LOG_FAULTS: readonly LogFault[] = ['silent', 'refused']
+  for (const fault of LOG_FAULTS) {
+    it(`starts nothing while the log is ${fault}, and goes on afterwards`, async () => await withSite(async (site, act) => {
+      const worker = site.port.add(new FakeWorker('w1', 1, () => 1000))
+      const scheduler = act(1)
+      submit(site.log, JOB, [step({ count: 2 })])
+      await site.clock.tickAsync(500)
+      site.log.fault = fault
+      await site.clock.tickAsync(4000)
+      assert.equal(worker.started.length, 1)
+      site.log.fault = 'none'
+      await site.clock.tickAsync(4000)
+      assert.equal(scheduler.stateOf(JOB), 'completed')
+    }))
+  }
+
+  it('shows a job as completed only once the log holds it', async () => await withSite(async (site, act) => {
+    site.port.add(new FakeWorker('w1', 1, () => 1000))
+    const scheduler = act(1)
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(900)
+    site.log.fault = 'silent'
+    await site.clock.tickAsync(2000)
+    assert.equal(scheduler.stateOf(JOB), 'running')
+  }))
+})
--- /dev/null
+++ b/test/fakes/fakeClusterWorkers.ts
@@ -0,0 +1,177 @@
+import { WorkerPort, type EndKind, type EndReport, type LookOrder, type LookOutcome, type OrderOutcome, type StartOrder, type WorkerAddress, type WorkerEntry } from '../../src/cluster/workerPort.js'
+
+/** What a fake worker does with the next orders: answers, carries out without an answer, drops, or refuses as unhealthy. */
+export type OrderFault = 'none' | 'answerLost' | 'notDelivered' | 'late' | 'unhealthy'
+
+interface FakeRun {
+  readonly task: string
+  readonly run: number
+  readonly endsAt: number
+  readonly startedAt: number
+}
+
+/** Time after which a fake worker carries an order of fault `late` out, in milliseconds. */
+const LATE_MILLISECONDS = 3000
+
+/** One worker with leases, fencing and room for a number of runs. Records starts that break a promise. */
+export class FakeWorker {
+  readonly running = new Map<string, FakeRun>()
+  readonly ended: EndReport[] = []
+  readonly started: string[] = []
+  /** Starts beyond the worker's room. */
+  readonly overcommitted: string[] = []
+  readonly stoppedRuns = new Map<string, number>()
+  term = 0
+  leaseEnd = 0
+  acknowledgedEnd = 0
+  looks = 0
+  isReachable = true
+  fault: OrderFault = 'none'
+  bornAt = 1
+  private endCount = 0
+  private readonly waiters = new Set<() => void>()
+
+  constructor (readonly identity: string, readonly room: number, private readonly durationMilliseconds: (task: string) => number) {}
+
+  get entry (): WorkerEntry {
+    return { identity: this.identity, pool: 'pool', address: `${this.identity}:1`, failureDomain: 'a', state: 'ready', processorsThousandths: this.room * 1000, memoryMegabytes: 1_000_000, accelerators: 0, labels: ['kind', 'rack'], bornAt: this.bornAt }
+  }
+
+  /** The process ends and starts again under the same identity. */
+  restart (): void {
+    this.running.clear()
+    this.ended.length = 0
+    this.stoppedRuns.clear()
+    this.endCount = 0
+    this.term = 0
+    this.bornAt += 1
+  }
+
+  async look (order: LookOrder): Promise<LookOutcome> {
+    this.looks += 1
+    if (!this.isReachable) return await afterMilliseconds(order.waitMilliseconds + 600, { kind: 'failed', reason: 'timed out' })
+    if (order.term < this.term) return { kind: 'fenced' }
+    this.term = order.term
+    this.expire()
+    if (order.leaseUntil !== undefined) this.leaseEnd = Math.max(this.leaseEnd, order.leaseUntil)
+    this.acknowledgedEnd = Math.max(this.acknowledgedEnd, order.acknowledgedEnd)
+    if (order.waitMilliseconds > 0 && this.unacknowledged().length === 0) await this.untilEnd(order.waitMilliseconds)
+    this.expire()
+    return {
+      kind: 'report',
+      report: {
+        clockMilliseconds: performance.now(),
+        bornAt: this.bornAt,
+        running: [...this.running.values()].map(run => ({ task: run.task, run: run.run, checkpoint: '', percent: Math.round(100 * (performance.now() - run.startedAt) / (run.endsAt - run.startedAt)) })),
+        ended: this.unacknowledged()
+      }
+    }
+  }
+
+  async start (order: StartOrder): Promise<OrderOutcome> {
+    return await this.withFault(() => this.carryOutStart(order))
+  }
+
+  async stop (task: string, run: number, term: number): Promise<OrderOutcome> {
+    return await this.withFault(() => this.carryOutStop(task, run, term))
+  }
+
+  private async withFault (carryOut: () => OrderOutcome): Promise<OrderOutcome> {
+    if (!this.isReachable || this.fault === 'notDelivered') return await afterMilliseconds(400, { kind: 'unknown', reason: 'timed out' })
+    if (this.fault === 'unhealthy') return { kind: 'refused', reason: 'unhealthy' }
+    if (this.fault === 'late') {
+      setTimeout(carryOut, LATE_MILLISECONDS)
+      return await afterMilliseconds(400, { kind: 'unknown', reason: 'timed out' })
+    }
+    const outcome = carryOut()
+    if (this.fault === 'answerLost') return await afterMilliseconds(400, { kind: 'unknown', reason: 'timed out' })
+    return outcome
+  }
+
+  private carryOutStart (order: StartOrder): OrderOutcome {
+    this.expire()
+    if (order.term < this.term) return { kind: 'fenced' }
+    this.term = order.term
+    if (order.leaseUntil <= performance.now()) return { kind: 'refused', reason: 'late' }
+    if (order.run <= (this.stoppedRuns.get(order.task) ?? 0)) return { kind: 'refused', reason: 'old' }
+    if (this.running.get(order.task)?.run === order.run) return { kind: 'done' }
+    this.leaseEnd = Math.max(this.leaseEnd, order.leaseUntil)
+    if (this.running.size >= this.room) this.overcommitted.push(`${order.task}/${order.run}`)
+    this.started.push(`${order.task}/${order.run}`)
+    const duration = this.durationMilliseconds(order.task)
+    this.running.set(order.task, { task: order.task, run: order.run, startedAt: performance.now(), endsAt: performance.now() + duration })
+    setTimeout(() => this.endIfRunning(order.task, order.run, 'done'), duration)
+    return { kind: 'done' }
+  }
+
+  private carryOutStop (task: string, run: number, term: number): OrderOutcome {
+    if (term < this.term) return { kind: 'fenced' }
+    this.term = term
+    this.stoppedRuns.set(task, Math.max(run, this.stoppedRuns.get(task) ?? 0))
+    this.endIfRunning(task, run, 'stopped')
+    return { kind: 'done' }
+  }
+
+  /** Ends a run, as if by itself. */
+  endIfRunning (task: string, run: number, kind: EndKind): void {
+    if (this.running.get(task)?.run !== run) return
+    this.running.delete(task)
+    this.stoppedRuns.set(task, Math.max(run, this.stoppedRuns.get(task) ?? 0))
+    this.endCount += 1
+    this.ended.push({ number: this.endCount, task, run, kind, checkpoint: '' })
+    for (const wake of [...this.waiters]) wake()
+  }
+
+  private expire (): void {
+    if (performance.now() < this.leaseEnd) return
+    for (const run of [...this.running.values()]) this.endIfRunning(run.task, run.run, 'lapsed')
+  }
+
+  private unacknowledged (): EndReport[] {
+    return this.ended.filter(end => end.number > this.acknowledgedEnd)
+  }
+
+  private async untilEnd (milliseconds: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const wake = (): void => {
+        clearTimeout(timer)
+        this.waiters.delete(wake)
+        resolve()
+      }
+      const timer = setTimeout(wake, milliseconds)
+      this.waiters.add(wake)
+    })
+  }
+}
+
+/** Orders to fake workers. */
+export class FakeWorkerPort extends WorkerPort {
+  readonly workers = new Map<string, FakeWorker>()
+
+  add (worker: FakeWorker): FakeWorker {
+    this.workers.set(worker.identity, worker)
+    return worker
+  }
+
+  override async look (worker: WorkerAddress, order: LookOrder): Promise<LookOutcome> {
+    return await this.of(worker).look(order)
+  }
+
+  override async start (worker: WorkerAddress, order: StartOrder): Promise<OrderOutcome> {
+    return await this.of(worker).start(order)
+  }
+
+  override async stop (worker: WorkerAddress, task: string, run: number, term: number): Promise<OrderOutcome> {
+    return await this.of(worker).stop(task, run, term)
+  }
+
+  private of (worker: WorkerAddress): FakeWorker {
+    const found = this.workers.get(worker.identity)
+    if (found === undefined) throw new Error(`no fake worker ${worker.identity}`)
+    return found
+  }
+}
+
+async function afterMilliseconds<T> (milliseconds: number, value: T): Promise<T> {
+  return await new Promise(resolve => setTimeout(() => resolve(value), milliseconds))
+}
