Ride out lost answers and outages of the log

Now: copies of an append are sent after four times the usual time; what waits behind an append without an answer is refused at once; a finished job is shown as completed while the log does not answer, its ends being kept by the workers until they are recorded; instances tell their incarnation on a link. A refused caller is always asked back after 1 s, because callers wait 3 s in all.

--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -73,7 +73,7 @@
     super()
     this.startedAt = now()
     this.scheduler = new ClusterScheduler(this)
-    this.writer = this.register(new ProgressWriter(log, options.term, reason => logger.warn('progress could not be recorded; the append is repeated', { term: options.term, reason })))
+    this.writer = this.register(new ProgressWriter(log, options.term, reason => logger.warn('progress could not be recorded; the append is repeated', { term: options.term, reason }), now))
     this.desk = new EligibilityDesk(this.scheduler, options.lines, () => this.trigger(), now)
     this.submissions = Array.from({ length: SUBMISSION_PARTITIONS }, (_, partition) => this.register(new TopicFollower(
       log,
@@ -140,7 +140,8 @@
   stateOf (identity: string): StateAnswer {
     if (!this.isOperating) return 'unsure'
     const job = this.scheduler.jobs.get(identity)
-    if (job !== undefined) return job.shownState
+    // While the log does not answer, the ends that the workers still keep stand for the record.
+    if (job !== undefined) return this.writer.isStalled && job.state === 'completed' ? job.state : job.shownState
     return this.isFresh() ? 'unknown' : 'unsure'
   }
 
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -192,6 +192,8 @@
       if (value === undefined) continue
       const record = decodeRecord<LeadershipRecord>(value)
       if (!this.leadership.onRecord(record, now)) continue
+      // A record of this instance's former process: that process has ended.
+      if (record.instance === this.settings.instance && record.incarnation !== this.incarnation) this.leadership.onHolderEnded(record.incarnation, now)
       this.logger.info(record.resigned ? 'the scheduler role is free' : 'the scheduler role is held', { peer: record.instance, term: record.term, address: record.address, offset })
     }
     this.followRole()
@@ -226,8 +228,11 @@
       return
     }
     this.schedulerLink = { incarnation: holder.incarnation, link }
-    link.send({ type: 'hello', instance: this.settings.instance, failureDomain: this.settings.failureDomain })
-    link.onDidReceive(message => this.onQuestion(link, message))
+    this.sayHello(link)
+    link.onDidReceive(message => {
+      if (message.type !== 'hello') this.onQuestion(link, message)
+      else if (message.incarnation !== holder.incarnation) this.leadership.onHolderEnded(holder.incarnation, this.now())
+    })
     link.onDidClose(() => {
       if (this.schedulerLink?.link === link) this.schedulerLink = undefined
       if (!this.isDisposed) this.followRole()
@@ -236,6 +241,7 @@
 
   private onLinkOpened (link: ClusterLink): void {
     let instance: string | undefined
+    this.sayHello(link)
     link.onDidReceive(message => {
       if (message.type === 'hello') {
         instance = message.instance
@@ -247,6 +253,10 @@
     })
   }
 
+  private sayHello (link: ClusterLink): void {
+    link.send({ type: 'hello', instance: this.settings.instance, incarnation: this.incarnation })
+  }
+
   private async onQuestion (link: ClusterLink, message: ClusterMessage): Promise<void> {
     switch (message.type) {
       case 'stateQuestion':
--- a/src/cluster/jobFront.ts
+++ b/src/cluster/jobFront.ts
@@ -17,9 +17,8 @@
 const QUESTION_PAUSE_MILLISECONDS = 80
 /** Accepted jobs and final states that an instance remembers. */
 const REMEMBERED_JOBS = 20_000
-/** Times after which a refused caller should come back, in seconds: a short trouble, and a longer one. */
-const SHORT_RETRY_SECONDS = 1
-const LONG_RETRY_SECONDS = 2
+/** Time after which a refused caller should come back, in seconds: callers wait a few seconds in all, and the log may be back any moment. */
+export const RETRY_AFTER_SECONDS = 1
 
 export type SubmitAnswer =
   | { readonly kind: 'accepted' }
@@ -43,8 +42,6 @@
   /** Jobs that the log holds for certain. */
   private readonly accepted = new BoundedMap<true>(REMEMBERED_JOBS)
   private readonly finalStates = new BoundedMap<JobState>(REMEMBERED_JOBS)
-  private awaySince: number | undefined
-
   constructor (log: RecordLog, private readonly scheduler: SchedulerQuestions, private readonly logger: Logger, private readonly now: () => number) {
     super()
     this.appender = this.register(new SubmissionAppender(log, 0, (reason, count) => logger.warn('submissions could not be stored', { reason, count }), now))
@@ -66,7 +63,6 @@
       this.logger.warn('job of unknown acceptance', { job: identity })
       return { kind: 'unknown' }
     }
-    this.awaySince = undefined
     this.accepted.set(identity, true)
     return { kind: 'accepted' }
   }
@@ -103,15 +99,9 @@
     return await this.askUntil(timeLimitMilliseconds, async timeout => await this.scheduler.waitingOf(queue, timeout))
   }
 
-  /** When a caller that was refused should come back, in seconds. */
-  get retryAfterSeconds (): number {
-    return this.awaySince !== undefined && this.now() - this.awaySince > 1000 * SHORT_RETRY_SECONDS ? LONG_RETRY_SECONDS : SHORT_RETRY_SECONDS
-  }
-
   private refuse (identity: string, reason: string): SubmitAnswer {
-    this.awaySince ??= this.now()
     this.logger.info('job refused', { job: identity, reason })
-    return { kind: 'refused', reason, retryAfterSeconds: this.retryAfterSeconds }
+    return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS }
   }
 
   private async askUntil<T> (timeLimitMilliseconds: number, ask: (timeoutMilliseconds: number) => Promise<T | undefined>): Promise<T | undefined> {
--- a/src/cluster/leadership.ts
+++ b/src/cluster/leadership.ts
@@ -69,7 +69,7 @@
     if (this.isHeldHere || this.seenAt === undefined || logCurrentAsOf === undefined) return false
     const stagger = this.rank * RANK_STEP_MILLISECONDS
     if (this.latest === undefined) return now >= this.seenAt + FIRST_CLAIM_MILLISECONDS + stagger
-    if (this.latest.resigned) return now >= this.seenAt + stagger
+    if (this.latest.resigned) return now >= this.seenAt + stagger / 2
     if (this.holderEndedAt !== undefined && now >= this.holderEndedAt + CLAIM_AFTER_END_MILLISECONDS + stagger) return true
     const silentSince = this.seenAt + SILENCE_BEFORE_CLAIM_MILLISECONDS + stagger
     return now >= silentSince && logCurrentAsOf >= this.seenAt
--- a/src/cluster/progressWriter.ts
+++ b/src/cluster/progressWriter.ts
@@ -1,5 +1,6 @@
 import { delay } from '../base/delay.js'
 import { DisposableObject, toDisposable } from '../base/disposable.js'
+import { HedgedAppender } from './hedgedAppender.js'
 import { TOPICS, type KeyedRecord, type RecordLog } from './recordLog.js'
 
 /** Name of the fenced writer of progress. */
@@ -15,16 +16,24 @@
 export class ProgressWriter extends DisposableObject {
   private sequence = 0
   private readonly abort = new AbortController()
+  private readonly appender: HedgedAppender
+  private writingSince: number | undefined
 
-  constructor (private readonly log: RecordLog, private readonly term: number, private readonly onFailure: (reason: string) => void) {
+  constructor (log: RecordLog, private readonly term: number, private readonly onFailure: (reason: string) => void, private readonly now: () => number) {
     super()
+    this.appender = this.register(new HedgedAppender(log, now))
     this.register(toDisposable(() => this.abort.abort()))
   }
 
+  /** Whether a write has had no answer for much longer than usual. */
+  get isStalled (): boolean {
+    return this.writingSince !== undefined && this.now() - this.writingSince > this.appender.patienceMilliseconds
+  }
+
   /** Shuts out writers of lower terms. */
   async fence (): Promise<WriteOutcome> {
     while (!this.isDisposed) {
-      const outcome = await this.log.append(TOPICS.progress, 0, [], { writer: { name: WRITER_NAME, term: this.term, sequence: this.sequence } })
+      const outcome = await this.appender.append(TOPICS.progress, 0, [], { writer: { name: WRITER_NAME, term: this.term, sequence: this.sequence } })
       if (outcome.kind === 'stored') return 'stored'
       if (outcome.kind === 'fenced') return 'fenced'
       this.onFailure(outcome.kind === 'refused' || outcome.kind === 'unknown' ? outcome.reason : outcome.kind)
@@ -36,7 +45,9 @@
   /** Writes records in order; repeats until they are stored or the term has passed. */
   async write (records: readonly KeyedRecord[]): Promise<WriteOutcome> {
     for (const batch of split(records)) {
+      this.writingSince = this.now()
       const outcome = await this.writeBatch(batch)
+      this.writingSince = undefined
       if (outcome !== 'stored') return outcome
     }
     return 'stored'
@@ -45,7 +56,7 @@
   private async writeBatch (records: readonly KeyedRecord[]): Promise<WriteOutcome> {
     this.sequence += 1
     while (!this.isDisposed) {
-      const outcome = await this.log.append(TOPICS.progress, 0, records, { writer: { name: WRITER_NAME, term: this.term, sequence: this.sequence } })
+      const outcome = await this.appender.append(TOPICS.progress, 0, records, { writer: { name: WRITER_NAME, term: this.term, sequence: this.sequence } })
       if (outcome.kind === 'stored') return 'stored'
       if (outcome.kind === 'fenced') return 'fenced'
       if (outcome.kind === 'outOfSequence') {
--- a/src/cluster/submissionAppender.ts
+++ b/src/cluster/submissionAppender.ts
@@ -1,11 +1,12 @@
 import { delay } from '../base/delay.js'
 import { DisposableObject, toDisposable } from '../base/disposable.js'
+import { HedgedAppender } from './hedgedAppender.js'
 import { TOPICS, type AppendOutcome, type KeyedRecord, type RecordLog } from './recordLog.js'
 
 /** Pause before an append of unknown outcome is repeated, in milliseconds. */
 const RETRY_PAUSE_MILLISECONDS = 80
-/** An append that has no answer for this long shows that the log is away, in milliseconds; ten times the usual. */
-const STALLED_MILLISECONDS = 250
+/** An append that has no answer after this many times the patience for one copy shows that the log is away. */
+const STALLED_COPIES = 2
 /** Time for which a refusal of the log counts as current, in milliseconds. */
 const REFUSAL_MEMORY_MILLISECONDS = 300
 /** Most records of one append. */
@@ -30,16 +31,18 @@
   private isAppending = false
   private appendingSince: number | undefined
   private refusedAt = -Infinity
+  private readonly appender: HedgedAppender
 
-  constructor (private readonly log: RecordLog, private readonly partition: number, private readonly onFailure: (reason: string, count: number) => void, private readonly now: () => number) {
+  constructor (log: RecordLog, private readonly partition: number, private readonly onFailure: (reason: string, count: number) => void, private readonly now: () => number) {
     super()
+    this.appender = this.register(new HedgedAppender(log, now))
     this.register(toDisposable(() => this.abort.abort()))
   }
 
   /** Whether a record appended now would have to wait for a log that is away. */
   get isStalled (): boolean {
     const now = this.now()
-    return now - this.refusedAt < REFUSAL_MEMORY_MILLISECONDS || (this.appendingSince !== undefined && now - this.appendingSince > STALLED_MILLISECONDS)
+    return now - this.refusedAt < REFUSAL_MEMORY_MILLISECONDS || (this.appendingSince !== undefined && now - this.appendingSince > this.stallMilliseconds)
   }
 
   /** Resolves once the record is stored, the log has refused it, or the time is over. */
@@ -63,17 +66,27 @@
 
   private async appendBatch (batch: PendingRecord[]): Promise<void> {
     this.appendingSince = this.now()
+    const stall = setTimeout(() => this.refuseQueued(), this.stallMilliseconds)
     const timers = batch.map(pending => setTimeout(() => pending.resolve('unknown'), Math.max(0, pending.giveUpAt - this.now())))
     const outcome = await this.appendUntilKnown(batch.map(pending => pending.record), Math.max(...batch.map(pending => pending.giveUpAt)))
-    for (const timer of timers) clearTimeout(timer)
+    for (const timer of [...timers, stall]) clearTimeout(timer)
     this.appendingSince = undefined
     for (const pending of batch) pending.resolve(outcome)
   }
 
+  private get stallMilliseconds (): number {
+    return STALLED_COPIES * this.appender.patienceMilliseconds
+  }
+
+  /** Records that wait behind an append without an answer have not been sent; their callers can try elsewhere. */
+  private refuseQueued (): void {
+    for (const pending of this.queue.splice(0)) pending.resolve('refused')
+  }
+
   private async appendUntilKnown (records: readonly KeyedRecord[], giveUpAt: number): Promise<SubmissionOutcome> {
     let mayBeStored = false
     while (!this.isDisposed) {
-      const outcome = await this.log.append(TOPICS.submissions, this.partition, records)
+      const outcome = await this.appender.append(TOPICS.submissions, this.partition, records)
       if (outcome.kind === 'stored') return 'stored'
       this.onFailure(describe(outcome), records.length)
       if (outcome.kind === 'unknown') mayBeStored = true
--- a/src/contracts/clusterMessages.ts
+++ b/src/contracts/clusterMessages.ts
@@ -2,9 +2,9 @@
 
 const identifier = z.number().int().nonnegative()
 
-/** Messages between an instance and the acting scheduler. Every question carries an id, which its reply repeats. */
+/** Messages between an instance and the acting scheduler. Both sides begin with `hello`. Every question carries an id, which its reply repeats. */
 export const clusterMessageSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('hello'), instance: z.string(), failureDomain: z.string() }),
+  z.object({ type: z.literal('hello'), instance: z.string(), incarnation: z.string() }),
   z.object({ type: z.literal('stateQuestion'), id: identifier, job: z.string() }),
   z.object({ type: z.literal('waitingQuestion'), id: identifier, queue: z.string() }),
   z.object({ type: z.literal('eligibilityQuestion'), id: identifier, step: z.string(), workers: z.array(z.string()), timeoutMilliseconds: z.number() }),
--- /dev/null
+++ b/test/cluster/leadership.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { Leadership } from '../../src/cluster/leadership.js'
+import type { LeadershipRecord } from '../../src/contracts/clusterRecords.js'
+
+const HELD: LeadershipRecord = { term: 3, instance: 'other', incarnation: 'x', address: 'other:1', resigned: false }
+const RANK = 2
+
+describe('Leadership', () => {
+  /** When an instance claims the role: `asOf` is when the latest successful read of the log was sent. */
+  const CASES: ReadonlyArray<{ readonly name: string, readonly record?: LeadershipRecord, readonly endedAt?: number, readonly now: number, readonly asOf?: number, readonly claims: boolean }> = [
+    { name: 'not before the log has been read', record: HELD, now: 5000, claims: false },
+    { name: 'not while the holder renews', record: HELD, now: 900, asOf: 800, claims: false },
+    { name: 'when the holder is silent and the log is not', record: HELD, now: 1500, asOf: 1400, claims: true },
+    { name: 'not when the log is silent too', record: HELD, now: 5000, asOf: -1, claims: false },
+    { name: 'soon after the holder has resigned', record: { ...HELD, resigned: true }, now: 50, asOf: 10, claims: true },
+    { name: 'soon after the holder has ended', record: HELD, endedAt: 100, now: 250, asOf: 10, claims: true },
+    { name: 'not when it holds the role itself', record: { ...HELD, incarnation: 'own' }, now: 5000, asOf: 4000, claims: false },
+    { name: 'in a new system', now: 500, asOf: 400, claims: true }
+  ]
+  for (const { name, record, endedAt, now, asOf, claims } of CASES) {
+    it(`${claims ? 'claims' : 'does not claim'}: ${name}`, () => {
+      const leadership = new Leadership('own', RANK)
+      if (record === undefined) leadership.onEmpty(0)
+      else leadership.onRecord(record, 0)
+      if (endedAt !== undefined) leadership.onHolderEnded(HELD.incarnation, endedAt)
+      assert.equal(leadership.shouldClaim(now, asOf), claims)
+    })
+  }
+
+  it('ignores a record of a former term and does not hold a term that it was deposed from', () => {
+    const leadership = new Leadership('own', RANK)
+    leadership.onRecord({ ...HELD, incarnation: 'own', term: 5 }, 0)
+    assert.equal(leadership.onRecord(HELD, 1), false)
+    assert.ok(leadership.isHeldHere)
+    leadership.onDeposed()
+    assert.equal(leadership.isHeldHere, false)
+    assert.equal(leadership.nextTerm, 6)
+  })
+
+  it('forgets that a former holder has ended once another holds the role', () => {
+    const leadership = new Leadership('own', RANK)
+    leadership.onRecord(HELD, 0)
+    leadership.onHolderEnded(HELD.incarnation, 10)
+    leadership.onRecord({ ...HELD, term: 4, incarnation: 'y' }, 20)
+    assert.equal(leadership.shouldClaim(500, 400), false)
+  })
+})
