Spread submissions over the partitions of their topic; keep new runs from workers with stray ones

Cause 2, found by reading: the runs of a job that is final in the log are not accounted for by a successor, although they take room until they have stopped; a test overcommitted a worker before and passes now. Runs of a job whose cancel is read with it are adopted before they are stopped. A takeover reads progress and submissions at the same time.

--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -58,8 +58,11 @@
   private readonly startedAt: number
   private wake: (() => void) | undefined
   private isWoken = false
-  private restored: Map<string, ProgressRecord> | undefined
   private isOperating = false
+  /** Partition that holds each record of a job that is kept, by key. */
+  private readonly partitionOfKey = new Map<string, number>()
+  /** Submissions that were read before the progress of their jobs. */
+  private unprocessed: Array<{ readonly partition: number, readonly records: readonly StoredRecord[] }> | undefined = []
 
   constructor (
     private readonly log: RecordLog,
@@ -79,7 +82,7 @@
       log,
       { topic: TOPICS.submissions, partition, waitMilliseconds: SUBMISSION_WAIT_MILLISECONDS, periodMilliseconds: SUBMISSION_PERIOD_MILLISECONDS },
       {
-        onRecords: records => this.onSubmissions(records),
+        onRecords: records => this.onSubmissions(partition, records),
         onDidChangeReachable: (reachable, reason) => logger.info(reachable ? 'submissions can be read again' : 'submissions cannot be read', { term: options.term, reason })
       },
       random, now
@@ -93,17 +96,13 @@
 
   /** Takes the role over from the log; resolves once it operates, or when the role is lost. */
   async takeOver (configuration: ClusterConfiguration, entries: Iterable<WorkerEntry>): Promise<void> {
-    const fenced = await this.writer.fence()
-    if (fenced !== 'stored') {
-      if (fenced === 'fenced') this.options.onDeposed()
-      return
-    }
     this.scheduler.configure(configuration)
-    this.restored = await this.readProgress()
     for (const entry of entries) this.setWorker(entry)
-    for (const follower of this.submissions) await this.loadUntilDone(follower)
-    if (this.isDisposed) return
-    this.restored = undefined
+    const [progress] = await Promise.all([this.readFencedProgress(), ...this.submissions.map(async follower => await this.loadUntilDone(follower))])
+    if (this.isDisposed || progress === undefined) return
+    const unprocessed = this.unprocessed ?? []
+    this.unprocessed = undefined
+    for (const { partition, records } of unprocessed) this.applySubmissions(partition, records, progress)
     this.isOperating = true
     for (const follower of this.submissions) follower.follow()
     for (const worker of this.scheduler.workers.values()) this.openSession(worker)
@@ -177,6 +176,14 @@
     return this.submissions.every(follower => follower.currentAsOf !== undefined && this.now() - follower.currentAsOf < FRESH_MILLISECONDS)
   }
 
+  /** Progress after writers of former terms were shut out; undefined if the role is lost. */
+  private async readFencedProgress (): Promise<Map<string, ProgressRecord> | undefined> {
+    const fenced = await this.writer.fence()
+    if (fenced === 'stored') return await this.readProgress()
+    if (fenced === 'fenced') this.options.onDeposed()
+    return undefined
+  }
+
   private async readProgress (): Promise<Map<string, ProgressRecord>> {
     const found = new Map<string, ProgressRecord>()
     while (!this.isDisposed) {
@@ -197,12 +204,18 @@
     while (!this.isDisposed && !await follower.load()) await delay(TICK_MILLISECONDS, this.abort.signal)
   }
 
-  private onSubmissions (records: readonly StoredRecord[]): void {
+  private onSubmissions (partition: number, records: readonly StoredRecord[]): void {
+    if (this.unprocessed === undefined) this.applySubmissions(partition, records, new Map())
+    else this.unprocessed.push({ partition, records })
+  }
+
+  private applySubmissions (partition: number, records: readonly StoredRecord[], progress: ReadonlyMap<string, ProgressRecord>): void {
     const now = this.now()
     for (const { key, value } of records) {
       if (value === undefined) continue
+      this.partitionOfKey.set(key, partition)
       if (isCancelKey(key)) this.onCancel(jobOfCancelKey(key), now)
-      else if (!this.scheduler.jobs.has(key)) this.scheduler.addJob(key, decodeRecord<SubmissionRecord>(value), now, this.restored?.get(key))
+      else if (!this.scheduler.jobs.has(key)) this.scheduler.addJob(key, decodeRecord<SubmissionRecord>(value), now, progress.get(key))
     }
     this.trigger()
   }
@@ -239,7 +252,7 @@
   private needsLooks (identity: string): boolean {
     const worker = this.scheduler.workers.get(identity)
     if (worker === undefined) return false
-    return worker.runs.size > 0 || worker.processedEnd > worker.recordedEnd || worker.acknowledgedEnd < worker.recordedEnd || (worker.isSilent && worker.isListed)
+    return worker.runs.size > 0 || worker.processedEnd > worker.recordedEnd || worker.acknowledgedEnd < worker.recordedEnd || worker.hasStrayRuns || (worker.isSilent && worker.isListed)
   }
 
   private onReport (identity: string, report: WorkerReport, sentAt: number, acknowledgedEnd: number): void {
@@ -290,12 +303,19 @@
     const evicted = this.scheduler.evictFinishedBefore(this.now() - this.options.bounds.stateRetentionMilliseconds)
     if (evicted.length === 0) return
     this.writer.write(evicted.map(key => ({ key })))
-    for (const identity of evicted) this.dropSubmission(identity)
+    const dropped = new Map<number, KeyedRecord[]>()
+    for (const key of evicted.flatMap(identity => [identity, cancelKey(identity)])) {
+      const partition = this.partitionOfKey.get(key)
+      if (partition === undefined) continue
+      this.partitionOfKey.delete(key)
+      dropped.set(partition, [...dropped.get(partition) ?? [], { key }])
+    }
+    for (const [partition, records] of dropped) this.dropSubmissions(partition, records)
   }
 
-  private async dropSubmission (identity: string): Promise<void> {
-    const outcome = await this.log.append(TOPICS.submissions, 0, [{ key: identity }, { key: cancelKey(identity) }])
-    if (outcome.kind !== 'stored') this.logger.warn('an old submission could not be dropped from the log', { job: identity, reason: outcome.kind })
+  private async dropSubmissions (partition: number, records: readonly KeyedRecord[]): Promise<void> {
+    const outcome = await this.log.append(TOPICS.submissions, partition, records)
+    if (outcome.kind !== 'stored') this.logger.warn('old submissions could not be dropped from the log', { count: records.length, reason: outcome.kind })
   }
 
   private trigger (): void {
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -80,7 +80,7 @@
     super()
     this.linkAddress = `${settings.link.host}:${settings.link.port}`
     this.leadership = new Leadership(this.incarnation, Math.round(RANK_OF_ONE_CORE / settings.processorShare))
-    this.front = this.register(new JobFront(log, this, logger, now))
+    this.front = this.register(new JobFront(log, this, logger, random, now))
     this.linkServer = this.register(new ClusterLinkServer(logger, now))
     this.register(this.linkServer.onDidOpen(link => this.onLinkOpened(link)))
     this.leadershipFollower = this.follower(TOPICS.leadership, 0, (records, isSnapshot) => this.onLeadership(records, isSnapshot))
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -89,11 +89,12 @@
     const queue = this.queueOf(job)
     const age = Math.min(MAXIMUM_ADOPTED_AGE_MILLISECONDS, Math.max(0, Date.now() - submission.acceptedAt))
     job.objectiveAt = now - age + (queue === undefined ? 0 : estimateObjective(submission.job, queue))
+    if (!job.isFinal) {
+      for (const task of job.tasks()) this.adoptRestoredRun(task)
+      this.openDueOccurrences(job, now, Date.now())
+      for (const occurrence of job.occurrences.values()) this.openReadySteps(occurrence, now)
+    }
     if (this.cancelledEarly.delete(identity)) this.cancelJob(identity, now)
-    if (job.isFinal) return job
-    for (const task of job.tasks()) this.adoptRestoredRun(task)
-    this.openDueOccurrences(job, now, Date.now())
-    for (const occurrence of job.occurrences.values()) this.openReadySteps(occurrence, now)
     return job
   }
 
@@ -181,6 +182,7 @@
       this.onEnd(worker, end, now)
     }
     const listed = new Set<string>()
+    worker.hasStrayRuns = false
     for (const row of report.running) {
       listed.add(row.task)
       this.onRunningRow(worker, row.task, row.run, row.checkpoint, row.percent, now)
@@ -299,6 +301,7 @@
     const task = worker.runs.get(taskName)
     if (task === undefined || task.run !== run) {
       if (this.isDoneRun(taskName, run)) return
+      worker.hasStrayRuns = true
       this.observer.onDidFindStrayRun(worker, taskName, run)
       this.plannedStops.push({ worker: worker.identity, task: taskName, run })
       return
--- a/src/cluster/jobFront.ts
+++ b/src/cluster/jobFront.ts
@@ -1,13 +1,14 @@
 import { delay } from '../base/delay.js'
 import { DisposableObject } from '../base/disposable.js'
 import type { Logger } from '../base/logger.js'
+import type { Random } from '../base/random.js'
 import type { Queue } from '../contracts/clusterConfiguration.js'
 import { encodeRecord } from '../contracts/clusterRecords.js'
 import { isFinalState, type JobState, type StepJob } from '../contracts/stepJob.js'
 import type { StateAnswer } from './actingScheduler.js'
 import type { RecordLog } from './recordLog.js'
 import { SubmissionAppender } from './submissionAppender.js'
-import { cancelKey } from './submissions.js'
+import { cancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
 
 /** Part of a caller's time limit that is left for the answer to reach it, in milliseconds. */
 const ANSWER_MARGIN_MILLISECONDS = 250
@@ -42,9 +43,9 @@
   /** Jobs that the log holds for certain. */
   private readonly accepted = new BoundedMap<true>(REMEMBERED_JOBS)
   private readonly finalStates = new BoundedMap<JobState>(REMEMBERED_JOBS)
-  constructor (log: RecordLog, private readonly scheduler: SchedulerQuestions, private readonly logger: Logger, private readonly now: () => number) {
+  constructor (log: RecordLog, private readonly scheduler: SchedulerQuestions, private readonly logger: Logger, random: Random, private readonly now: () => number) {
     super()
-    this.appender = this.register(new SubmissionAppender(log, 0, (reason, count) => logger.warn('submissions could not be stored', { reason, count }), now))
+    this.appender = this.register(new SubmissionAppender(log, random.integerBelow(SUBMISSION_PARTITIONS), (reason, count) => logger.warn('submissions could not be stored', { reason, count }), now))
   }
 
   /** Whether a job handed in now would be refused because the log is away. */
--- a/src/cluster/submissionAppender.ts
+++ b/src/cluster/submissionAppender.ts
@@ -2,6 +2,7 @@
 import { DisposableObject, toDisposable } from '../base/disposable.js'
 import { HedgedAppender } from './hedgedAppender.js'
 import { TOPICS, type AppendOutcome, type KeyedRecord, type RecordLog } from './recordLog.js'
+import { SUBMISSION_PARTITIONS } from './submissions.js'
 
 /** Pause before an append of unknown outcome is repeated, in milliseconds. */
 const RETRY_PAUSE_MILLISECONDS = 80
@@ -22,7 +23,7 @@
 }
 
 /**
- * Appends submissions and cancels, one append at a time; records that arrive meanwhile share the next one.
+ * Appends submissions and cancels, one append at a time, to one partition after the other; records that arrive meanwhile share the next one.
  * A repeat of a record is harmless, so that an append without an answer is repeated until it is stored.
  */
 export class SubmissionAppender extends DisposableObject {
@@ -33,7 +34,7 @@
   private refusedAt = -Infinity
   private readonly appender: HedgedAppender
 
-  constructor (log: RecordLog, private readonly partition: number, private readonly onFailure: (reason: string, count: number) => void, private readonly now: () => number) {
+  constructor (log: RecordLog, private partition: number, private readonly onFailure: (reason: string, count: number) => void, private readonly now: () => number) {
     super()
     this.appender = this.register(new HedgedAppender(log, now))
     this.register(toDisposable(() => this.abort.abort()))
@@ -68,6 +69,7 @@
     this.appendingSince = this.now()
     const stall = setTimeout(() => this.refuseQueued(), this.stallMilliseconds)
     const timers = batch.map(pending => setTimeout(() => pending.resolve('unknown'), Math.max(0, pending.giveUpAt - this.now())))
+    this.partition = (this.partition + 1) % SUBMISSION_PARTITIONS
     const outcome = await this.appendUntilKnown(batch.map(pending => pending.record), Math.max(...batch.map(pending => pending.giveUpAt)))
     for (const timer of [...timers, stall]) clearTimeout(timer)
     this.appendingSince = undefined
--- a/src/cluster/submissions.ts
+++ b/src/cluster/submissions.ts
@@ -1,5 +1,8 @@
-/** Partitions of the submissions topic; each takes one append at a time, about 4 ms each. */
-export const SUBMISSION_PARTITIONS = 1
+/**
+ * Partitions of the submissions topic. Each takes one append at a time, about 4 ms each and sixty times that when the log is slow,
+ * so that the appends of all instances must not wait for each other.
+ */
+export const SUBMISSION_PARTITIONS = 8
 
 const CANCEL_SUFFIX = '/cancel'
 
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -23,6 +23,8 @@
   isKnown = false
   /** The latest look failed. */
   isSilent = false
+  /** The latest report lists runs that no job accounts for; they take room until they have stopped. */
+  hasStrayRuns = false
   /** The registry lists the worker. */
   isListed = true
   /** Speed relative to the tasks' estimates. */
@@ -53,7 +55,7 @@
 
   /** Whether new runs may be placed here. */
   isUsable (now: number): boolean {
-    return this.isKnown && !this.isSilent && this.isListed && this.entry.state === 'ready' && now >= this.quarantinedUntil
+    return this.isKnown && !this.isSilent && !this.hasStrayRuns && this.isListed && this.entry.state === 'ready' && now >= this.quarantinedUntil
   }
 
   fits (step: JobStep): boolean {
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -161,6 +161,26 @@
     assert.equal(worker.started.length, 1)
   }))
 
+  /** Runs of a job that is final in the log still take room until they have stopped. */
+  it('places nothing beside the runs of a cancelled job that it takes over', async () => await withSite(async (site, act) => {
+    const worker = site.port.add(new FakeWorker('w1', 1, () => 10_000))
+    const former = act(1)
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(500)
+    worker.fault = 'unhealthy'
+    site.log.write(TOPICS.submissions, cancelKey(JOB), Buffer.from([1]))
+    await site.clock.tickAsync(200)
+    former.dispose()
+    submit(site.log, '00000000000000bb', [step()])
+    const successor = act(2)
+    await site.clock.tickAsync(300)
+    worker.fault = 'none'
+    await site.clock.tickAsync(2000)
+    assert.equal(successor.stateOf(JOB), 'cancelled')
+    assert.deepEqual(worker.overcommitted, [])
+    assert.deepEqual(worker.started, [`${JOB}.0.0.0/1`, '00000000000000bb.0.0.0/1'])
+  }))
+
   it('stops the runs of a cancelled job and shows it as cancelled', async () => await withSite(async (site, act) => {
     const worker = site.port.add(new FakeWorker('w1', 2, () => 10_000))
     const scheduler = act(1)
--- a/test/fakes/fakeRecordLog.ts
+++ b/test/fakes/fakeRecordLog.ts
@@ -23,7 +23,7 @@
 
   /** The latest value of a key. */
   latestValue (topic: string, key: string): Uint8Array | undefined {
-    return this.partition(topic, 0).records.findLast(record => record.key === key)?.value
+    return [...this.partitions].filter(([name]) => name.startsWith(`${topic}/`)).flatMap(([, partition]) => partition.records).findLast(record => record.key === key)?.value
   }
 
   /** Forgets the history before the present end; the latest record of each key stays readable as a snapshot. */
