Claim the role only from a holder that no longer renews

Cause: behind a cut that resets connections, the scheduler's address refuses connections although the scheduler lives. A renewal now shows that the holder has not ended, a claim that was not stored is followed by a pause, and a refused connection counts only while the log has been read within the time of silence. Tests of the three cases failed before and pass now.

--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -301,6 +301,7 @@
     const outcome = await this.append(record, position)
     this.isClaiming = false
     this.logger.info('claimed the scheduler role', { term, code: outcome, offset: position })
+    if (outcome !== 'stored') this.leadership.onClaimFailed(this.now())
     if (outcome !== 'stored' || this.isDisposed) return
     this.renewedAt = sentAt
     this.leadership.onRecord(record, this.now())
--- a/src/cluster/leadership.ts
+++ b/src/cluster/leadership.ts
@@ -8,6 +8,8 @@
 const CLAIM_AFTER_END_MILLISECONDS = 50
 /** Difference between the waits of two instances of neighbouring rank, in milliseconds; about one append. */
 const RANK_STEP_MILLISECONDS = 30
+/** Wait after a claim that was not stored, in milliseconds; longer than an append, so that the claim that won is read first. */
+const CLAIM_PAUSE_MILLISECONDS = 200
 /** Wait before the first claim of a new system, in milliseconds. */
 const FIRST_CLAIM_MILLISECONDS = 200
 
@@ -18,6 +20,7 @@
   private seenAt: number | undefined
   private holderEndedAt: number | undefined
   private deposedTerm = 0
+  private claimNotBefore = -Infinity
 
   /** `rank`: 0 for the instance that should claim first. */
   constructor (private readonly incarnation: string, private readonly rank: number) {}
@@ -42,7 +45,8 @@
     const changed = this.latest?.incarnation !== record.incarnation || this.latest.resigned !== record.resigned
     this.latest = record
     this.seenAt = now
-    if (changed) this.holderEndedAt = undefined
+    // A renewal shows that the holder has not ended after all: a path that refuses connections may be cut.
+    this.holderEndedAt = undefined
     return changed
   }
 
@@ -51,12 +55,17 @@
     this.deposedTerm = this.latest?.term ?? 0
   }
 
+  /** Notes that a claim was not stored; the next one waits. */
+  onClaimFailed (now: number): void {
+    this.claimNotBefore = now + CLAIM_PAUSE_MILLISECONDS
+  }
+
   /** Notes that the log holds no record of the role. */
   onEmpty (now: number): void {
     this.seenAt ??= now
   }
 
-  /** Notes that the holder's process has ended: its connections were closed and no new one can be opened. */
+  /** Notes that the holder's process seems to have ended: its address refuses connections, or another process answers there. */
   onHolderEnded (incarnation: string, now: number): void {
     if (this.latest?.incarnation === incarnation) this.holderEndedAt ??= now
   }
@@ -66,12 +75,12 @@
    * a silent log is no evidence of a silent holder.
    */
   shouldClaim (now: number, logCurrentAsOf: number | undefined): boolean {
-    if (this.isHeldHere || this.seenAt === undefined || logCurrentAsOf === undefined) return false
+    if (this.isHeldHere || this.seenAt === undefined || logCurrentAsOf === undefined || now < this.claimNotBefore) return false
     const stagger = this.rank * RANK_STEP_MILLISECONDS
     if (this.latest === undefined) return now >= this.seenAt + FIRST_CLAIM_MILLISECONDS + stagger
     if (this.latest.resigned) return now >= this.seenAt + stagger / 2
-    if (this.holderEndedAt !== undefined && now >= this.holderEndedAt + CLAIM_AFTER_END_MILLISECONDS + stagger) return true
-    const silentSince = this.seenAt + SILENCE_BEFORE_CLAIM_MILLISECONDS + stagger
-    return now >= silentSince && logCurrentAsOf >= this.seenAt
+    const isSilent = now >= this.seenAt + SILENCE_BEFORE_CLAIM_MILLISECONDS + stagger
+    if (!isSilent) return this.holderEndedAt !== undefined && now >= this.holderEndedAt + CLAIM_AFTER_END_MILLISECONDS + stagger
+    return logCurrentAsOf >= this.seenAt
   }
 }
--- a/test/cluster/leadership.test.ts
+++ b/test/cluster/leadership.test.ts
@@ -15,6 +15,7 @@
     { name: 'not when the log is silent too', record: HELD, now: 5000, asOf: -1, claims: false },
     { name: 'soon after the holder has resigned', record: { ...HELD, resigned: true }, now: 50, asOf: 10, claims: true },
     { name: 'soon after the holder has ended', record: HELD, endedAt: 100, now: 250, asOf: 10, claims: true },
+    { name: 'not when the holder seems to have ended and the log is silent too', record: HELD, endedAt: 100, now: 5000, asOf: -1, claims: false },
     { name: 'not when it holds the role itself', record: { ...HELD, incarnation: 'own' }, now: 5000, asOf: 4000, claims: false },
     { name: 'in a new system', now: 500, asOf: 400, claims: true }
   ]
@@ -38,6 +39,22 @@
     assert.equal(leadership.nextTerm, 6)
   })
 
+  it('does not claim from a holder whose address refuses connections but which goes on renewing', () => {
+    const leadership = new Leadership('own', RANK)
+    leadership.onRecord(HELD, 0)
+    leadership.onHolderEnded(HELD.incarnation, 100)
+    leadership.onRecord(HELD, 150)
+    assert.equal(leadership.shouldClaim(400, 300), false)
+  })
+
+  it('waits after a claim that was not stored', () => {
+    const leadership = new Leadership('own', RANK)
+    leadership.onRecord(HELD, 0)
+    leadership.onClaimFailed(1500)
+    assert.equal(leadership.shouldClaim(1600, 1500), false)
+    assert.equal(leadership.shouldClaim(1800, 1500), true)
+  })
+
   it('forgets that a former holder has ended once another holds the role', () => {
     const leadership = new Leadership('own', RANK)
     leadership.onRecord(HELD, 0)
