Do not renew the lease of a worker that has fallen silent

Cause: each look at a silent worker offered a new lease, so that the time by which all its leases have ended moved on for ever. A test with a worker that is gone for good failed before and passes now.

--- a/src/cluster/workerSession.ts
+++ b/src/cluster/workerSession.ts
@@ -47,6 +47,8 @@
   private leasesEndAt: number
   private wake: (() => void) | undefined
   private hasEnded = false
+  /** The latest look has failed. Until one succeeds, none extends the lease: otherwise the end of the leases would never be certain. */
+  private isSilent = false
   private hasReported = false
 
   constructor (
@@ -134,11 +136,12 @@
 
   private async look (waitMilliseconds: number): Promise<boolean> {
     const sentAt = this.now()
-    const leaseUntil = this.mayRenew() ? this.nextLeaseEnd() : undefined
+    const leaseUntil = this.mayRenew() && !this.isSilent ? this.nextLeaseEnd() : undefined
     const acknowledgedEnd = this.observer.acknowledgedEnd()
     const order = { term: this.options.term, acknowledgedEnd, leaseUntil, waitMilliseconds }
     const outcome = await this.port.look(this.worker, order, this.abort.signal)
     if (this.isDisposed) return false
+    this.isSilent = outcome.kind !== 'report'
     this.onLookOutcome(outcome, sentAt, acknowledgedEnd)
     return outcome.kind === 'report'
   }
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -149,6 +149,35 @@
     }))
   }
 
+  /** Looks go on after a worker has fallen silent; they must not put off the end of its leases for ever. */
+  it('runs tasks elsewhere once the leases of a worker that never answers again have ended', async () => await withSite(async (site, act) => {
+    const workers = ['w1', 'w2'].map(identity => site.port.add(new FakeWorker(identity, 2, () => 3000)))
+    const scheduler = act(1)
+    submit(site.log, JOB, [step({ count: 3, gang: true })])
+    await site.clock.tickAsync(1000)
+    const [lost] = workers
+    assert.ok(lost)
+    lost.isReachable = false
+    submit(site.log, '00000000000000bb', [step({ count: 1 })])
+    await site.clock.tickAsync(30_000)
+    assert.equal(scheduler.stateOf('00000000000000bb'), 'completed')
+    lost.isReachable = true
+    await site.clock.tickAsync(8000)
+    assert.equal(scheduler.stateOf(JOB), 'completed')
+  }))
+
+  it('gives up a worker that is gone for good', async () => await withSite(async (site, act) => {
+    const workers = ['w1', 'w2'].map(identity => site.port.add(new FakeWorker(identity, 1, () => 3000)))
+    const scheduler = act(1)
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(1000)
+    const lost = workers.find(worker => worker.running.size === 1)
+    assert.ok(lost)
+    lost.isReachable = false
+    await site.clock.tickAsync(12_000)
+    assert.equal(scheduler.stateOf(JOB), 'completed')
+  }))
+
   it('is deposed by a later term and orders nothing more', async () => await withSite(async (site, act) => {
     const worker = site.port.add(new FakeWorker('w1', 4, () => 1000))
     act(1)
