Let urgent work wait for a worker that is in time, and keep room for it

They took whatever worker had room; nearly all late ones had run on slow workers, after a wait of under 0.1 s. Ruled out: waiting for room (p99 88 ms), failed runs (5 of 47 late ones had a second run). Now: urgent work takes a worker only if it is in time there, as long as another one could be; other work leaves part of the fast workers free, by the usual amount of urgent work; gangs are placed on workers of one speed, urgent ones on fast workers first; speed is learned as the mean of logarithms.

--- a/src/base/logger.ts
+++ b/src/base/logger.ts
@@ -12,6 +12,9 @@
   readonly peer?: string
   readonly request?: string
   readonly job?: string
+  readonly queue?: string
+  /** Time from acceptance within which a job earns its full benefit, as estimated. */
+  readonly objectiveMilliseconds?: number
   readonly task?: string
   readonly stream?: string
   readonly revision?: number
--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -156,7 +156,7 @@
 
   onDidFinish (job: Job): void {
     this.metrics.jobFinished(job.state)
-    this.logger.info('job finished', { job: job.identity, code: job.state, reason: job.reason, durationMilliseconds: Math.round(this.now() - job.acceptedAt) })
+    this.logger.info('job finished', { job: job.identity, code: job.state, reason: job.reason, queue: job.submission.queue, durationMilliseconds: Math.round(this.now() - job.acceptedAt), objectiveMilliseconds: Math.round(job.objectiveAt - job.acceptedAt) })
   }
 
   onDidEndRun (task: Task, worker: WorkerState, kind: string, durationMilliseconds: number): void {
@@ -294,6 +294,7 @@
 
   private onTick (): void {
     const now = this.now()
+    this.scheduler.observeLoad()
     this.scheduler.openDue(now, Date.now())
     for (const task of this.scheduler.stopStuckRuns(now)) this.logger.warn('run makes no progress; it is stopped', { task: task.name, worker: task.worker, count: task.run, reason: `${task.percent} percent` })
     this.trigger()
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -2,8 +2,9 @@
 import type { ProgressRecord, SubmissionRecord } from '../contracts/clusterRecords.js'
 import { Job, Occurrence, restoreProgress, type Step, type Task } from './jobBook.js'
 import { estimateObjective } from './objective.js'
-import { PlacementPass, type PlannedRun } from './placementPass.js'
+import { PlacementPass, URGENT_PRIORITY, type PlannedRun } from './placementPass.js'
 import type { EndReport, WorkerEntry, WorkerReport } from './workerPort.js'
+import { UrgentHeadroom } from './urgentHeadroom.js'
 import { WorkerState } from './workerState.js'
 
 /** Time without progress after which a run counts as stuck, in milliseconds; a slow task of 16 s still advances by a percent in a fifth of it. */
@@ -39,6 +40,7 @@
   /** Steps with tasks that wait and whose earlier steps are done. */
   readonly openSteps = new Set<Step>()
   private readonly cancelledEarly = new Set<string>()
+  private readonly headroom = new UrgentHeadroom()
   private plannedStops: PlannedStop[] = []
   private configuration: ClusterConfiguration | undefined
   private readonly queues = new Map<string, Queue>()
@@ -87,6 +89,7 @@
     this.jobs.set(identity, job)
     if (progress !== undefined) restoreProgress(job, progress)
     const queue = this.queueOf(job)
+    job.isUrgent = queue?.priority === URGENT_PRIORITY
     const age = Math.min(MAXIMUM_ADOPTED_AGE_MILLISECONDS, Math.max(0, Date.now() - submission.acceptedAt))
     job.objectiveAt = now - age + (queue === undefined ? 0 : estimateObjective(submission.job, queue))
     if (!job.isFinal) {
@@ -124,6 +127,11 @@
     return count
   }
 
+  /** Takes note of how much room urgent work uses; to be called every 100 ms. */
+  observeLoad (): void {
+    this.headroom.observe(this.workers.values())
+  }
+
   /** Opens occurrences that are due. `unixMilliseconds` is the time of day. */
   openDue (now: number, unixMilliseconds: number): void {
     for (const job of this.jobs.values()) {
@@ -133,7 +141,7 @@
 
   /** Chooses runs for tasks that wait. The runs have room from now on; each is to be recorded before it is ordered. */
   place (now: number): PlannedRun[] {
-    const pass = new PlacementPass([...this.openSteps], this.workers, step => this.queueOf(step.job), now)
+    const pass = new PlacementPass([...this.openSteps], this.workers, step => this.queueOf(step.job), this.headroom, now)
     const planned = pass.run()
     for (const { task } of planned) this.onPlaced(task, now)
     return planned
--- a/src/cluster/eligibilityDesk.ts
+++ b/src/cluster/eligibilityDesk.ts
@@ -62,7 +62,7 @@
   private * questions (): Generator<Question> {
     const now = this.now()
     const steps = [...this.scheduler.openSteps]
-    sortByUrgency(steps, step => this.scheduler.queueOf(step.job), now)
+    sortByUrgency(steps, now)
     let ahead = 0
     for (const step of steps) {
       const queue = this.scheduler.queueOf(step.job)
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -1,18 +1,22 @@
 import type { Queue } from '../contracts/clusterConfiguration.js'
 import type { Step, Task } from './jobBook.js'
+import { FAST_WORKER_SPEED, type UrgentHeadroom } from './urgentHeadroom.js'
 import { processorsOf, type WorkerState } from './workerState.js'
 
 /** Part of a ticket's validity that must be left when a start is placed, in milliseconds: the record and the order take that long. */
 const TICKET_MARGIN_MILLISECONDS = 250
 /** Gangs for which room may be kept at one time. */
 const MAXIMUM_RESERVATIONS = 3
-/** Priority of urgent work; it may use room that is kept for gangs. */
-const URGENT_PRIORITY = 0
+/** Priority of urgent work; it may use room that is kept for gangs, or free of other work. */
+export const URGENT_PRIORITY = 0
 
 /** Weight of a worker's speed against the share of its processors left free, for urgent and for other work. */
 const URGENT_SPEED_WEIGHT = 2
 const BATCH_SPEED_WEIGHT = 0
 
+/** Time from a placement until the task runs, in milliseconds: its record and its order. */
+const START_OVERHEAD_MILLISECONDS = 40
+
 /** A run that is to be recorded and then ordered. */
 export interface PlannedRun {
   readonly task: Task
@@ -31,11 +35,12 @@
     private readonly steps: Step[],
     private readonly workers: ReadonlyMap<string, WorkerState>,
     private readonly queueOf: (step: Step) => Queue | undefined,
+    private readonly headroom: UrgentHeadroom,
     private readonly now: number
   ) {}
 
   run (): PlannedRun[] {
-    sortByUrgency(this.steps, this.queueOf, this.now)
+    sortByUrgency(this.steps, this.now)
     for (const step of this.steps) {
       if (step.specification.gang) this.placeGang(step)
       else this.placeEach(step)
@@ -44,7 +49,7 @@
   }
 
   private placeEach (step: Step): void {
-    const candidates = this.candidates(step)
+    const candidates = this.inTime(step, this.candidates(step))
     if (candidates.length === 0) return
     const perWorker = countPerWorker(step)
     for (const task of step.tasks) {
@@ -59,9 +64,9 @@
   /** Places all members or none. A gang that does not fit keeps room on the workers that are free soonest. */
   private placeGang (step: Step): void {
     if (step.waitingCount < step.tasks.length) return
-    const candidates = this.candidates(step)
-    const racks = step.specification.sameRack ? groupByRack(candidates) : [candidates]
-    for (const group of [...racks, candidates]) {
+    const candidates = this.inTime(step, this.candidates(step))
+    const groups = step.specification.sameRack ? groupByRack(candidates) : groupBySpeed(candidates, step.job.isUrgent)
+    for (const group of [...groups, candidates]) {
       const chosen = this.chooseForGang(step, group)
       if (chosen === undefined) continue
       step.reservation = undefined
@@ -82,7 +87,7 @@
     const specification = step.specification
     const limit = specification.maximumPerWorker === 0 ? Infinity : specification.maximumPerWorker
     for (const worker of [...candidates].sort((left, right) => right.freeProcessors - left.freeProcessors)) {
-      let room = roomFor(worker, step)
+      let room = roomFor(worker, step, this.headroomFor(step, worker))
       while (room > 0 && chosen.length < step.tasks.length && (perWorker.get(worker.identity) ?? 0) < limit) {
         chosen.push(worker)
         perWorker.set(worker.identity, (perWorker.get(worker.identity) ?? 0) + 1)
@@ -114,14 +119,31 @@
 
   /** Workers that may take a task of the step now. */
   private candidates (step: Step): WorkerState[] {
-    const urgent = this.queueOf(step)?.priority === URGENT_PRIORITY
+    const urgent = step.job.isUrgent
     return this.eligibleWorkers(step).filter(worker => {
-      if (!worker.isUsable(this.now) || !worker.fits(step.specification)) return false
+      if (!worker.isUsable(this.now) || !worker.fits(step.specification, this.headroomFor(step, worker))) return false
       if (!urgent && this.reserved.has(worker.identity)) return false
       return this.ticketOf(step, worker) !== undefined
     })
   }
 
+  private headroomFor (step: Step, worker: WorkerState): number {
+    return step.job.isUrgent ? 0 : this.headroom.of(worker)
+  }
+
+  /**
+   * Of the candidates for urgent work, those that finish it in time. If there is none, urgent work waits for a faster worker
+   * as long as that one could still be in time; after that any worker will do.
+   */
+  private inTime (step: Step, candidates: WorkerState[]): WorkerState[] {
+    if (!step.job.isUrgent) return candidates
+    const left = step.job.objectiveAt - this.now - START_OVERHEAD_MILLISECONDS
+    const isInTime = (worker: WorkerState): boolean => step.specification.estimateMilliseconds / worker.speed <= left
+    const fast = candidates.filter(isInTime)
+    if (fast.length > 0) return fast
+    return this.eligibleWorkers(step).some(isInTime) ? [] : candidates
+  }
+
   /** Workers of the queue's pool that have the label and, where a service decides, are named by it. */
   private eligibleWorkers (step: Step): WorkerState[] {
     const queue = this.queueOf(step)
@@ -143,11 +165,11 @@
 
   private choose (step: Step, candidates: readonly WorkerState[], perWorker: ReadonlyMap<string, number>): WorkerState | undefined {
     const specification = step.specification
-    const speedWeight = this.queueOf(step)?.priority === URGENT_PRIORITY ? URGENT_SPEED_WEIGHT : BATCH_SPEED_WEIGHT
+    const speedWeight = step.job.isUrgent ? URGENT_SPEED_WEIGHT : BATCH_SPEED_WEIGHT
     let best: WorkerState | undefined
     let bestScore = Infinity
     for (const worker of candidates) {
-      if (!worker.fits(specification)) continue
+      if (!worker.fits(specification, this.headroomFor(step, worker))) continue
       if (specification.maximumPerWorker > 0 && (perWorker.get(worker.identity) ?? 0) >= specification.maximumPerWorker) continue
       const leftOver = (worker.freeProcessors - processorsOf(specification)) / Math.max(1, worker.entry.processorsThousandths)
       const away = specification.preferredRack !== '' && !worker.entry.labels.includes(specification.preferredRack) ? 1 : 0
@@ -170,10 +192,10 @@
 }
 
 /** Urgent work first; then work that can still be in time, by its objective; then what is late. */
-export function sortByUrgency (steps: Step[], queueOf: (step: Step) => Queue | undefined, now: number): void {
+export function sortByUrgency (steps: Step[], now: number): void {
   const rank = new Map<Step, number>()
   for (const step of steps) {
-    const urgent = queueOf(step)?.priority === URGENT_PRIORITY ? 0 : 1
+    const urgent = step.job.isUrgent ? 0 : 1
     const late = step.job.objectiveAt < now ? 1 : 0
     rank.set(step, urgent + 2 * late)
   }
@@ -190,8 +212,8 @@
 }
 
 /** Tasks of the step that fit beside what is on the worker. */
-function roomFor (worker: WorkerState, step: Step): number {
-  return tasksWithin(step, worker.freeProcessors, worker.freeMemory, worker.entry.accelerators - worker.usedAccelerators)
+function roomFor (worker: WorkerState, step: Step, headroom: number): number {
+  return tasksWithin(step, worker.freeProcessors - headroom, worker.freeMemory, worker.entry.accelerators - worker.usedAccelerators)
 }
 
 /** Tasks of the step that the empty worker could carry. */
@@ -215,6 +237,13 @@
   return work
 }
 
+/** Fast and slow workers apart: members of a gang end together, so that fast workers would wait for slow ones. */
+function groupBySpeed (workers: readonly WorkerState[], fastFirst: boolean): WorkerState[][] {
+  const slow = workers.filter(worker => worker.speed < FAST_WORKER_SPEED)
+  const fast = workers.filter(worker => worker.speed >= FAST_WORKER_SPEED)
+  return fastFirst ? [fast, slow] : [slow, fast]
+}
+
 /** Groups by the label that looks like a rack: workers that share all labels are taken as one group. */
 function groupByRack (workers: readonly WorkerState[]): WorkerState[][] {
   const groups = new Map<string, WorkerState[]>()
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -2,8 +2,8 @@
 import type { Task } from './jobBook.js'
 import type { WorkerEntry } from './workerPort.js'
 
-/** Weight of the latest run in the learned speed. */
-const SPEED_LEARNING_RATE = 0.25
+/** Weight of the latest run in the learned speed; estimates are off by up to a factor of two, so that some ten runs must tell. */
+const SPEED_LEARNING_RATE = 0.12
 /** Bounds of one observation of speed, as a factor; estimates are often far off. */
 const MINIMUM_OBSERVED_SPEED = 0.2
 const MAXIMUM_OBSERVED_SPEED = 4
@@ -17,6 +17,8 @@
   usedProcessors = 0
   usedMemory = 0
   usedAccelerators = 0
+  /** Processors that urgent work uses, in thousandths; part of `usedProcessors`. */
+  urgentProcessors = 0
   /** Tasks that may run here, by name. */
   readonly runs = new Map<string, Task>()
   /** The worker has answered under the current term, so that what runs there is known. */
@@ -58,8 +60,9 @@
     return this.isKnown && !this.isSilent && !this.hasStrayRuns && this.isListed && this.entry.state === 'ready' && now >= this.quarantinedUntil
   }
 
-  fits (step: JobStep): boolean {
-    return processorsOf(step) <= this.freeProcessors && step.memoryMegabytes <= this.freeMemory && step.accelerators <= this.entry.accelerators - this.usedAccelerators
+  /** Whether a task fits and leaves `headroom` processors free, in thousandths. */
+  fits (step: JobStep, headroom = 0): boolean {
+    return processorsOf(step) + headroom <= this.freeProcessors && step.memoryMegabytes <= this.freeMemory && step.accelerators <= this.entry.accelerators - this.usedAccelerators
   }
 
   /** Whether the empty worker could carry a task of the step. */
@@ -74,11 +77,11 @@
   occupy (task: Task): void {
     if (this.runs.has(task.name)) return
     this.runs.set(task.name, task)
-    this.count(task.step.specification, 1)
+    this.count(task, 1)
   }
 
   release (task: Task): void {
-    if (this.runs.delete(task.name)) this.count(task.step.specification, -1)
+    if (this.runs.delete(task.name)) this.count(task, -1)
   }
 
   /** Learns from a run that ended well. */
@@ -86,7 +89,8 @@
     this.failuresInRow = 0
     if (estimateMilliseconds === 0 || durationMilliseconds <= 0) return
     const observed = Math.min(MAXIMUM_OBSERVED_SPEED, Math.max(MINIMUM_OBSERVED_SPEED, estimateMilliseconds / durationMilliseconds))
-    this.speed += SPEED_LEARNING_RATE * (observed - this.speed)
+    // Estimates are off by a factor, so that the mean is taken of logarithms.
+    this.speed *= (observed / this.speed) ** SPEED_LEARNING_RATE
   }
 
   /** Learns from a failed run; returns whether the worker is put into quarantine. */
@@ -99,7 +103,9 @@
     return true
   }
 
-  private count (step: JobStep, sign: 1 | -1): void {
+  private count (task: Task, sign: 1 | -1): void {
+    const step = task.step.specification
+    if (task.step.job.isUrgent) this.urgentProcessors += sign * processorsOf(step)
     this.usedProcessors += sign * processorsOf(step)
     this.usedMemory += sign * step.memoryMegabytes
     this.usedAccelerators += sign * step.accelerators
--- /dev/null
+++ b/test/cluster/placementPass.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { ClusterScheduler } from '../../src/cluster/clusterScheduler.js'
+import { stepJobSchema } from '../../src/contracts/stepJob.js'
+import { FakeWorker } from '../fakes/fakeClusterWorkers.js'
+
+const QUEUES = [
+  { name: 'urgent', host: 'host', pathPrefix: '/u/', pool: 'pool', priority: 0, attempts: 2, stretch: 1.5, targetMilliseconds: 250 },
+  { name: 'batch', host: 'host', pathPrefix: '/b/', pool: 'pool', priority: 1, attempts: 2, stretch: 4, targetMilliseconds: 3000 }
+]
+
+interface WorkerCase { readonly name: string, readonly room: number, readonly speed: number }
+
+function createSite (workers: readonly WorkerCase[]): ClusterScheduler {
+  const scheduler = new ClusterScheduler({ onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {} })
+  scheduler.configure({ revision: 1, queues: QUEUES, pools: [], maximumBodyBytes: 1000 })
+  for (const { name, room, speed } of workers) {
+    scheduler.upsertWorker(new FakeWorker(name, room, () => 0).entry).speed = speed
+    scheduler.onReport(name, { clockMilliseconds: 1, bornAt: 1, running: [], ended: [] }, 0, 0)
+  }
+  return scheduler
+}
+
+let jobs = 0
+function add (scheduler: ClusterScheduler, queue: string, step: object, now = 0): void {
+  jobs += 1
+  scheduler.addJob(jobs.toString(16).padStart(16, '0'), { queue, pool: 'pool', job: stepJobSchema.parse({ specification: '', steps: [{ count: 1, processorsThousandths: 1000, estimateMilliseconds: 1000, ...step }] }), acceptedAt: Date.now() }, now)
+}
+
+function place (scheduler: ClusterScheduler, now = 0): string[] {
+  return scheduler.place(now).map(run => run.worker.identity).sort()
+}
+
+describe('PlacementPass', () => {
+  /** Urgent work that would be late on a slow worker waits for a fast one, until that would be late too. */
+  const URGENT: ReadonlyArray<{ readonly name: string, readonly now: number, readonly fastIsFull: boolean, readonly gang: boolean, readonly placed: readonly string[] }> = [
+    { name: 'takes the fast worker', now: 0, fastIsFull: false, gang: false, placed: ['fast', 'fast'] },
+    { name: 'waits for the fast worker', now: 100, fastIsFull: true, gang: false, placed: [] },
+    { name: 'takes the slow worker when all would be late', now: 1500, fastIsFull: true, gang: false, placed: ['slow', 'slow'] },
+    { name: 'places a gang on the fast worker', now: 0, fastIsFull: false, gang: true, placed: ['fast', 'fast'] },
+    { name: 'keeps a gang waiting for the fast worker', now: 100, fastIsFull: true, gang: true, placed: [] }
+  ]
+  for (const { name, now, fastIsFull, gang, placed } of URGENT) {
+    it(`urgent work ${name}`, () => {
+      const scheduler = createSite([{ name: 'slow', room: 4, speed: 0.5 }, { name: 'fast', room: 2, speed: 1.5 }])
+      if (fastIsFull) {
+        const fast = scheduler.workers.get('fast')
+        assert.ok(fast)
+        fast.usedProcessors = 2000
+      }
+      add(scheduler, 'urgent', { count: 2, gang })
+      assert.deepEqual(place(scheduler, now), placed)
+    })
+  }
+
+  /** A burst of urgent work finds room on the fast workers although batch work fills the site. */
+  it('keeps room on fast workers for as much urgent work as is usual', () => {
+    const scheduler = createSite([{ name: 'fast', room: 10, speed: 1.5 }])
+    add(scheduler, 'urgent', { count: 2 })
+    place(scheduler)
+    for (let observation = 0; observation < 200; observation += 1) scheduler.observeLoad()
+    add(scheduler, 'batch', { count: 20 })
+    assert.equal(place(scheduler).length, 7)
+    add(scheduler, 'urgent', { count: 1 })
+    assert.equal(place(scheduler).length, 1)
+  })
+
+  it('does not keep room where there is no urgent work', () => {
+    const scheduler = createSite([{ name: 'fast', room: 10, speed: 1.5 }])
+    add(scheduler, 'batch', { count: 20 })
+    assert.equal(place(scheduler).length, 10)
+  })
+
+  /** Members of a gang end together: fast workers would wait for slow ones. */
+  it('places a gang on workers of one speed', () => {
+    const scheduler = createSite([{ name: 'slow1', room: 2, speed: 0.5 }, { name: 'fast1', room: 3, speed: 1.5 }, { name: 'slow2', room: 2, speed: 0.5 }])
+    add(scheduler, 'batch', { count: 4, gang: true })
+    assert.deepEqual(place(scheduler), ['slow1', 'slow1', 'slow2', 'slow2'])
+  })
+
+  /** A wide gang is not starved by narrow work that always fits. */
+  it('keeps the workers of a waiting gang from other batch work', () => {
+    const scheduler = createSite([{ name: 'w1', room: 2, speed: 1 }, { name: 'w2', room: 2, speed: 1 }])
+    for (const worker of scheduler.workers.values()) worker.usedProcessors = 1000
+    add(scheduler, 'batch', { count: 4, gang: true })
+    add(scheduler, 'batch', { count: 4 }, 1)
+    assert.deepEqual(place(scheduler, 2), [])
+    for (const worker of scheduler.workers.values()) worker.usedProcessors = 0
+    assert.deepEqual(place(scheduler, 3), ['w1', 'w1', 'w2', 'w2'])
+  })
+})
