--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -23,8 +23,8 @@
 const FOLLOW_WAIT_MILLISECONDS = 1500
 /** Least time between two reads of the workers' registry, in milliseconds; its entries change every heartbeat. */
 const REGISTRY_PERIOD_MILLISECONDS = 300
-/** Time after which a claim or renewal is given up, in milliseconds; shorter than the silence after which others claim. */
-const ROLE_APPEND_TIMEOUT_MILLISECONDS = 400
+/** Time without an answer after which the role is renewed again, in milliseconds; shorter than the silence after which others claim. */
+const RENEWAL_PATIENCE_MILLISECONDS = 400
 /** Period in which the role is watched, in milliseconds. */
 const WATCH_PERIOD_MILLISECONDS = 50
 /** Pause before a link that could not be opened is tried again, in milliseconds. */
@@ -64,6 +64,7 @@
   private isClaiming = false
   private isStopping = false
   private renewedAt = 0
+  private renewingSince: number | undefined
   private linkAddress: string
 
   constructor (
@@ -288,7 +289,7 @@
   private watchRole (): void {
     if (this.isStopping || this.isClaiming || this.configurationInForce === undefined) return
     const asOf = this.leadershipFollower.currentAsOf
-    if (this.leadership.shouldClaim(this.now(), asOf)) this.claim()
+    if (this.leadership.shouldClaim(this.now(), asOf, this.front.logLatencyMilliseconds)) this.claim()
   }
 
   private async claim (): Promise<void> {
@@ -311,16 +312,17 @@
   /** Restates the role. A claim of another instance makes the append fail, because the log no longer ends where it did. */
   private async renew (): Promise<void> {
     const current = this.leadership.current
+    const now = this.now()
     if (!this.leadership.isHeldHere || current === undefined || this.isClaiming || this.isStopping) return
-    this.isClaiming = true
-    const sentAt = this.now()
+    if (this.renewingSince !== undefined && now - this.renewingSince < RENEWAL_PATIENCE_MILLISECONDS) return
+    this.renewingSince = now
     const outcome = await this.append(current, this.leadershipFollower.position)
-    this.isClaiming = false
-    if (outcome === 'stored') this.renewedAt = sentAt
+    if (this.renewingSince === now) this.renewingSince = undefined
+    if (outcome === 'stored') this.renewedAt = Math.max(this.renewedAt, now)
   }
 
   private async append (record: LeadershipRecord, atOffset: number | undefined): Promise<string> {
-    const outcome = await this.log.append(TOPICS.leadership, 0, [{ key: LEADERSHIP_KEY, value: encodeRecord(record) }], { atOffset, timeoutMilliseconds: ROLE_APPEND_TIMEOUT_MILLISECONDS })
+    const outcome = await this.log.append(TOPICS.leadership, 0, [{ key: LEADERSHIP_KEY, value: encodeRecord(record) }], { atOffset })
     return outcome.kind
   }
 
--- a/src/cluster/hedgedAppender.ts
+++ b/src/cluster/hedgedAppender.ts
@@ -1,4 +1,5 @@
 import { DisposableObject, toDisposable } from '../base/disposable.js'
+import { LogLatency } from './logLatency.js'
 import type { AppendOptions, AppendOutcome, KeyedRecord, RecordLog } from './recordLog.js'
 
 /** Shortest time without an answer after which a copy of an append is sent, in milliseconds; ten times the usual time of an append. */
@@ -7,19 +8,18 @@
 const HEDGE_FACTOR = 4
 /** Copies of one append at most; of three, all answers are lost in one of twenty cases when a third is lost. */
 const MAXIMUM_COPIES = 3
-/** Weight of the latest append in the usual time. */
-const LEARNING_RATE = 0.2
 
 /**
  * Sends further copies of an append that gets no answer, because the answer or the connection may be lost.
  * Only for appends whose repeats are harmless.
  */
 export class HedgedAppender extends DisposableObject {
-  private usualMilliseconds = 0
+  readonly latency: LogLatency
   private readonly timers = new Set<NodeJS.Timeout>()
 
-  constructor (private readonly log: RecordLog, private readonly now: () => number) {
+  constructor (private readonly log: RecordLog, now: () => number) {
     super()
+    this.latency = new LogLatency(now)
     this.register(toDisposable(() => {
       for (const timer of this.timers) clearTimeout(timer)
     }))
@@ -27,12 +27,12 @@
 
   /** Time without an answer from which the log seems not to answer, in milliseconds. */
   get patienceMilliseconds (): number {
-    return Math.max(MINIMUM_HEDGE_MILLISECONDS, HEDGE_FACTOR * this.usualMilliseconds)
+    return Math.max(MINIMUM_HEDGE_MILLISECONDS, HEDGE_FACTOR * this.latency.usualMilliseconds)
   }
 
   /** The first answer that tells what became of the records. `refused` only if every copy was refused. */
   async append (topic: string, partition: number, records: readonly KeyedRecord[], options: AppendOptions = {}): Promise<AppendOutcome> {
-    const startedAt = this.now()
+    const onAnswer = this.latency.begin()
     return await new Promise(resolve => {
       let copies = 0
       let open = 0
@@ -40,13 +40,13 @@
       let timer: NodeJS.Timeout | undefined
       const finish = (outcome: AppendOutcome): void => {
         copies = MAXIMUM_COPIES
+        onAnswer(outcome.kind === 'stored')
         clearTimeout(timer)
         if (timer !== undefined) this.timers.delete(timer)
         resolve(outcome)
       }
       const onOutcome = (outcome: AppendOutcome): void => {
         open -= 1
-        if (outcome.kind === 'stored') this.learn(this.now() - startedAt)
         if (outcome.kind === 'unknown') mayBeStored = true
         if (outcome.kind !== 'unknown' && outcome.kind !== 'refused') finish(outcome)
         else if (open === 0) finish(mayBeStored ? { kind: 'unknown', reason: outcome.reason } : outcome)
@@ -63,8 +63,4 @@
       send()
     })
   }
-
-  private learn (milliseconds: number): void {
-    this.usualMilliseconds += LEARNING_RATE * (milliseconds - this.usualMilliseconds)
-  }
 }
--- a/src/cluster/jobFront.ts
+++ b/src/cluster/jobFront.ts
@@ -53,6 +53,11 @@
     return this.appender.isStalled
   }
 
+  /** How long the log takes to store a record, in milliseconds. */
+  get logLatencyMilliseconds (): number {
+    return this.appender.latencyMilliseconds
+  }
+
   /** Stores a job. A repeat of a stored one is accepted again. */
   async submit (identity: string, queue: Queue, job: StepJob, timeLimitMilliseconds: number): Promise<SubmitAnswer> {
     if (this.accepted.has(identity)) return { kind: 'accepted' }
--- a/src/cluster/leadership.ts
+++ b/src/cluster/leadership.ts
@@ -4,6 +4,8 @@
 export const RENEWAL_PERIOD_MILLISECONDS = 350
 /** Silence of the acting scheduler after which another instance claims the role, in milliseconds; two renewals and the time of a slow append. */
 const SILENCE_BEFORE_CLAIM_MILLISECONDS = 1000
+/** A slow log delays renewals: the silence is longer by this many times the time of an append. */
+const SILENCE_APPENDS = 3
 /** Wait after the holder's process is known to have ended, in milliseconds; it keeps claims from colliding. */
 const CLAIM_AFTER_END_MILLISECONDS = 50
 /** Difference between the waits of two instances of neighbouring rank, in milliseconds; about one append. */
@@ -72,14 +74,14 @@
 
   /**
    * Whether this instance should claim the role. `logCurrentAsOf` is when the latest successful read of the log was sent:
-   * a silent log is no evidence of a silent holder.
+   * a silent log is no evidence of a silent holder. `logLatency` is the time that an append takes, in milliseconds.
    */
-  shouldClaim (now: number, logCurrentAsOf: number | undefined): boolean {
+  shouldClaim (now: number, logCurrentAsOf: number | undefined, logLatency: number): boolean {
     if (this.isHeldHere || this.seenAt === undefined || logCurrentAsOf === undefined || now < this.claimNotBefore) return false
     const stagger = this.rank * RANK_STEP_MILLISECONDS
     if (this.latest === undefined) return now >= this.seenAt + FIRST_CLAIM_MILLISECONDS + stagger
     if (this.latest.resigned) return now >= this.seenAt + stagger / 2
-    const isSilent = now >= this.seenAt + SILENCE_BEFORE_CLAIM_MILLISECONDS + stagger
+    const isSilent = now >= this.seenAt + SILENCE_BEFORE_CLAIM_MILLISECONDS + SILENCE_APPENDS * logLatency + stagger
     if (!isSilent) return this.holderEndedAt !== undefined && now >= this.holderEndedAt + CLAIM_AFTER_END_MILLISECONDS + stagger
     return logCurrentAsOf >= this.seenAt
   }
--- a/src/cluster/recordLog.ts
+++ b/src/cluster/recordLog.ts
@@ -34,8 +34,6 @@
 export interface AppendOptions {
   /** Append only if the partition ends at this offset. */
   readonly atOffset?: number
-  /** Time after which the call is given up, in milliseconds; the log client's own if absent. */
-  readonly timeoutMilliseconds?: number
   /** Fenced writer: repeats with the same sequence are stored once, and a lower term is refused. */
   readonly writer?: { readonly name: string, readonly term: number, readonly sequence: number }
 }
--- a/src/cluster/submissionAppender.ts
+++ b/src/cluster/submissionAppender.ts
@@ -40,6 +40,11 @@
     this.register(toDisposable(() => this.abort.abort()))
   }
 
+  /** How long the log takes to store a record, in milliseconds. */
+  get latencyMilliseconds (): number {
+    return this.appender.latency.presentMilliseconds
+  }
+
   /** Whether a record appended now would have to wait for a log that is away. */
   get isStalled (): boolean {
     const now = this.now()
--- a/test/cluster/leadership.test.ts
+++ b/test/cluster/leadership.test.ts
@@ -8,10 +8,12 @@
 
 describe('Leadership', () => {
   /** When an instance claims the role: `asOf` is when the latest successful read of the log was sent. */
-  const CASES: ReadonlyArray<{ readonly name: string, readonly record?: LeadershipRecord, readonly endedAt?: number, readonly now: number, readonly asOf?: number, readonly claims: boolean }> = [
+  const CASES: ReadonlyArray<{ readonly name: string, readonly record?: LeadershipRecord, readonly endedAt?: number, readonly now: number, readonly asOf?: number, readonly latency?: number, readonly claims: boolean }> = [
     { name: 'not before the log has been read', record: HELD, now: 5000, claims: false },
     { name: 'not while the holder renews', record: HELD, now: 900, asOf: 800, claims: false },
     { name: 'when the holder is silent and the log is not', record: HELD, now: 1500, asOf: 1400, claims: true },
+    { name: 'not yet when the log is slow, which delays renewals', record: HELD, now: 1500, asOf: 1400, latency: 800, claims: false },
+    { name: 'when the holder is silent for much longer than a slow log explains', record: HELD, now: 4000, asOf: 3900, latency: 800, claims: true },
     { name: 'not when the log is silent too', record: HELD, now: 5000, asOf: -1, claims: false },
     { name: 'soon after the holder has resigned', record: { ...HELD, resigned: true }, now: 50, asOf: 10, claims: true },
     { name: 'soon after the holder has ended', record: HELD, endedAt: 100, now: 250, asOf: 10, claims: true },
@@ -19,13 +21,13 @@
     { name: 'not when it holds the role itself', record: { ...HELD, incarnation: 'own' }, now: 5000, asOf: 4000, claims: false },
     { name: 'in a new system', now: 500, asOf: 400, claims: true }
   ]
-  for (const { name, record, endedAt, now, asOf, claims } of CASES) {
+  for (const { name, record, endedAt, now, asOf, latency, claims } of CASES) {
     it(`${claims ? 'claims' : 'does not claim'}: ${name}`, () => {
       const leadership = new Leadership('own', RANK)
       if (record === undefined) leadership.onEmpty(0)
       else leadership.onRecord(record, 0)
       if (endedAt !== undefined) leadership.onHolderEnded(HELD.incarnation, endedAt)
-      assert.equal(leadership.shouldClaim(now, asOf), claims)
+      assert.equal(leadership.shouldClaim(now, asOf, latency ?? 0), claims)
     })
   }
 
@@ -44,15 +46,15 @@
     leadership.onRecord(HELD, 0)
     leadership.onHolderEnded(HELD.incarnation, 100)
     leadership.onRecord(HELD, 150)
-    assert.equal(leadership.shouldClaim(400, 300), false)
+    assert.equal(leadership.shouldClaim(400, 300, 0), false)
   })
 
   it('waits after a claim that was not stored', () => {
     const leadership = new Leadership('own', RANK)
     leadership.onRecord(HELD, 0)
     leadership.onClaimFailed(1500)
-    assert.equal(leadership.shouldClaim(1600, 1500), false)
-    assert.equal(leadership.shouldClaim(1800, 1500), true)
+    assert.equal(leadership.shouldClaim(1600, 1500, 0), false)
+    assert.equal(leadership.shouldClaim(1800, 1500, 0), true)
   })
 
   it('forgets that a former holder has ended once another holds the role', () => {
@@ -60,6 +62,6 @@
     leadership.onRecord(HELD, 0)
     leadership.onHolderEnded(HELD.incarnation, 10)
     leadership.onRecord({ ...HELD, term: 4, incarnation: 'y' }, 20)
-    assert.equal(leadership.shouldClaim(500, 400), false)
+    assert.equal(leadership.shouldClaim(500, 400, 0), false)
   })
 })
