Hand the role of scheduler over without a gap

Cause: a stopping scheduler gave up at once; its resignation was refused when a renewal was under way, and all others claimed together, which a slow log serves one after the other: no scheduler for four seconds. Now: the resignation names a successor and is appended without a condition; the others wait longer; claims of one rank are spread by the time of an append; a former scheduler goes on placing until the successor's fence shuts it out.

--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -25,6 +25,8 @@
 const REGISTRY_PERIOD_MILLISECONDS = 300
 /** Time without an answer after which the role is renewed again, in milliseconds; shorter than the silence after which others claim. */
 const RENEWAL_PATIENCE_MILLISECONDS = 400
+/** Longest time that a former scheduler goes on after another instance has claimed the role, in milliseconds; some appends to a slow log. */
+const OVERLAP_MILLISECONDS = 3000
 /** Period in which the role is watched, in milliseconds. */
 const WATCH_PERIOD_MILLISECONDS = 50
 /** Pause before a link that could not be opened is tried again, in milliseconds. */
@@ -62,6 +64,8 @@
   private schedulerLink: { readonly incarnation: string, readonly link: ClusterLink } | undefined
   private isConnecting = false
   private isClaiming = false
+  /** When this instance stops acting although nobody has shut it out; set when another instance claims the role. */
+  private actingEndsAt: number | undefined
   private isStopping = false
   private renewedAt = 0
   private renewingSince: number | undefined
@@ -80,7 +84,7 @@
   ) {
     super()
     this.linkAddress = `${settings.link.host}:${settings.link.port}`
-    this.leadership = new Leadership(this.incarnation, Math.round(RANK_OF_ONE_CORE / settings.processorShare))
+    this.leadership = new Leadership(settings.instance, this.incarnation, Math.round(RANK_OF_ONE_CORE / settings.processorShare), random.fraction())
     this.front = this.register(new JobFront(log, this, logger, random, now))
     this.linkServer = this.register(new ClusterLinkServer(logger, now))
     this.register(this.linkServer.onDidOpen(link => this.onLinkOpened(link)))
@@ -121,14 +125,17 @@
     return !this.isStopping && this.configurationInForce !== undefined && readAt !== undefined && this.now() - readAt < UNREADY_WITHOUT_LOG_MILLISECONDS && !this.front.isLogAway
   }
 
-  /** Gives the role up and reports itself as not ready; callers that still come are served. */
+  /**
+   * Reports itself as not ready and offers the role to the others. Callers that still come are served, and tasks are placed
+   * until a successor has taken over.
+   */
   async prepareStop (): Promise<void> {
     this.isStopping = true
     const current = this.leadership.current
     if (!this.leadership.isHeldHere || current === undefined) return
-    this.stopActing('the instance stops')
-    const outcome = await this.append({ ...current, resigned: true }, this.leadershipFollower.position)
-    this.logger.info('role of scheduler given up', { term: current.term, code: outcome })
+    const successor = this.peers.size === 0 ? '' : this.random.pick([...this.peers.keys()])
+    const outcome = await this.append({ ...current, resigned: true, successor }, undefined)
+    this.logger.info('role of scheduler offered', { term: current.term, peer: successor, code: outcome })
   }
 
   async stateOf (job: string, timeoutMilliseconds: number): Promise<StateAnswer | undefined> {
@@ -202,9 +209,10 @@
 
   /** Starts or stops acting, and links to the holder of the role. */
   private followRole (): void {
-    if (!this.leadership.isHeldHere) this.stopActing('another instance holds the role')
-    else if (this.acting === undefined && !this.isStopping) this.act()
     const current = this.leadership.current
+    // Until the successor shuts this instance out, it goes on placing: taking over takes some appends.
+    if (current?.incarnation !== this.incarnation) this.actingEndsAt ??= this.now() + OVERLAP_MILLISECONDS
+    else if (this.acting === undefined && !this.isStopping && this.leadership.isHeldHere) this.act()
     if (this.schedulerLink !== undefined && this.schedulerLink.incarnation !== current?.incarnation) {
       this.schedulerLink.link.dispose()
       this.schedulerLink = undefined
@@ -287,6 +295,7 @@
   }
 
   private watchRole (): void {
+    if (this.acting !== undefined && this.actingEndsAt !== undefined && this.now() >= this.actingEndsAt) this.stopActing('another instance holds the role')
     if (this.isStopping || this.isClaiming || this.configurationInForce === undefined) return
     const asOf = this.leadershipFollower.currentAsOf
     if (this.leadership.shouldClaim(this.now(), asOf, this.front.logLatencyMilliseconds)) this.claim()
@@ -309,14 +318,14 @@
     this.followRole()
   }
 
-  /** Restates the role. A claim of another instance makes the append fail, because the log no longer ends where it did. */
+  /** Restates the role. Readers ignore the record if another instance has claimed a later term before. */
   private async renew (): Promise<void> {
     const current = this.leadership.current
     const now = this.now()
     if (!this.leadership.isHeldHere || current === undefined || this.isClaiming || this.isStopping) return
     if (this.renewingSince !== undefined && now - this.renewingSince < RENEWAL_PATIENCE_MILLISECONDS) return
     this.renewingSince = now
-    const outcome = await this.append(current, this.leadershipFollower.position)
+    const outcome = await this.append(current, undefined)
     if (this.renewingSince === now) this.renewingSince = undefined
     if (outcome === 'stored') this.renewedAt = Math.max(this.renewedAt, now)
   }
@@ -329,6 +338,7 @@
   private act (): void {
     const term = this.leadership.current?.term
     if (term === undefined || this.configurationInForce === undefined) return
+    this.actingEndsAt = undefined
     const acting = new ActingScheduler(this.log, this.workers, {
       term,
       bounds: this.settings.bounds,
@@ -347,6 +357,7 @@
   }
 
   private stopActing (reason: string): void {
+    this.actingEndsAt = undefined
     if (this.acting === undefined) return
     this.acting.dispose()
     this.acting = undefined
--- a/src/cluster/leadership.ts
+++ b/src/cluster/leadership.ts
@@ -10,6 +10,10 @@
 const CLAIM_AFTER_END_MILLISECONDS = 50
 /** Difference between the waits of two instances of neighbouring rank, in milliseconds; about one append. */
 const RANK_STEP_MILLISECONDS = 30
+/** Instances of one rank spread their claims over this many times the time of an append, because claims wait for each other. */
+const SPREAD_APPENDS = 3
+/** Time that the named successor of a stopping holder has before others claim, in milliseconds, beside the spread. */
+const SUCCESSOR_MILLISECONDS = 300
 /** Wait after a claim that was not stored, in milliseconds; longer than an append, so that the claim that won is read first. */
 const CLAIM_PAUSE_MILLISECONDS = 200
 /** Wait before the first claim of a new system, in milliseconds. */
@@ -24,8 +28,8 @@
   private deposedTerm = 0
   private claimNotBefore = -Infinity
 
-  /** `rank`: 0 for the instance that should claim first. */
-  constructor (private readonly incarnation: string, private readonly rank: number) {}
+  /** `rank`: 0 for the instance that should claim first; `spread`: a random number from 0 to 1. */
+  constructor (private readonly instance: string, private readonly incarnation: string, private readonly rank: number, private readonly spread: number) {}
 
   /** The latest claim or renewal. */
   get current (): LeadershipRecord | undefined {
@@ -67,7 +71,7 @@
     this.seenAt ??= now
   }
 
-  /** Notes that the holder's process seems to have ended: its address refuses connections, or another process answers there. */
+  /** Notes that the holder's process seems to have ended or says that it stops: its address refuses connections, or another process answers there. */
   onHolderEnded (incarnation: string, now: number): void {
     if (this.latest?.incarnation === incarnation) this.holderEndedAt ??= now
   }
@@ -78,9 +82,13 @@
    */
   shouldClaim (now: number, logCurrentAsOf: number | undefined, logLatency: number): boolean {
     if (this.isHeldHere || this.seenAt === undefined || logCurrentAsOf === undefined || now < this.claimNotBefore) return false
-    const stagger = this.rank * RANK_STEP_MILLISECONDS
+    const stagger = this.rank * RANK_STEP_MILLISECONDS + this.spread * SPREAD_APPENDS * logLatency
     if (this.latest === undefined) return now >= this.seenAt + FIRST_CLAIM_MILLISECONDS + stagger
-    if (this.latest.resigned) return now >= this.seenAt + stagger / 2
+    if (this.latest.resigned) {
+      const named = this.latest.successor ?? ''
+      const wait = named === this.instance ? 0 : stagger + (named === '' ? 0 : SUCCESSOR_MILLISECONDS + SPREAD_APPENDS * logLatency)
+      return now >= this.seenAt + wait
+    }
     const isSilent = now >= this.seenAt + SILENCE_BEFORE_CLAIM_MILLISECONDS + SILENCE_APPENDS * logLatency + stagger
     if (!isSilent) return this.holderEndedAt !== undefined && now >= this.holderEndedAt + CLAIM_AFTER_END_MILLISECONDS + stagger
     return logCurrentAsOf >= this.seenAt
--- a/src/contracts/clusterRecords.ts
+++ b/src/contracts/clusterRecords.ts
@@ -34,8 +34,10 @@
   readonly incarnation: string
   /** Address of the holder's link, as host:port. */
   readonly address: string
-  /** The holder gives the role up; anyone may claim it at once. */
+  /** The holder gives the role up. */
   readonly resigned: boolean
+  /** Instance that should claim a role that was given up; the others wait a little. Empty if none was known. */
+  readonly successor?: string
 }
 
 const packer = new Packr({ useRecords: false })
