--- /dev/null
+++ b/test/platform/adapter.test.ts
@@ -0,0 +1,242 @@
+import assert from 'node:assert/strict'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { after, before, describe, it } from 'node:test'
+import { HttpCaller } from '../../src/links/httpCaller.js'
+import { decodeJob } from '../../platform/jobFormat.js'
+import { PlatformLogClient } from '../../platform/logClient.js'
+import { decodeConfiguration, decodeWorker } from '../../platform/registry.js'
+import { parsePlatformSettings } from '../../platform/settings.js'
+import { PlatformEligibilityClient, PlatformWorkerClient } from '../../platform/workerClient.js'
+
+type Answer = (request: IncomingMessage, body: Buffer, response: ServerResponse) => void
+
+let server: Server
+let address: string
+let answer: Answer = () => {}
+const http = new HttpCaller(4)
+
+before(async () => {
+  server = createServer((request, response) => {
+    const chunks: Buffer[] = []
+    request.on('data', chunk => chunks.push(chunk))
+    request.on('end', () => answer(request, Buffer.concat(chunks), response))
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
+  address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+})
+
+after(() => {
+  http.dispose()
+  server.closeAllConnections()
+  server.close()
+})
+
+function json (status: number, value: object): Answer {
+  return (_request, _body, response) => response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(value))
+}
+
+function bigEndian (length: number, value: number): Buffer {
+  const bytes = Buffer.alloc(length)
+  bytes.writeUIntBE(value, Math.max(0, length - 6), Math.min(6, length))
+  return bytes
+}
+
+describe('PlatformLogClient', () => {
+  /** What an answer to an append says about the records: only refusals that did nothing count as refused. */
+  const APPENDS: ReadonlyArray<{ readonly name: string, readonly answer: Answer, readonly outcome: object }> = [
+    { name: 'stored', answer: json(200, { offset: 3, end: 4 }), outcome: { kind: 'stored', end: 4 } },
+    { name: 'at another offset', answer: json(412, { end: 9 }), outcome: { kind: 'conflict', end: 9 } },
+    { name: 'fenced', answer: json(409, { reason: 'fenced' }), outcome: { kind: 'fenced' } },
+    { name: 'out of sequence', answer: json(409, { reason: 'seq', sequence: 7 }), outcome: { kind: 'outOfSequence', expected: 7 } },
+    { name: 'busy', answer: json(503, {}), outcome: { kind: 'refused', reason: 'status 503' } },
+    { name: 'over the rate', answer: json(429, {}), outcome: { kind: 'refused', reason: 'status 429' } },
+    { name: 'full', answer: json(507, {}), outcome: { kind: 'refused', reason: 'status 507' } },
+    { name: 'behind a gateway', answer: json(504, {}), outcome: { kind: 'unknown', reason: 'status 504' } }
+  ]
+  for (const { name, answer: given, outcome } of APPENDS) {
+    it(`decodes an append that is ${name}`, async () => {
+      answer = given
+      assert.deepEqual(await new PlatformLogClient(address, http).append('keyed.t', 0, [{ key: 'k', value: Buffer.from('v') }]), outcome)
+    })
+  }
+
+  it('does not say that an append was refused when its connection was reset', async () => {
+    answer = (_request, _body, response) => response.socket?.resetAndDestroy()
+    assert.equal((await new PlatformLogClient(address, http).append('keyed.t', 0, [])).kind, 'unknown')
+  })
+
+  it('encodes keyed records and the fenced writer', async () => {
+    let seen: { url: string, body: Buffer } | undefined
+    answer = (request, body, response) => {
+      seen = { url: String(request.url), body }
+      response.end('{}')
+    }
+    await new PlatformLogClient(address, http).append('keyed.t', 2, [{ key: 'ab', value: Buffer.from('v') }, { key: 'c' }], { writer: { name: 'w', term: 7, sequence: 12 } })
+    assert.equal(seen?.url, '/v1/log-append?topic=keyed.t&part=2&producer=w&epoch=7&sequence=12')
+    assert.deepEqual(seen?.body, Buffer.concat([bigEndian(4, 4), Buffer.from('\x02abv'), bigEndian(4, 2), Buffer.from('\x01c')]))
+  })
+
+  it('decodes the records of a read, with offsets, removals and without a last one that is cut short', async () => {
+    answer = (_request, _body, response) => response.end(Buffer.concat([bigEndian(8, 12), bigEndian(8, 0), bigEndian(4, 4), Buffer.from('\x02abv'), bigEndian(4, 2), Buffer.from('\x01c'), bigEndian(4, 9), Buffer.from('\x01')]))
+    const outcome = await new PlatformLogClient(address, http).read('keyed.t', 0, 10, 0)
+    assert.deepEqual(outcome, { kind: 'records', next: 12, records: [{ key: 'ab', value: Buffer.from('v'), offset: 10 }, { key: 'c', value: undefined, offset: 11 }] })
+  })
+
+  it('tells that records have expired', async () => {
+    answer = json(410, { first: 40 })
+    assert.deepEqual(await new PlatformLogClient(address, http).read('keyed.t', 0, 10, 0), { kind: 'expired', first: 40 })
+  })
+
+  it('reads a snapshot page by page and follows from the end of the first page', async () => {
+    answer = (request, _body, response) => {
+      const second = String(request.url).includes('after=a')
+      const item = (key: string, offset: number): object => ({ key, value: Buffer.from(key).toString('base64'), offset })
+      response.end(JSON.stringify(second ? { items: [item('b', 5)], more: false, end: 9 } : { items: [item('a', 1)], more: true, end: 6 }))
+    }
+    const outcome = await new PlatformLogClient(address, http).snapshot('keyed.t', 0)
+    assert.deepEqual(outcome, { kind: 'snapshot', end: 6, records: [{ key: 'a', value: Buffer.from('a'), offset: 1 }, { key: 'b', value: Buffer.from('b'), offset: 5 }] })
+  })
+})
+
+describe('PlatformWorkerClient', () => {
+  const worker = (): { identity: string, address: string } => ({ identity: 'i-1', address })
+  const order = { task: 'a.0.0.1', run: 2, specification: 'text', leaseUntil: 1000.5, term: 7, checkpoint: '', ticket: 't' }
+
+  /** What an answer to a start says about the run. */
+  const STARTS: ReadonlyArray<{ readonly name: string, readonly answer: Answer, readonly outcome: object }> = [
+    { name: 'accepted', answer: json(200, { clockMs: 1 }), outcome: { kind: 'done' } },
+    { name: 'of a former term', answer: json(409, { reason: 'fence' }), outcome: { kind: 'fenced' } },
+    { name: 'without room', answer: json(409, { reason: 'room' }), outcome: { kind: 'refused', reason: 'room' } },
+    { name: 'without a valid ticket', answer: json(409, { reason: 'ticket' }), outcome: { kind: 'refused', reason: 'ticket' } },
+    { name: 'refused by an unhealthy worker', answer: json(503, {}), outcome: { kind: 'refused', reason: 'unhealthy' } },
+    { name: 'for another process', answer: json(421, {}), outcome: { kind: 'replaced' } },
+    { name: 'failed in an unknown way', answer: json(500, {}), outcome: { kind: 'unknown', reason: 'status 500' } }
+  ]
+  for (const { name, answer: given, outcome } of STARTS) {
+    it(`decodes a start that is ${name}`, async () => {
+      answer = given
+      assert.deepEqual(await new PlatformWorkerClient(http).start(worker(), order), outcome)
+    })
+  }
+
+  it('encodes a start in whole milliseconds and names the intended process', async () => {
+    let seen: unknown
+    answer = (request, body, response) => {
+      seen = [request.headers['vanillaturn-target-instance'], JSON.parse(body.toString())]
+      response.end('{}')
+    }
+    await new PlatformWorkerClient(http).start(worker(), order)
+    assert.deepEqual(seen, ['i-1', { task: 'a.0.0.1', run: 2, spec: 'text', expiresAtMs: 1000, fence: 7, ticket: 't' }])
+  })
+
+  it('decodes a report', async () => {
+    answer = json(200, { clockMs: 50, born: 5, running: [['a.0.0.1', 2, 'saved', 41, 300]], ended: [[8, 'a.0.0.2', 1, 'done', ''], [9, 'a.0.0.3', 1, 'unheard', '']] })
+    assert.deepEqual(await new PlatformWorkerClient(http).look(worker(), { term: 7, acknowledgedEnd: 7, waitMilliseconds: 0 }), {
+      kind: 'report',
+      report: { clockMilliseconds: 50, bornAt: 5, running: [{ task: 'a.0.0.1', run: 2, checkpoint: 'saved', percent: 41 }], ended: [{ number: 8, task: 'a.0.0.2', run: 1, kind: 'done', checkpoint: '' }] }
+    })
+  })
+
+  it('decodes the workers that the eligibility service names', async () => {
+    answer = json(200, { good: [['i-1', 'ticket']], validMs: 2500 })
+    assert.deepEqual(await new PlatformEligibilityClient(address, http).ask('a.0.0', ['i-1', 'i-2'], 1000), { kind: 'eligible', workers: [{ worker: 'i-1', ticket: 'ticket' }], validMilliseconds: 2500 })
+  })
+})
+
+describe('decodeJob', () => {
+  const step = { count: 2, millicpus: 500, memMb: 64, estMs: 900 }
+  /** Bodies that no job can be made of; each gets a reason, and nothing else suffers. */
+  const BAD: ReadonlyArray<{ readonly name: string, readonly body: unknown, readonly reason: RegExp }> = [
+    { name: 'broken JSON', body: '{', reason: /not valid JSON/ },
+    { name: 'a list', body: [], reason: /steps/ },
+    { name: 'no steps', body: { spec: '', steps: [] }, reason: /steps/ },
+    { name: 'a step that is no object', body: { spec: '', steps: [5] }, reason: /steps\.0/ },
+    { name: 'a negative amount', body: { spec: '', steps: [{ ...step, memMb: -1 }] }, reason: /memoryMegabytes/ },
+    { name: 'an amount of another type', body: { spec: '', steps: [{ ...step, millicpus: '500' }] }, reason: /processorsThousandths/ },
+    { name: 'too many tasks', body: { spec: '', steps: [{ ...step, count: 1e9 }] }, reason: /count/ },
+    { name: 'a cycle', body: { spec: '', steps: [{ ...step, after: [1] }, { ...step, after: [0] }] }, reason: /after/ },
+    { name: 'a step after itself', body: { spec: '', steps: [{ ...step, after: [0] }] }, reason: /after/ },
+    { name: 'a long text', body: { spec: 'x'.repeat(4001), steps: [step] }, reason: /longer/ }
+  ]
+  for (const { name, body, reason } of BAD) {
+    it(`refuses ${name}`, () => {
+      const decoded = decodeJob(typeof body === 'string' ? body : JSON.stringify(body))
+      assert.equal(decoded.kind, 'invalid')
+      if (decoded.kind === 'invalid') assert.match(decoded.reason, reason)
+    })
+  }
+
+  it('decodes a job and keeps defaults for what is left out', () => {
+    const decoded = decodeJob(JSON.stringify({ spec: 's', times: 3, firstMs: 10, intervalMs: 20, steps: [step, { ...step, after: [0], gang: true, fills: true, maxPerServer: 1, mayMiss: 2, unheard: 1 }] }))
+    assert.equal(decoded.kind, 'job')
+    if (decoded.kind !== 'job') return
+    assert.deepEqual([decoded.job.occurrences, decoded.job.firstDueMilliseconds, decoded.job.intervalMilliseconds], [3, 10, 20])
+    const [first, second] = decoded.job.steps
+    assert.deepEqual([first?.count, first?.processorsThousandths, first?.gang, first?.after], [2, 500, false, []])
+    assert.deepEqual([second?.gang, second?.filler, second?.maximumPerWorker, second?.maximumUnavailable, second?.after], [true, true, 1, 2, [0]])
+  })
+})
+
+describe('registry', () => {
+  const entry = { service: 'p', addr: 'h:1', zone: 'a', state: 'ready', room: { millicpus: 1, memMb: 2, gpus: 0 }, labels: ['k', 'r'], born: 7, sequence: 4 }
+  /** Entries by other writers name no worker to use. */
+  const UNUSABLE: ReadonlyArray<{ readonly name: string, readonly value: unknown }> = [
+    { name: 'an unknown state', value: { ...entry, state: 'resting' } },
+    { name: 'room of another type', value: { ...entry, room: 'much' } },
+    { name: 'no address', value: { ...entry, addr: undefined } },
+    { name: 'no object', value: 5 }
+  ]
+  for (const { name, value } of UNUSABLE) it(`skips an entry with ${name}`, () => assert.equal(decodeWorker('i-1', Buffer.from(JSON.stringify(value))), undefined))
+  it('skips an entry of bytes that cannot be read', () => assert.equal(decodeWorker('i-1', Buffer.from([255, 0, 1])), undefined))
+  it('decodes an entry', () => assert.deepEqual(decodeWorker('i-1', Buffer.from(JSON.stringify(entry))), {
+    identity: 'i-1', pool: 'p', address: 'h:1', failureDomain: 'a', state: 'ready', processorsThousandths: 1, memoryMegabytes: 2, accelerators: 0, labels: ['k', 'r'], bornAt: 7
+  }))
+  it('decodes a configuration', () => {
+    const configuration = decodeConfiguration(Buffer.from(JSON.stringify({
+      version: 7,
+      routes: [{ name: 'q', host: 'h', pathPrefix: '/p/', service: 'p', priority: 1, attempts: 2, stretch: 2.2, targetDurationMs: 1000, timeoutMs: 3000, advice: { decideMs: 5.5, eachMs: 0.1, validMs: 2500 } }],
+      services: [{ name: 'p', enforcesCapacity: false, spare: false }],
+      limits: { maxBodyBytes: 100 }
+    })))
+    assert.deepEqual(configuration, {
+      revision: 7,
+      queues: [{ name: 'q', host: 'h', pathPrefix: '/p/', pool: 'p', priority: 1, attempts: 2, stretch: 2.2, targetMilliseconds: 1000, eligibility: { decisionMilliseconds: 5.5, perWorkerMilliseconds: 0.1, ticketMilliseconds: 2500 } }],
+      pools: [{ name: 'p', enforcesCapacity: false }],
+      maximumBodyBytes: 100
+    })
+  })
+})
+
+describe('parsePlatformSettings', () => {
+  const text = `
+node = "n"
+ip = "127.0.0.1"
+zone = "a"
+portRange = [7720, 7735]
+advice = "10.0.0.1:1"
+unheard = true
+[listen]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[limits]
+cpuShare = 0.5
+cores = 2
+[bounds]
+holdMaxMs = 6000
+stopMs = 900
+gangMs = 3000
+graceS = 6
+status_s = 120
+farX = 1.5
+[platform]
+addr = "10.0.0.1:2"
+`
+  it('gives the settings and ignores keys that it does not know', () => {
+    const settings = parsePlatformSettings('file', text)
+    assert.equal(settings.cluster.processorShare, 1)
+    assert.deepEqual(settings.cluster.link, { host: '127.0.0.1', port: 7720 })
+    assert.equal(settings.cluster.bounds.graceMilliseconds, 6000)
+  })
+  it('names file and key of what is wrong', () => assert.throws(() => parsePlatformSettings('file.toml', text.replace('holdMaxMs = 6000', '')), /file\.toml: bounds\.holdMaxMs/))
+})
