Offer the role when the log turns the scheduler away

Now the scheduler asks a linked instance to claim the role as soon as a renewal is not stored, and goes on placing until it is shut out.

--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -239,7 +239,8 @@
     this.schedulerLink = { incarnation: holder.incarnation, link }
     this.sayHello(link)
     link.onDidReceive(message => {
-      if (message.type !== 'hello') this.onQuestion(link, message)
+      if (message.type === 'roleOffer') this.onRoleOffer(message.incarnation)
+      else if (message.type !== 'hello') this.onQuestion(link, message)
       else if (message.incarnation !== holder.incarnation) this.leadership.onHolderEnded(holder.incarnation, this.now())
     })
     link.onDidClose(() => {
@@ -328,6 +329,20 @@
     const outcome = await this.append(current, undefined)
     if (this.renewingSince === now) this.renewingSince = undefined
     if (outcome === 'stored') this.renewedAt = Math.max(this.renewedAt, now)
+    else this.offerRole()
+  }
+
+  /** Asks another instance to claim the role, because this one cannot write to the log. It may be able to. */
+  private offerRole (): void {
+    if (!this.leadership.isHeldHere || this.isStopping || this.peers.size === 0) return
+    const peer = this.random.pick([...this.peers.keys()])
+    this.logger.warn('the role of scheduler cannot be renewed; another instance is asked to claim it', { peer, term: this.leadership.current?.term })
+    this.peers.get(peer)?.send({ type: 'roleOffer', incarnation: this.incarnation })
+  }
+
+  private onRoleOffer (incarnation: string): void {
+    this.logger.info('asked to claim the scheduler role', { term: this.leadership.current?.term })
+    this.leadership.onOffered(incarnation)
   }
 
   private async append (record: LeadershipRecord, atOffset: number | undefined): Promise<string> {
--- a/src/cluster/leadership.ts
+++ b/src/cluster/leadership.ts
@@ -27,6 +27,8 @@
   private holderEndedAt: number | undefined
   private deposedTerm = 0
   private claimNotBefore = -Infinity
+  /** The holder cannot renew the role and has asked this instance to claim it. */
+  private isOffered = false
 
   /** `rank`: 0 for the instance that should claim first; `spread`: a random number from 0 to 1. */
   constructor (private readonly instance: string, private readonly incarnation: string, private readonly rank: number, private readonly spread: number) {}
@@ -53,6 +55,7 @@
     this.seenAt = now
     // A renewal shows that the holder has not ended after all: a path that refuses connections may be cut.
     this.holderEndedAt = undefined
+    this.isOffered = false
     return changed
   }
 
@@ -61,6 +64,11 @@
     this.deposedTerm = this.latest?.term ?? 0
   }
 
+  /** Notes that the holder has asked this instance to claim the role. */
+  onOffered (incarnation: string): void {
+    if (this.latest?.incarnation === incarnation) this.isOffered = true
+  }
+
   /** Notes that a claim was not stored; the next one waits. */
   onClaimFailed (now: number): void {
     this.claimNotBefore = now + CLAIM_PAUSE_MILLISECONDS
@@ -71,7 +79,7 @@
     this.seenAt ??= now
   }
 
-  /** Notes that the holder's process seems to have ended or says that it stops: its address refuses connections, or another process answers there. */
+  /** Notes that the holder seems to have ended: its address refuses connections, or another process answers there. */
   onHolderEnded (incarnation: string, now: number): void {
     if (this.latest?.incarnation === incarnation) this.holderEndedAt ??= now
   }
@@ -90,6 +98,7 @@
       return now >= this.seenAt + wait
     }
     const isSilent = now >= this.seenAt + SILENCE_BEFORE_CLAIM_MILLISECONDS + SILENCE_APPENDS * logLatency + stagger
+    if (!isSilent && this.isOffered) return true
     if (!isSilent) return this.holderEndedAt !== undefined && now >= this.holderEndedAt + CLAIM_AFTER_END_MILLISECONDS + stagger
     return logCurrentAsOf >= this.seenAt
   }
--- a/test/cluster/leadership.test.ts
+++ b/test/cluster/leadership.test.ts
@@ -52,6 +52,19 @@
     assert.equal(leadership.shouldClaim(400, 300, 0), false)
   })
 
+  /** The offer holds until the holder renews after all, and while the log has been read lately. */
+  it('claims a role that it was asked to claim', () => {
+    const leadership = new Leadership('instance', 'own', RANK, 0)
+    leadership.onRecord(HELD, 0)
+    leadership.onOffered('another incarnation')
+    assert.equal(leadership.shouldClaim(10, 5, 0), false)
+    leadership.onOffered(HELD.incarnation)
+    assert.equal(leadership.shouldClaim(10, 5, 0), true)
+    assert.equal(leadership.shouldClaim(5000, -1, 0), false)
+    leadership.onRecord(HELD, 20)
+    assert.equal(leadership.shouldClaim(30, 25, 0), false)
+  })
+
   it('waits after a claim that was not stored', () => {
     const leadership = new Leadership('instance', 'own', RANK, 0)
     leadership.onRecord(HELD, 0)
