--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -8,7 +8,7 @@
 import type { JobState } from '../contracts/stepJob.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
 import { ClusterScheduler, type PlannedStop, type SchedulerObserver } from './clusterScheduler.js'
-import { EligibilityDesk, type EligibilityLine } from './eligibilityDesk.js'
+import { EligibilityDesk, type EligibilityAnswer, type EligibilityLine } from './eligibilityDesk.js'
 import { progressOf, type Job, type Task } from './jobBook.js'
 import type { PlannedRun } from './placementPass.js'
 import { ProgressWriter } from './progressWriter.js'
@@ -77,7 +77,7 @@
     this.startedAt = now()
     this.scheduler = new ClusterScheduler(this)
     this.writer = this.register(new ProgressWriter(log, options.term, reason => logger.warn('progress could not be recorded; the append is repeated', { term: options.term, reason }), now))
-    this.desk = new EligibilityDesk(this.scheduler, options.lines, () => this.trigger(), now)
+    this.desk = new EligibilityDesk(this.scheduler, options.lines, answer => this.onEligibilityAnswer(answer), now)
     this.submissions = Array.from({ length: SUBMISSION_PARTITIONS }, (_, partition) => this.register(new TopicFollower(
       log,
       { topic: TOPICS.submissions, partition, waitMilliseconds: SUBMISSION_WAIT_MILLISECONDS, periodMilliseconds: SUBMISSION_PERIOD_MILLISECONDS },
@@ -319,6 +319,13 @@
     if (outcome.kind !== 'stored') this.logger.warn('old submissions could not be dropped from the log', { count: records.length, reason: outcome.kind })
   }
 
+  private onEligibilityAnswer (answer: EligibilityAnswer): void {
+    const { step, instance, asked, named, durationMilliseconds, reason } = answer
+    if (reason === '') this.logger.info('eligible workers are known', { task: step, peer: instance, count: named, reason: `${asked} asked about`, durationMilliseconds })
+    else this.logger.warn('the eligibility service did not answer', { task: step, peer: instance, reason, durationMilliseconds })
+    this.trigger()
+  }
+
   private trigger (): void {
     this.isWoken = true
     this.wake?.()
--- a/src/cluster/eligibilityDesk.ts
+++ b/src/cluster/eligibilityDesk.ts
@@ -26,6 +26,18 @@
   ask (step: string, workers: readonly string[], timeoutMilliseconds: number): Promise<EligibilityOutcome>
 }
 
+/** What became of one question. */
+export interface EligibilityAnswer {
+  readonly step: string
+  readonly instance: string
+  /** Workers asked about and named. */
+  readonly asked: number
+  readonly named: number
+  readonly durationMilliseconds: number
+  /** Why there is no answer; empty if there is one. */
+  readonly reason: string
+}
+
 interface Question {
   readonly step: Step
   readonly workers: readonly string[]
@@ -39,7 +51,7 @@
   constructor (
     private readonly scheduler: ClusterScheduler,
     private readonly lines: () => readonly EligibilityLine[],
-    private readonly onAnswer: () => void,
+    private readonly onAnswer: (answer: EligibilityAnswer) => void,
     private readonly now: () => number
   ) {}
 
@@ -108,7 +120,14 @@
       for (const { worker, ticket } of outcome.workers) eligibility.tickets.set(worker, { ticket, validUntil: validFrom + outcome.validMilliseconds })
       if (outcome.workers.length === 0) eligibility.notBefore = this.now() + RETRY_PAUSE_MILLISECONDS
     }
-    this.onAnswer()
+    this.onAnswer({
+      step: question.step.name,
+      instance: line.instance,
+      asked: question.workers.length,
+      named: outcome.kind === 'failed' ? 0 : outcome.workers.length,
+      durationMilliseconds: Math.round(this.now() - sentAt),
+      reason: outcome.kind === 'failed' ? outcome.reason : ''
+    })
   }
 }
 
--- a/src/cluster/jobFront.ts
+++ b/src/cluster/jobFront.ts
@@ -61,6 +61,7 @@
   /** Stores a job. A repeat of a stored one is accepted again. */
   async submit (identity: string, queue: Queue, job: StepJob, timeLimitMilliseconds: number): Promise<SubmitAnswer> {
     if (this.accepted.has(identity)) return { kind: 'accepted' }
+    const startedAt = this.now()
     if (this.appender.isStalled) return this.refuse(identity, 'the log is away')
     const value = encodeRecord({ queue: queue.name, pool: queue.pool, job, acceptedAt: Date.now() })
     const outcome = await this.appender.append({ key: identity, value }, Math.max(0, timeLimitMilliseconds - ANSWER_MARGIN_MILLISECONDS))
@@ -70,6 +71,7 @@
       return { kind: 'unknown' }
     }
     this.accepted.set(identity, true)
+    this.logger.info('job accepted', { job: identity, queue: queue.name, durationMilliseconds: Math.round(this.now() - startedAt) })
     return { kind: 'accepted' }
   }
 
