--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -119,6 +119,11 @@
     return this.configurationInForce
   }
 
+  /** Whether this instance places tasks at present. */
+  isActing (): boolean {
+    return this.acting !== undefined
+  }
+
   /** Whether new callers should be sent here. */
   get isReady (): boolean {
     const readAt = this.configurationFollower.lastReadAt
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -178,6 +178,32 @@
     assert.equal(scheduler.stateOf(JOB), 'completed')
   }))
 
+  it('fails a job once one task has failed as often as its queue allows', async () => await withSite(async (site, act) => {
+    const workers = ['w1', 'w2', 'w3'].map(identity => site.port.add(new FakeWorker(identity, 2, () => 200)))
+    for (const worker of workers) worker.endKind = 'failed'
+    const scheduler = act(1)
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(20_000)
+    assert.equal(scheduler.stateOf(JOB), 'failed')
+    assert.deepEqual(workers.flatMap(worker => worker.started).sort(), [1, 2, 3].map(run => `${JOB}.0.0.0/${run}`))
+  }))
+
+  it('places nothing on a worker that is leaving, and runs of a restarted one again', async () => await withSite(async (site, act) => {
+    const leaving = site.port.add(new FakeWorker('w1', 2, () => 1000))
+    const staying = site.port.add(new FakeWorker('w2', 2, () => 1000))
+    const scheduler = act(1)
+    await site.clock.tickAsync(100)
+    leaving.state = 'draining'
+    scheduler.setWorker(leaving.entry)
+    submit(site.log, JOB, [step({ count: 4 })])
+    await site.clock.tickAsync(500)
+    assert.deepEqual(leaving.started, [])
+    staying.restart()
+    await site.clock.tickAsync(6000)
+    assert.equal(scheduler.stateOf(JOB), 'completed')
+    assert.deepEqual(staying.overcommitted, [])
+  }))
+
   it('is deposed by a later term and orders nothing more', async () => await withSite(async (site, act) => {
     const worker = site.port.add(new FakeWorker('w1', 4, () => 1000))
     act(1)
--- /dev/null
+++ b/test/cluster/clusterInstance.test.ts
@@ -0,0 +1,156 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { Logger } from '../../src/base/logger.js'
+import { Random } from '../../src/base/random.js'
+import { ClusterInstance, type ClusterFeeds } from '../../src/cluster/clusterInstance.js'
+import { ClusterMetrics } from '../../src/cluster/clusterMetrics.js'
+import { EligibilityPort, type EligibilityOutcome } from '../../src/cluster/workerPort.js'
+import type { ClusterConfiguration } from '../../src/contracts/clusterConfiguration.js'
+import { stepJobSchema } from '../../src/contracts/stepJob.js'
+import { FakeWorker, FakeWorkerPort } from '../fakes/fakeClusterWorkers.js'
+import { FakeRecordLog } from '../fakes/fakeRecordLog.js'
+
+const JOB = '00000000000000aa'
+/** Longest wait for something that must come, in milliseconds; only a failing test waits that long. */
+const LONGEST_WAIT_MILLISECONDS = 30_000
+
+const CONFIGURATION: ClusterConfiguration = {
+  revision: 5,
+  queues: [{ name: 'queue', host: 'host', pathPrefix: '/q/', pool: 'pool', priority: 0, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 1, perWorkerMilliseconds: 0, ticketMilliseconds: 2000 } }],
+  pools: [{ name: 'pool', enforcesCapacity: false }],
+  maximumBodyBytes: 1000
+}
+
+const feeds: ClusterFeeds = {
+  configurationTopic: 'configuration',
+  workerTopic: 'workers',
+  decodeConfiguration: record => JSON.parse(Buffer.from(record.value ?? []).toString()),
+  decodeWorker: record => JSON.parse(Buffer.from(record.value ?? []).toString())
+}
+
+class AllEligible extends EligibilityPort {
+  asked = 0
+
+  override async ask (_step: string, workers: readonly string[]): Promise<EligibilityOutcome> {
+    this.asked += 1
+    return { kind: 'eligible', workers: workers.map(worker => ({ worker, ticket: 'ticket' })), validMilliseconds: 2000 }
+  }
+}
+
+class Site {
+  readonly log = new FakeRecordLog(1)
+  readonly port = new FakeWorkerPort()
+  readonly instances: ClusterInstance[] = []
+
+  async start (name: string): Promise<ClusterInstance> {
+    const instance = new ClusterInstance({
+      instance: name,
+      failureDomain: 'a',
+      callers: { host: '127.0.0.1', port: 0 },
+      readiness: { host: '127.0.0.1', port: 0 },
+      link: { host: '127.0.0.1', port: 0 },
+      metrics: { host: '127.0.0.1', port: 0 },
+      processorShare: 1,
+      bounds: { workerLeaseMilliseconds: 6000, stopMilliseconds: 900, gangWaitMilliseconds: 3000, graceMilliseconds: 6000, stateRetentionMilliseconds: 120_000, farFactor: 2 }
+    }, this.log, this.port, new AllEligible(), feeds, new ClusterMetrics(), new Logger(name, 'error', () => {}), new Random(this.instances.length), () => performance.now())
+    this.instances.push(instance)
+    await instance.start()
+    return instance
+  }
+
+  publish (revision: number): void {
+    this.log.write('configuration', 'config', Buffer.from(JSON.stringify({ ...CONFIGURATION, revision })))
+  }
+
+  addWorker (name: string, durationMilliseconds: number): FakeWorker {
+    const worker = this.port.add(new FakeWorker(name, 4, () => durationMilliseconds))
+    this.log.write('workers', name, Buffer.from(JSON.stringify(worker.entry)))
+    return worker
+  }
+
+  dispose (): void {
+    for (const instance of this.instances) instance.dispose()
+  }
+}
+
+async function until (condition: () => boolean | Promise<boolean>): Promise<void> {
+  const endsAt = performance.now() + LONGEST_WAIT_MILLISECONDS
+  while (!await condition()) {
+    assert.ok(performance.now() < endsAt, `did not come true: ${condition.toString()}`)
+    await new Promise(resolve => setTimeout(resolve, 5))
+  }
+}
+
+async function withSite (body: (site: Site) => Promise<void>): Promise<void> {
+  const site = new Site()
+  try {
+    await body(site)
+  } finally {
+    site.dispose()
+  }
+}
+
+describe('ClusterInstance', () => {
+  const queue = CONFIGURATION.queues[0]
+  assert.ok(queue)
+  const job = stepJobSchema.parse({ specification: '', steps: [{ count: 2, processorsThousandths: 1000 }] })
+
+  it('takes over newer configurations and never an older one', async () => await withSite(async site => {
+    const instance = await site.start('one')
+    assert.equal(instance.isReady, false)
+    site.publish(5)
+    await until(() => instance.configuration?.revision === 5)
+    site.publish(3)
+    site.publish(9)
+    site.publish(8)
+    await until(() => instance.configuration?.revision === 9)
+    site.log.compactTopic('configuration')
+    site.publish(12)
+    await until(() => instance.configuration?.revision === 12)
+    assert.ok(instance.isReady)
+  }))
+
+  it('completes a job handed in at any instance; a job that nobody handed in is unknown', async () => await withSite(async site => {
+    site.publish(5)
+    site.addWorker('w1', 20)
+    const instances = [await site.start('one'), await site.start('two'), await site.start('three')]
+    const [, second, third] = instances
+    assert.ok(second !== undefined && third !== undefined)
+    await until(async () => (await second.front.submit(JOB, queue, job, 3000)).kind === 'accepted')
+    assert.equal((await third.front.submit(JOB, queue, job, 3000)).kind, 'accepted')
+    await until(async () => await third.front.state(JOB, 3000) === 'completed')
+    await until(async () => await third.front.state('00000000000000bb', 3000) === 'unknownJob')
+    assert.equal(await second.front.waiting('queue', 3000), 0)
+    assert.equal(site.port.workers.get('w1')?.started.length, 2)
+  }))
+
+  it('goes on with another scheduler when the acting one ends, and runs nothing twice', async () => await withSite(async site => {
+    site.publish(5)
+    const worker = site.addWorker('w1', 1500)
+    const instances = [await site.start('one'), await site.start('two')]
+    const [first, second] = instances
+    assert.ok(first !== undefined && second !== undefined)
+    await until(async () => (await first.front.submit(JOB, queue, job, 3000)).kind === 'accepted')
+    await until(() => worker.running.size === 2)
+    const acting = first.isActing() ? first : second
+    acting.dispose()
+    const survivor = acting === first ? second : first
+    await until(async () => await survivor.front.state(JOB, 3000) === 'completed')
+    assert.equal(worker.started.length, 2)
+  }))
+
+  it('places on while it stops, until its successor does', async () => await withSite(async site => {
+    site.publish(5)
+    const worker = site.addWorker('w1', 50)
+    const first = await site.start('one')
+    await until(() => first.isActing())
+    const second = await site.start('two')
+    await until(async () => await second.front.state('00000000000000bb', 3000) === 'unknownJob')
+    await first.prepareStop()
+    assert.equal(first.isReady, false)
+    await until(() => second.isActing() && !first.isActing())
+    await until(async () => (await first.front.submit(JOB, queue, job, 3000)).kind === 'accepted')
+    await until(async () => await first.front.state(JOB, 3000) === 'completed')
+    assert.equal(worker.started.length, 2)
+  }))
+})
--- a/test/fakes/fakeClusterWorkers.ts
+++ b/test/fakes/fakeClusterWorkers.ts
@@ -27,6 +27,9 @@
   looks = 0
   isReachable = true
   fault: OrderFault = 'none'
+  /** How runs end by themselves. */
+  endKind: EndKind = 'done'
+  state: WorkerEntry['state'] = 'ready'
   bornAt = 1
   private endCount = 0
   private readonly waiters = new Set<() => void>()
@@ -34,7 +37,7 @@
   constructor (readonly identity: string, readonly room: number, private readonly durationMilliseconds: (task: string) => number) {}
 
   get entry (): WorkerEntry {
-    return { identity: this.identity, pool: 'pool', address: `${this.identity}:1`, failureDomain: 'a', state: 'ready', processorsThousandths: this.room * 1000, memoryMegabytes: 1_000_000, accelerators: 0, labels: ['kind', 'rack'], bornAt: this.bornAt }
+    return { identity: this.identity, pool: 'pool', address: `${this.identity}:1`, failureDomain: 'a', state: this.state, processorsThousandths: this.room * 1000, memoryMegabytes: 1_000_000, accelerators: 0, labels: ['kind', 'rack'], bornAt: this.bornAt }
   }
 
   /** The process ends and starts again under the same identity. */
@@ -100,7 +103,7 @@
     this.started.push(`${order.task}/${order.run}`)
     const duration = this.durationMilliseconds(order.task)
     this.running.set(order.task, { task: order.task, run: order.run, startedAt: performance.now(), endsAt: performance.now() + duration })
-    setTimeout(() => this.endIfRunning(order.task, order.run, 'done'), duration)
+    setTimeout(() => this.endIfRunning(order.task, order.run, this.endKind), duration)
     return { kind: 'done' }
   }
 
