Tell a worker once to stop a stray run

Ruled out: adoption of recorded runs (the job's record was final), two schedulers (one). A test with a stop that takes 0.8 s did not end before, because each look led to the next, and passes now.

--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -10,6 +10,9 @@
 /** Time without progress after which a run counts as stuck, in milliseconds; a slow task of 16 s still advances by a percent in a fifth of it. */
 const STUCK_RUN_MILLISECONDS = 3500
 
+/** Time after which the stop of a stray run is ordered again, in milliseconds; longer than a worker takes to stop one. */
+const STRAY_STOP_PERIOD_MILLISECONDS = 1500
+
 /** Greatest age that a job is taken to have when it arrives, in milliseconds; the clocks of two instances may differ by seconds. */
 const MAXIMUM_ADOPTED_AGE_MILLISECONDS = 60_000
 
@@ -195,6 +198,7 @@
       listed.add(row.task)
       this.onRunningRow(worker, row.task, row.run, row.checkpoint, row.percent, now)
     }
+    if (!worker.hasStrayRuns) worker.strayStops.clear()
     for (const task of [...worker.runs.values()]) {
       if (listed.has(task.name)) continue
       if (this.isGone(task, isFirst, sentAt)) this.giveUpRun(task)
@@ -308,10 +312,7 @@
   private onRunningRow (worker: WorkerState, taskName: string, run: number, checkpoint: string, percent: number, now: number): void {
     const task = worker.runs.get(taskName)
     if (task === undefined || task.run !== run) {
-      if (this.isDoneRun(taskName, run)) return
-      worker.hasStrayRuns = true
-      this.observer.onDidFindStrayRun(worker, taskName, run)
-      this.plannedStops.push({ worker: worker.identity, task: taskName, run })
+      if (!this.isDoneRun(taskName, run)) this.stopStrayRun(worker, taskName, run, now)
       return
     }
     if (checkpoint !== '') task.checkpoint = checkpoint
@@ -321,6 +322,17 @@
     task.progressedAt = now
   }
 
+  /** Orders the stop of a run that no job accounts for. The run is listed until it has stopped. */
+  private stopStrayRun (worker: WorkerState, taskName: string, run: number, now: number): void {
+    worker.hasStrayRuns = true
+    const key = `${taskName}/${run}`
+    const orderedAt = worker.strayStops.get(key)
+    if (orderedAt !== undefined && now - orderedAt < STRAY_STOP_PERIOD_MILLISECONDS) return
+    worker.strayStops.set(key, now)
+    this.observer.onDidFindStrayRun(worker, taskName, run)
+    this.plannedStops.push({ worker: worker.identity, task: taskName, run })
+  }
+
   /** Whether a task is known to be done by this run: the end of another gang member, or a later report, has told so first. */
   private isDoneRun (taskName: string, run: number): boolean {
     const [identity, occurrence, step, index] = taskName.split('.')
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -27,6 +27,8 @@
   isSilent = false
   /** The latest report lists runs that no job accounts for; they take room until they have stopped. */
   hasStrayRuns = false
+  /** When the stop of each stray run was last ordered, by task and run, in milliseconds of the monotonic clock. */
+  readonly strayStops = new Map<string, number>()
   /** The registry lists the worker. */
   isListed = true
   /** Speed relative to the tasks' estimates. */
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -236,6 +236,25 @@
     assert.deepEqual(worker.started, [`${JOB}.0.0.0/1`, '00000000000000bb.0.0.0/1'])
   }))
 
+  /** A stop takes up to a second; the run is listed meanwhile, which is no reason to repeat the stop or to look again at once. */
+  it('tells a worker once to stop a stray run', async () => await withSite(async (site, act) => {
+    const worker = site.port.add(new FakeWorker('w1', 1, () => 10_000))
+    const former = act(1)
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(500)
+    worker.stopMilliseconds = 800
+    site.log.write(TOPICS.submissions, cancelKey(JOB), Buffer.from([1]))
+    await site.clock.tickAsync(100)
+    former.dispose()
+    worker.looks = 0
+    worker.stops = 0
+    act(2)
+    await site.clock.tickAsync(3000)
+    assert.equal(worker.running.size, 0)
+    assert.equal(worker.stops, 1)
+    assert.ok(worker.looks < 40, `${worker.looks} looks`)
+  }))
+
   it('stops the runs of a cancelled job and shows it as cancelled', async () => await withSite(async (site, act) => {
     const worker = site.port.add(new FakeWorker('w1', 2, () => 10_000))
     const scheduler = act(1)
--- a/test/fakes/fakeClusterWorkers.ts
+++ b/test/fakes/fakeClusterWorkers.ts
@@ -25,6 +25,9 @@
   leaseEnd = 0
   acknowledgedEnd = 0
   looks = 0
+  stops = 0
+  /** How long a run goes on after its stop. */
+  stopMilliseconds = 0
   isReachable = true
   fault: OrderFault = 'none'
   /** How runs end by themselves. */
@@ -110,8 +113,10 @@
   private carryOutStop (task: string, run: number, term: number): OrderOutcome {
     if (term < this.term) return { kind: 'fenced' }
     this.term = term
+    this.stops += 1
     this.stoppedRuns.set(task, Math.max(run, this.stoppedRuns.get(task) ?? 0))
-    this.endIfRunning(task, run, 'stopped')
+    if (this.stopMilliseconds === 0) this.endIfRunning(task, run, 'stopped')
+    else setTimeout(() => this.endIfRunning(task, run, 'stopped'), this.stopMilliseconds)
     return { kind: 'done' }
   }
 
