Adopt jobs that were placed while their scheduler changed; check the writer's sequence

Found by reading: (1) submissions were read before the former scheduler was shut out; a job that it accepted into a placement in between was unknown to the successor, which ignored the ends of its runs and ran it again as run 2. (2) A sequence number that the log did not expect was replaced by the expected one, whose repeat the log answers with the outcome of an earlier append. Now: submissions are read again while progress names jobs that are not known; a writer that is behind writes everything again. Ends are taken in the order of their numbers, and the end of a run that its task has no more is logged.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -1,5 +1,6 @@
 import { runConfigurationBench, runLogBench, runSlotBench } from './capacityMessages.js'
 import { runLeaseBench, runMemoryBench, runRecoveryBench } from './capacityPlacement.js'
+import { runClusterBench } from './capacityCluster.js'
 import { cpus } from 'node:os'
 
 const SEED = 1
@@ -13,3 +14,4 @@
 runConfigurationBench(RUNS)
 runMemoryBench(SEED)
 runRecoveryBench(SEED, RUNS)
+runClusterBench(SEED, RUNS)
--- /dev/null
+++ b/bench/capacityCluster.ts
@@ -0,0 +1,82 @@
+import { Random } from '../src/base/random.js'
+import { ClusterScheduler } from '../src/cluster/clusterScheduler.js'
+import { progressOf } from '../src/cluster/jobBook.js'
+import { decodeRecord, encodeRecord, type ProgressRecord, type SubmissionRecord } from '../src/contracts/clusterRecords.js'
+import { stepJobSchema } from '../src/contracts/stepJob.js'
+import { medianMilliseconds, printRow, printTitle } from './measure.js'
+
+const WORKER_COUNTS = [33, 245, 900] as const
+const OPEN_JOB_COUNTS = [100, 1000, 5000] as const
+const TASKS_PER_JOB = 10
+/** Processors of one worker and of one task, in thousandths. */
+const WORKER_PROCESSORS = 16_000
+const TASK_PROCESSORS = 1000
+/** Part of the room that is taken before the placements that are measured. */
+const FILLED_SHARE = 0.8
+
+const OBSERVER = { onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidIgnoreEnd () {} }
+const QUEUE = { name: 'queue', host: 'host', pathPrefix: '/', pool: 'pool', priority: 1, attempts: 2, stretch: 4, targetMilliseconds: 3000 }
+
+function createScheduler (workerCount: number): ClusterScheduler {
+  const scheduler = new ClusterScheduler(OBSERVER)
+  scheduler.configure({ revision: 1, queues: [QUEUE], pools: [], maximumBodyBytes: 1000 })
+  for (let index = 0; index < workerCount; index += 1) {
+    const identity = `worker-${index}`
+    scheduler.upsertWorker({ identity, pool: 'pool', address: 'worker:1', failureDomain: 'a', state: 'ready', processorsThousandths: WORKER_PROCESSORS, memoryMegabytes: 64_000, accelerators: 0, labels: ['a', `r${index >> 3}`], bornAt: 1 })
+    scheduler.onReport(identity, { clockMilliseconds: 1, bornAt: 1, running: [], ended: [] }, 0, 0)
+  }
+  return scheduler
+}
+
+function createSubmission (random: Random): SubmissionRecord {
+  const job = stepJobSchema.parse({ specification: 'x'.repeat(400), steps: [{ count: TASKS_PER_JOB, processorsThousandths: TASK_PROCESSORS, memoryMegabytes: 100 + random.integerBelow(1000), estimateMilliseconds: 1000 + random.integerBelow(5000) }] })
+  return { queue: 'queue', pool: 'pool', job, acceptedAt: Date.now() }
+}
+
+function addJobs (scheduler: ClusterScheduler, count: number, random: Random): void {
+  const first = scheduler.jobs.size
+  for (let index = first; index < first + count; index += 1) scheduler.addJob(index.toString(16).padStart(16, '0'), createSubmission(random), 0)
+}
+
+/** Decision time of one start against the number of workers. */
+function runPlacementBench (seed: number, runs: number): void {
+  printTitle('decisions of the acting scheduler: a tenth of the workers\' room is placed in one pass, the site is 80 % full')
+  printRow(['workers', 'starts in the pass', 'ms a pass', 'ms a start'])
+  for (const workers of WORKER_COUNTS) {
+    const slots = workers * WORKER_PROCESSORS / TASK_PROCESSORS
+    const starts = Math.round(slots / 10 / TASKS_PER_JOB) * TASKS_PER_JOB
+    const milliseconds = medianMilliseconds(runs, () => {
+      const random = new Random(seed)
+      const scheduler = createScheduler(workers)
+      addJobs(scheduler, Math.round(FILLED_SHARE * slots / TASKS_PER_JOB), random)
+      scheduler.place(0)
+      addJobs(scheduler, starts / TASKS_PER_JOB, random)
+      return scheduler
+    }, scheduler => { scheduler.place(1) })
+    printRow([workers, starts, milliseconds.toFixed(2), (milliseconds / starts).toFixed(4)])
+  }
+}
+
+/** Time and bytes of a takeover against the number of open jobs. */
+function runRestoreBench (seed: number, runs: number): void {
+  printTitle('takeover: open jobs decoded from the log and restored')
+  printRow(['open jobs', 'KB of submissions', 'KB of progress', 'ms'])
+  for (const jobs of OPEN_JOB_COUNTS) {
+    const workers = Math.ceil(jobs * TASKS_PER_JOB * TASK_PROCESSORS / WORKER_PROCESSORS) + 1
+    const random = new Random(seed)
+    const former = createScheduler(workers)
+    addJobs(former, jobs, random)
+    former.place(0)
+    const records = [...former.jobs.values()].map(job => ({ identity: job.identity, submission: encodeRecord(job.submission), progress: encodeRecord(progressOf(job)) }))
+    const milliseconds = medianMilliseconds(runs, () => createScheduler(workers), scheduler => {
+      for (const { identity, submission, progress } of records) scheduler.addJob(identity, decodeRecord<SubmissionRecord>(submission), 0, decodeRecord<ProgressRecord>(progress))
+    })
+    const kilobytes = (of: (record: typeof records[number]) => Buffer): string => (records.reduce((sum, record) => sum + of(record).length, 0) / 1000).toFixed(0)
+    printRow([jobs, kilobytes(record => record.submission), kilobytes(record => record.progress), milliseconds.toFixed(1)])
+  }
+}
+
+export function runClusterBench (seed: number, runs: number): void {
+  runPlacementBench(seed, runs)
+  runRestoreBench(seed, runs)
+}
--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -5,7 +5,7 @@
 import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
 import { decodeRecord, encodeRecord, type ProgressRecord, type SubmissionRecord } from '../contracts/clusterRecords.js'
 import type { ClusterBounds } from '../contracts/clusterSettings.js'
-import type { JobState } from '../contracts/stepJob.js'
+import { isFinalState, type JobState } from '../contracts/stepJob.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
 import { ClusterScheduler, type PlannedStop, type SchedulerObserver } from './clusterScheduler.js'
 import { EligibilityDesk, type EligibilityAnswer, type EligibilityLine } from './eligibilityDesk.js'
@@ -15,7 +15,7 @@
 import { TOPICS, type KeyedRecord, type RecordLog, type StoredRecord } from './recordLog.js'
 import { cancelKey, isCancelKey, jobOfCancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
 import { TopicFollower } from './topicFollower.js'
-import type { WorkerEntry, WorkerPort, WorkerReport } from './workerPort.js'
+import type { EndReport, WorkerEntry, WorkerPort, WorkerReport } from './workerPort.js'
 import { WorkerSession } from './workerSession.js'
 import type { WorkerState } from './workerState.js'
 
@@ -59,6 +59,8 @@
   private wake: (() => void) | undefined
   private isWoken = false
   private isOperating = false
+  /** Placements of a round whose record has to be written again. */
+  private readonly unordered: PlannedRun[] = []
   /** Partition that holds each record of a job that is kept, by key. */
   private readonly partitionOfKey = new Map<string, number>()
   /** Submissions that were read before the progress of their jobs. */
@@ -103,6 +105,8 @@
     const unprocessed = this.unprocessed ?? []
     this.unprocessed = undefined
     for (const { partition, records } of unprocessed) this.applySubmissions(partition, records, progress)
+    await this.loadMissingJobs(progress)
+    if (this.isDisposed) return
     this.isOperating = true
     for (const follower of this.submissions) follower.follow()
     for (const worker of this.scheduler.workers.values()) this.openSession(worker)
@@ -172,10 +176,26 @@
     this.logger.warn('a worker runs what it should not; it is told to stop', { worker: worker.identity, task, count: run })
   }
 
+  onDidIgnoreEnd (worker: WorkerState, end: EndReport, task: Task): void {
+    this.logger.warn('end of a run that the task has no more', { worker: worker.identity, task: task.name, count: end.run, code: end.kind, reason: `the task is ${task.phase} with run ${task.run} on ${task.worker === '' ? 'no worker' : task.worker}` })
+  }
+
   private isFresh (): boolean {
     return this.submissions.every(follower => follower.currentAsOf !== undefined && this.now() - follower.currentAsOf < FRESH_MILLISECONDS)
   }
 
+  /** The former scheduler may have placed jobs that were accepted after their partition was read here: those are read again. */
+  private async loadMissingJobs (progress: ReadonlyMap<string, ProgressRecord>): Promise<void> {
+    const isMissing = ([identity, record]: [string, ProgressRecord]): boolean => !isFinalState(record.state) && !this.scheduler.jobs.has(identity)
+    while (!this.isDisposed && [...progress].some(isMissing)) {
+      this.unprocessed = []
+      for (const follower of this.submissions) await this.loadUntilDone(follower)
+      const unprocessed = this.unprocessed
+      this.unprocessed = undefined
+      for (const { partition, records } of unprocessed) this.applySubmissions(partition, records, progress)
+    }
+  }
+
   /** Progress after writers of former terms were shut out; undefined if the role is lost. */
   private async readFencedProgress (): Promise<Map<string, ProgressRecord> | undefined> {
     const fenced = await this.writer.fence()
@@ -344,7 +364,7 @@
 
   private async runRound (): Promise<void> {
     const now = this.now()
-    const planned = this.scheduler.place(now)
+    const planned = [...this.unordered.splice(0), ...this.scheduler.place(now)]
     this.sendStops(this.scheduler.takeStops())
     this.desk.pump()
     const jobs = [...this.scheduler.unrecorded]
@@ -362,6 +382,13 @@
       this.options.onDeposed()
       return
     }
+    if (outcome === 'behind') {
+      this.logger.error('the log lacks progress that was taken for recorded; all of it is written again', { term: this.options.term, count: this.scheduler.jobs.size })
+      for (const job of this.scheduler.jobs.values()) this.scheduler.unrecorded.add(job)
+      this.unordered.push(...planned)
+      this.trigger()
+      return
+    }
     this.metrics.recorded(this.now() - now)
     jobs.forEach((job, index) => this.scheduler.onRecorded(job, states[index] as JobState))
     this.acknowledgeEnds(ends)
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -22,6 +22,8 @@
   onDidEndRun (task: Task, worker: WorkerState, kind: EndReport['kind'], durationMilliseconds: number): void
   onDidQuarantine (worker: WorkerState): void
   onDidFindStrayRun (worker: WorkerState, task: string, run: number): void
+  /** An end was reported of a run that the task has no more. */
+  onDidIgnoreEnd (worker: WorkerState, end: EndReport, task: Task): void
 }
 
 /** A run that is to be stopped. */
@@ -187,7 +189,7 @@
     if (report.bornAt !== 0) worker.bornAt = report.bornAt
     worker.isKnown = true
     worker.isSilent = false
-    for (const end of report.ended) {
+    for (const end of [...report.ended].sort((left, right) => left.number - right.number)) {
       if (end.number <= worker.processedEnd) continue
       worker.processedEnd = end.number
       this.onEnd(worker, end, now)
@@ -335,11 +337,21 @@
 
   /** Whether a task is known to be done by this run: the end of another gang member, or a later report, has told so first. */
   private isDoneRun (taskName: string, run: number): boolean {
-    const [identity, occurrence, step, index] = taskName.split('.')
-    const task = this.jobs.get(identity ?? '')?.occurrences.get(Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)]
+    const task = this.taskNamed(taskName)
     return task !== undefined && task.phase === 'done' && task.run === run
   }
 
+  /** The task of a name if its job is not final and it is not done. */
+  private openTask (taskName: string): Task | undefined {
+    const task = this.taskNamed(taskName)
+    return task === undefined || task.step.job.isFinal || task.phase === 'done' ? undefined : task
+  }
+
+  private taskNamed (taskName: string): Task | undefined {
+    const [identity, occurrence, step, index] = taskName.split('.')
+    return this.jobs.get(identity ?? '')?.occurrences.get(Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)]
+  }
+
   /** Whether a run that a report does not list can no longer come to be. */
   private isGone (task: Task, isFirstReport: boolean, sentAt: number): boolean {
     if (task.phase === 'placed') return false
@@ -350,7 +362,11 @@
 
   private onEnd (worker: WorkerState, end: EndReport, now: number): void {
     const task = worker.runs.get(end.task)
-    if (task === undefined || task.run !== end.run) return
+    if (task === undefined || task.run !== end.run) {
+      const open = this.openTask(end.task)
+      if (open !== undefined) this.observer.onDidIgnoreEnd(worker, end, open)
+      return
+    }
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
     this.observer.onDidEndRun(task, worker, end.kind, now - task.startedAt)
     const job = task.step.job
--- a/src/cluster/progressWriter.ts
+++ b/src/cluster/progressWriter.ts
@@ -10,7 +10,8 @@
 /** Most bytes of one append; the log takes up to 2 MB. */
 const MAXIMUM_APPEND_BYTES = 1_000_000
 
-export type WriteOutcome = 'stored' | 'fenced' | 'disposed'
+/** `behind`: an earlier write is not in the log after all; what it held must be written again. */
+export type WriteOutcome = 'stored' | 'fenced' | 'behind' | 'disposed'
 
 /** Writes progress under a term. Once a greater term has written, nothing more is stored. */
 export class ProgressWriter extends DisposableObject {
@@ -60,10 +61,11 @@
       if (outcome.kind === 'stored') return 'stored'
       if (outcome.kind === 'fenced') return 'fenced'
       if (outcome.kind === 'outOfSequence') {
-        // The log expects the next number when an earlier attempt has been stored without an answer.
-        if (outcome.expected > this.sequence) return 'stored'
-        this.sequence = outcome.expected
-        continue
+        this.onFailure(`sequence ${this.sequence} was sent, ${outcome.expected} is expected`)
+        // The log expects the next number when an earlier copy has been stored without an answer.
+        if (outcome.expected === this.sequence + 1) return 'stored'
+        this.sequence = outcome.expected - 1
+        return 'behind'
       }
       this.onFailure(outcome.kind === 'conflict' ? 'conflict' : outcome.reason)
       await delay(RETRY_PAUSE_MILLISECONDS, this.abort.signal)
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -204,6 +204,22 @@
     assert.deepEqual(staying.overcommitted, [])
   }))
 
+  /** A former scheduler goes on placing until it is shut out, also jobs that its successor has not read yet. */
+  it('adopts the runs of a job that was accepted and placed while it took over', async () => await withSite(async (site, act) => {
+    const worker = site.port.add(new FakeWorker('w1', 4, () => 4000))
+    act(1)
+    await site.clock.tickAsync(100)
+    site.log.appendMilliseconds = 100
+    const successor = act(2)
+    await site.clock.tickAsync(10)
+    submit(site.log, JOB, [step()])
+    site.log.appendMilliseconds = 0
+    await site.clock.tickAsync(6000)
+    assert.deepEqual(worker.started, [`${JOB}.0.0.0/1`])
+    assert.equal(worker.stops, 0)
+    assert.equal(successor.stateOf(JOB), 'completed')
+  }))
+
   it('is deposed by a later term and orders nothing more', async () => await withSite(async (site, act) => {
     const worker = site.port.add(new FakeWorker('w1', 4, () => 1000))
     act(1)
--- a/test/fakes/fakeRecordLog.ts
+++ b/test/fakes/fakeRecordLog.ts
@@ -14,6 +14,8 @@
 export class FakeRecordLog extends RecordLog {
   fault: LogFault = 'none'
   appends = 0
+  /** Time until an append that is sent now is carried out, in milliseconds. */
+  appendMilliseconds = 0
   private readonly partitions = new Map<string, FakePartition>()
   private readonly writers = new Map<string, { term: number, sequence: number }>()
 
@@ -41,6 +43,7 @@
     this.appends += 1
     if (this.fault === 'refused') return await this.answer({ kind: 'refused', reason: 'status 503' })
     if (this.fault === 'silent') return await after(this.timeoutMilliseconds, { kind: 'unknown', reason: 'timed out' })
+    if (this.appendMilliseconds > 0) await after(this.appendMilliseconds, undefined)
     const outcome = this.appendNow(this.partition(topic, partitionNumber), topic, records, options)
     if (this.fault === 'answerLost') return await after(this.timeoutMilliseconds, { kind: 'unknown', reason: 'timed out' })
     return await this.answer(outcome)
