Test: wait for the hash before time is advanced

Announcements need a hash that is compiled on another thread in real time, while the test advances a paused clock; on a busy machine the bound of the paused clock passed before the first announcement.

--- a/src/entry/configurationTask.ts
+++ b/src/entry/configurationTask.ts
@@ -60,6 +60,11 @@
     return this.history.restatement()
   }
 
+  /** Resolves once the task can compute digests; compiling the hash takes real time, which a paused clock does not show. */
+  async whenReady (): Promise<void> {
+    await this.hasher
+  }
+
   protected override async handle (message: ConfigurationMessage): Promise<void> {
     const before = this.inForce?.revision ?? 0
     switch (message.kind) {
--- a/test/entry/configurationTask.test.ts
+++ b/test/entry/configurationTask.test.ts
@@ -54,6 +54,11 @@
     for (const node of this.nodes.values()) if (!node.cutOff) setTimeout(() => node.didRead.fire(record), 10)
   }
 
+  /** The hash is compiled off the paused clock; without it a loaded machine makes announcements late. */
+  async whenReady (): Promise<void> {
+    for (const node of this.nodes.values()) await node.task.whenReady()
+  }
+
   dispose (): void {
     this.store.dispose()
   }
@@ -92,7 +97,10 @@
   const timers = install({ now: 0, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
   const network = new Network()
   try {
-    await run(network, async milliseconds => { await timers.tickAsync(milliseconds) })
+    await run(network, async milliseconds => {
+      await network.whenReady()
+      await timers.tickAsync(milliseconds)
+    })
   } finally {
     network.dispose()
     timers.uninstall()
