Let the largest instance claim the role first

Cause: the waits before the first claim counted from the start of a process, but nobody claims before the first configuration, which reaches all instances seconds later. A test with three small instances and a large one failed before and passes now.

--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -66,6 +66,8 @@
   private isClaiming = false
   /** When this instance stops acting although nobody has shut it out; set when another instance claims the role. */
   private actingEndsAt: number | undefined
+  /** The log held no leadership record when it was first read. */
+  private hasNoHolder = false
   private isStopping = false
   private renewedAt = 0
   private renewingSince: number | undefined
@@ -171,7 +173,14 @@
       this.configurationInForce = configuration
       this.logger.info('configuration in force', { revision: configuration.revision, offset: record.offset, count: configuration.queues.length })
     }
-    if (this.configurationInForce !== undefined) this.acting?.setConfiguration(this.configurationInForce)
+    if (this.configurationInForce === undefined) return
+    this.awaitFirstClaim(this.now())
+    this.acting?.setConfiguration(this.configurationInForce)
+  }
+
+  /** The waits before the first claim count from the configuration on, which reaches all instances at once: the largest claims first. */
+  private awaitFirstClaim (now: number): void {
+    if (this.hasNoHolder) this.leadership.onEmpty(now)
   }
 
   private onRegistry (records: readonly StoredRecord[], isSnapshot: boolean): void {
@@ -200,7 +209,8 @@
 
   private onLeadership (records: readonly StoredRecord[], isSnapshot: boolean): void {
     const now = this.now()
-    if (isSnapshot && records.length === 0) this.leadership.onEmpty(now)
+    if (isSnapshot && records.length === 0) this.hasNoHolder = true
+    if (this.configurationInForce !== undefined) this.awaitFirstClaim(now)
     for (const { value, offset } of records) {
       if (value === undefined) continue
       const record = decodeRecord<LeadershipRecord>(value)
--- a/test/cluster/clusterInstance.test.ts
+++ b/test/cluster/clusterInstance.test.ts
@@ -42,7 +42,7 @@
   readonly port = new FakeWorkerPort()
   readonly instances: ClusterInstance[] = []
 
-  async start (name: string): Promise<ClusterInstance> {
+  async start (name: string, processorShare = 1): Promise<ClusterInstance> {
     const instance = new ClusterInstance({
       instance: name,
       failureDomain: 'a',
@@ -50,7 +50,7 @@
       readiness: { host: '127.0.0.1', port: 0 },
       link: { host: '127.0.0.1', port: 0 },
       metrics: { host: '127.0.0.1', port: 0 },
-      processorShare: 1,
+      processorShare,
       bounds: { workerLeaseMilliseconds: 6000, stopMilliseconds: 900, gangWaitMilliseconds: 3000, graceMilliseconds: 6000, stateRetentionMilliseconds: 120_000, farFactor: 2 }
     }, this.log, this.port, new AllEligible(), feeds, new ClusterMetrics(), new Logger(name, 'error', () => {}), new Random(this.instances.length), () => performance.now())
     this.instances.push(instance)
@@ -124,6 +124,16 @@
     assert.equal(site.port.workers.get('w1')?.started.length, 2)
   }))
 
+  /** All instances learn the first configuration at the same time, long after their start. */
+  it('lets the largest instance claim first in a new system', async () => await withSite(async site => {
+    const small = [await site.start('one', 0.25), await site.start('two', 0.25), await site.start('three', 0.25)]
+    const large = await site.start('four', 2)
+    await new Promise(resolve => setTimeout(resolve, 1000))
+    site.publish(5)
+    await until(() => [...small, large].some(instance => instance.isActing()))
+    assert.ok(large.isActing())
+  }))
+
   it('goes on with another scheduler when the acting one ends, and runs nothing twice', async () => await withSite(async site => {
     site.publish(5)
     const worker = site.addWorker('w1', 1500)
