--- a/bench/capacityCluster.ts
+++ b/bench/capacityCluster.ts
@@ -15,7 +15,7 @@
 const FILLED_SHARE = 0.8
 
 const OBSERVER = { onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidIgnoreEnd () {} }
-const QUEUE = { name: 'queue', host: 'host', pathPrefix: '/', pool: 'pool', priority: 1, attempts: 2, stretch: 4, targetMilliseconds: 3000 }
+const QUEUE = { name: 'queue', host: 'host', routePrefix: '/', pool: 'pool', priority: 1, attempts: 2, stretch: 4, targetMilliseconds: 3000 }
 
 function createScheduler (workerCount: number): ClusterScheduler {
   const scheduler = new ClusterScheduler(OBSERVER)
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -172,7 +172,7 @@
       if (!worker.fits(specification, this.headroomFor(step, worker))) continue
       if (specification.maximumPerWorker > 0 && (perWorker.get(worker.identity) ?? 0) >= specification.maximumPerWorker) continue
       const leftOver = (worker.freeProcessors - processorsOf(specification)) / Math.max(1, worker.entry.processorsThousandths)
-      const away = specification.preferredRack !== '' && !worker.entry.labels.includes(specification.preferredRack) ? 1 : 0
+      const away = specification.dataRack !== '' && !worker.entry.labels.includes(specification.dataRack) ? 1 : 0
       const score = leftOver - speedWeight * worker.speed + away
       if (score >= bestScore) continue
       best = worker
--- a/src/contracts/clusterConfiguration.ts
+++ b/src/contracts/clusterConfiguration.ts
@@ -10,7 +10,7 @@
 export interface Queue {
   readonly name: string
   readonly host: string
-  readonly pathPrefix: string
+  readonly routePrefix: string
   /** Name of the worker pool that runs the queue's tasks. */
   readonly pool: string
   /** 0 is the most urgent. */
@@ -43,8 +43,8 @@
 export function findQueue (configuration: ClusterConfiguration, host: string, path: string): Queue | undefined {
   let best: Queue | undefined
   for (const queue of configuration.queues) {
-    if (queue.host !== host || !path.startsWith(queue.pathPrefix)) continue
-    if (best === undefined || queue.pathPrefix.length > best.pathPrefix.length) best = queue
+    if (queue.host !== host || !path.startsWith(queue.routePrefix)) continue
+    if (best === undefined || queue.routePrefix.length > best.routePrefix.length) best = queue
   }
   return best
 }
--- a/src/contracts/stepJob.ts
+++ b/src/contracts/stepJob.ts
@@ -26,7 +26,7 @@
   sameRack: z.boolean().default(false),
   requiredLabel: z.string().default(''),
   /** Rack that holds the data; the tasks run slower elsewhere. */
-  preferredRack: z.string().default(''),
+  dataRack: z.string().default(''),
   /** Most tasks of the step on one worker; 0 means no limit. */
   maximumPerWorker: amount.default(0),
   /** Copies of a task may run in parallel; the first that ends counts. */
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -17,7 +17,7 @@
 
 const CONFIGURATION: ClusterConfiguration = {
   revision: 1,
-  queues: [{ name: 'queue', host: 'host', pathPrefix: '/q/', pool: 'pool', priority: 0, attempts: 3, stretch: 2, targetMilliseconds: 500 }],
+  queues: [{ name: 'queue', host: 'host', routePrefix: '/q/', pool: 'pool', priority: 0, attempts: 3, stretch: 2, targetMilliseconds: 500 }],
   pools: [{ name: 'pool', enforcesCapacity: false }],
   maximumBodyBytes: 100_000
 }
--- a/test/cluster/clusterInstance.test.ts
+++ b/test/cluster/clusterInstance.test.ts
@@ -16,7 +16,7 @@
 
 const CONFIGURATION: ClusterConfiguration = {
   revision: 5,
-  queues: [{ name: 'queue', host: 'host', pathPrefix: '/q/', pool: 'pool', priority: 0, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 1, perWorkerMilliseconds: 0, ticketMilliseconds: 2000 } }],
+  queues: [{ name: 'queue', host: 'host', routePrefix: '/q/', pool: 'pool', priority: 0, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 1, perWorkerMilliseconds: 0, ticketMilliseconds: 2000 } }],
   pools: [{ name: 'pool', enforcesCapacity: false }],
   maximumBodyBytes: 1000
 }
--- a/test/cluster/eligibilityDesk.test.ts
+++ b/test/cluster/eligibilityDesk.test.ts
@@ -5,7 +5,7 @@
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
 import { FakeWorker } from '../fakes/fakeClusterWorkers.js'
 
-const QUEUE = { name: 'queue', host: 'host', pathPrefix: '/q/', pool: 'pool', priority: 1, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 100, perWorkerMilliseconds: 1, ticketMilliseconds: 2500 } }
+const QUEUE = { name: 'queue', host: 'host', routePrefix: '/q/', pool: 'pool', priority: 1, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 100, perWorkerMilliseconds: 1, ticketMilliseconds: 2500 } }
 
 function createScheduler (): ClusterScheduler {
   const scheduler = new ClusterScheduler({ onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidIgnoreEnd () {} })
--- a/test/cluster/placementPass.test.ts
+++ b/test/cluster/placementPass.test.ts
@@ -5,8 +5,8 @@
 import { FakeWorker } from '../fakes/fakeClusterWorkers.js'
 
 const QUEUES = [
-  { name: 'urgent', host: 'host', pathPrefix: '/u/', pool: 'pool', priority: 0, attempts: 2, stretch: 1.5, targetMilliseconds: 250 },
-  { name: 'batch', host: 'host', pathPrefix: '/b/', pool: 'pool', priority: 1, attempts: 2, stretch: 4, targetMilliseconds: 3000 }
+  { name: 'urgent', host: 'host', routePrefix: '/u/', pool: 'pool', priority: 0, attempts: 2, stretch: 1.5, targetMilliseconds: 250 },
+  { name: 'batch', host: 'host', routePrefix: '/b/', pool: 'pool', priority: 1, attempts: 2, stretch: 4, targetMilliseconds: 3000 }
 ]
 
 interface WorkerCase { readonly name: string, readonly room: number, readonly speed: number }
