Write evictions in the scheduler's round; one copy of repeated steps

Cause, found on rereading: the eviction of finished jobs wrote progress beside the round, and both advanced the writer's one sequence number, so that a write in flight could be repeated under another number. Evicted keys now go into the next round's append. The step that applies read submissions, the closing of a session and the drift of a worker's clock stood twice and stand once. A test drops a finished job beside other writes; it is new cover, not a reproduction of the race.

--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -16,13 +16,11 @@
 import { cancelKey, isCancelKey, jobOfCancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
 import { TopicFollower } from './topicFollower.js'
 import type { EndReport, WorkerEntry, WorkerPort, WorkerReport } from './workerPort.js'
-import { WorkerSession } from './workerSession.js'
+import { CLOCK_DRIFT, WorkerSession } from './workerSession.js'
 import type { WorkerState } from './workerState.js'
 
 /** Without contact to the log for this long, leases of workers are no longer renewed, in milliseconds; longer than the outages the log is known for. */
 export const RENEWAL_WITHOUT_LOG_MILLISECONDS = 10_000
-/** Slowest rate of a worker's clock. */
-const SLOWEST_CLOCK = 0.98
 /** Wait of a read of submissions in milliseconds, and least time between two reads. */
 const SUBMISSION_WAIT_MILLISECONDS = 1500
 const SUBMISSION_PERIOD_MILLISECONDS = 12
@@ -61,6 +59,8 @@
   private isOperating = false
   /** Placements of a round whose record has to be written again. */
   private readonly unordered: PlannedRun[] = []
+  /** Finished jobs whose progress is to be dropped from the log. */
+  private readonly evictedKeys: string[] = []
   /** Partition that holds each record of a job that is kept, by key. */
   private readonly partitionOfKey = new Map<string, number>()
   /** Submissions that were read before the progress of their jobs. */
@@ -102,9 +102,7 @@
     for (const entry of entries) this.setWorker(entry)
     const [progress] = await Promise.all([this.readFencedProgress(), ...this.submissions.map(async follower => await this.loadUntilDone(follower))])
     if (this.isDisposed || progress === undefined) return
-    const unprocessed = this.unprocessed ?? []
-    this.unprocessed = undefined
-    for (const { partition, records } of unprocessed) this.applySubmissions(partition, records, progress)
+    this.applyUnprocessed(progress)
     await this.loadMissingJobs(progress)
     if (this.isDisposed) return
     this.isOperating = true
@@ -134,6 +132,10 @@
   /** Takes note that the registry has dropped a worker. */
   removeWorker (identity: string): void {
     this.scheduler.unlistWorker(identity)
+    this.closeSessionOfUnknown(identity)
+  }
+
+  private closeSessionOfUnknown (identity: string): void {
     if (this.scheduler.workers.has(identity)) return
     this.sessions.get(identity)?.dispose()
     this.sessions.delete(identity)
@@ -190,12 +192,16 @@
     while (!this.isDisposed && [...progress].some(isMissing)) {
       this.unprocessed = []
       for (const follower of this.submissions) await this.loadUntilDone(follower)
-      const unprocessed = this.unprocessed
-      this.unprocessed = undefined
-      for (const { partition, records } of unprocessed) this.applySubmissions(partition, records, progress)
+      this.applyUnprocessed(progress)
     }
   }
 
+  private applyUnprocessed (progress: ReadonlyMap<string, ProgressRecord>): void {
+    const unprocessed = this.unprocessed ?? []
+    this.unprocessed = undefined
+    for (const { partition, records } of unprocessed) this.applySubmissions(partition, records, progress)
+  }
+
   /** Progress after writers of former terms were shut out; undefined if the role is lost. */
   private async readFencedProgress (): Promise<Map<string, ProgressRecord> | undefined> {
     const fenced = await this.writer.fence()
@@ -261,7 +267,7 @@
         acknowledgedEnd: () => this.scheduler.workers.get(identity)?.recordedEnd ?? 0,
         needsLooks: () => this.needsLooks(identity)
       },
-      { term: this.options.term, leaseMilliseconds: lease, formerLeasesEndAt: this.startedAt + RENEWAL_WITHOUT_LOG_MILLISECONDS + lease / SLOWEST_CLOCK },
+      { term: this.options.term, leaseMilliseconds: lease, formerLeasesEndAt: this.startedAt + RENEWAL_WITHOUT_LOG_MILLISECONDS + lease / (1 - CLOCK_DRIFT) },
       () => this.now() - this.options.renewedAt() < RENEWAL_WITHOUT_LOG_MILLISECONDS,
       this.now
     )
@@ -299,10 +305,7 @@
     this.logger.info('nothing can run on a worker any more', { worker: identity, count: worker.runs.size })
     this.scheduler.onSilent(identity)
     this.scheduler.onWorkerEnded(identity)
-    if (!this.scheduler.workers.has(identity)) {
-      this.sessions.get(identity)?.dispose()
-      this.sessions.delete(identity)
-    }
+    this.closeSessionOfUnknown(identity)
     this.trigger()
   }
 
@@ -323,7 +326,9 @@
   private evict (): void {
     const evicted = this.scheduler.evictFinishedBefore(this.now() - this.options.bounds.stateRetentionMilliseconds)
     if (evicted.length === 0) return
-    this.writer.write(evicted.map(key => ({ key })))
+    // The round writes these too: the writer takes one write at a time.
+    this.evictedKeys.push(...evicted)
+    this.trigger()
     const dropped = new Map<number, KeyedRecord[]>()
     for (const key of evicted.flatMap(identity => [identity, cancelKey(identity)])) {
       const partition = this.partitionOfKey.get(key)
@@ -368,7 +373,8 @@
     this.sendStops(this.scheduler.takeStops())
     this.desk.pump()
     const jobs = [...this.scheduler.unrecorded]
-    if (jobs.length === 0) {
+    const evicted = this.evictedKeys.splice(0)
+    if (jobs.length === 0 && evicted.length === 0) {
       this.acknowledgeEnds(this.processedEnds())
       return
     }
@@ -376,7 +382,7 @@
     const ends = this.processedEnds()
     const states = jobs.map(job => job.state)
     const records = jobs.map((job): KeyedRecord => ({ key: job.identity, value: encodeRecord(progressOf(job)) }))
-    const outcome = await this.writer.write(records)
+    const outcome = await this.writer.write([...records, ...evicted.map(key => ({ key }))])
     if (this.isDisposed || outcome === 'disposed') return
     if (outcome === 'fenced') {
       this.options.onDeposed()
@@ -386,6 +392,7 @@
       this.logger.error('the log lacks progress that was taken for recorded; all of it is written again', { term: this.options.term, count: this.scheduler.jobs.size })
       for (const job of this.scheduler.jobs.values()) this.scheduler.unrecorded.add(job)
       this.unordered.push(...planned)
+      this.evictedKeys.push(...evicted)
       this.trigger()
       return
     }
--- a/src/cluster/workerSession.ts
+++ b/src/cluster/workerSession.ts
@@ -9,7 +9,7 @@
 /** Pause after a failed look or stop, in milliseconds. */
 const RETRY_PAUSE_MILLISECONDS = 200
 /** Part by which a worker's clock may be slow. */
-const CLOCK_DRIFT = 0.02
+export const CLOCK_DRIFT = 0.02
 /** Added to the latest end of a lease before it counts as certain, in milliseconds. */
 const LAPSE_MARGIN_MILLISECONDS = 150
 
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -220,6 +220,20 @@
     assert.equal(successor.stateOf(JOB), 'completed')
   }))
 
+  it('drops a finished job from the log once its state need not be kept, beside other writes', async () => await withSite(async (site, act) => {
+    site.port.add(new FakeWorker('w1', 2, () => 500))
+    const scheduler = act(1)
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(119_000)
+    assert.equal(scheduler.stateOf(JOB), 'completed')
+    submit(site.log, '00000000000000bb', [step({ count: 40 })])
+    await site.clock.tickAsync(15_000)
+    assert.equal(scheduler.stateOf(JOB), 'unknown')
+    assert.equal(site.log.latestValue(TOPICS.progress, JOB), undefined)
+    assert.equal(site.log.latestValue(TOPICS.submissions, JOB), undefined)
+    assert.equal(scheduler.stateOf('00000000000000bb'), 'completed')
+  }))
+
   it('is deposed by a later term and orders nothing more', async () => await withSite(async (site, act) => {
     const worker = site.port.add(new FakeWorker('w1', 4, () => 1000))
     act(1)
