--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -1,7 +1,7 @@
 import type { ClusterConfiguration, Queue } from '../contracts/clusterConfiguration.js'
 import type { ProgressRecord, SubmissionRecord } from '../contracts/clusterRecords.js'
 import { Job, Occurrence, restoreProgress, type Step, type Task } from './jobBook.js'
-import { estimateObjective } from './objective.js'
+import { estimateObjective, LATE_FACTOR } from './objective.js'
 import { PlacementPass, URGENT_PRIORITY, type PlannedRun } from './placementPass.js'
 import type { EndReport, WorkerEntry, WorkerReport } from './workerPort.js'
 import { UrgentHeadroom } from './urgentHeadroom.js'
@@ -96,7 +96,9 @@
     const queue = this.queueOf(job)
     job.isUrgent = queue?.priority === URGENT_PRIORITY
     const age = Math.min(MAXIMUM_ADOPTED_AGE_MILLISECONDS, Math.max(0, Date.now() - submission.acceptedAt))
-    job.objectiveAt = now - age + (queue === undefined ? 0 : estimateObjective(submission.job, queue))
+    const objective = queue === undefined ? 0 : estimateObjective(submission.job, queue)
+    job.objectiveAt = now - age + objective
+    job.lateUntil = now - age + LATE_FACTOR * objective
     if (!job.isFinal) {
       for (const task of job.tasks()) this.adoptRestoredRun(task)
       this.openDueOccurrences(job, now, Date.now())
--- a/src/cluster/jobBook.ts
+++ b/src/cluster/jobBook.ts
@@ -100,6 +100,8 @@
   recordedState: JobState = 'pending'
   /** Time by which the job should be completed to earn its full benefit, in milliseconds of the monotonic clock. */
   objectiveAt = 0
+  /** Time until which a late completion still earns a part of the benefit, in milliseconds of the monotonic clock. */
+  lateUntil = 0
   /** The job's queue had the most urgent priority when the job arrived. */
   isUrgent = false
   /** When the job reached a final state, in milliseconds of the monotonic clock. */
--- a/src/cluster/objective.ts
+++ b/src/cluster/objective.ts
@@ -4,6 +4,9 @@
 /** Workers that one question about eligibility is taken to name when the chain of work is estimated. */
 const WORKERS_PER_QUESTION = 30
 
+/** A job that is late still earns a part of its benefit up to this many times its objective. */
+export const LATE_FACTOR = 3
+
 /** Longest chain of estimated work of a job's steps, in milliseconds, with one question about eligibility for each step. */
 export function estimateChain (job: StepJob, queue: Pick<Queue, 'eligibility'>): number {
   const question = queue.eligibility === undefined ? 0 : queue.eligibility.decisionMilliseconds + WORKERS_PER_QUESTION * queue.eligibility.perWorkerMilliseconds
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -1,5 +1,5 @@
 import type { Queue } from '../contracts/clusterConfiguration.js'
-import type { Step, Task } from './jobBook.js'
+import type { Job, Step, Task } from './jobBook.js'
 import { FAST_WORKER_SPEED, type UrgentHeadroom } from './urgentHeadroom.js'
 import { processorsOf, type WorkerState } from './workerState.js'
 
@@ -191,15 +191,22 @@
   }
 }
 
-/** Urgent work first; then work that can still be in time, by its objective; then what is late. */
+/** Classes of work in the order in which they are placed. */
+const enum Turn { urgentInTime, urgentLate, inTime, late, overdue }
+
+/**
+ * Sorts steps by their turn, and by objective within one turn. Urgent work that is late comes before all other work while it
+ * is still worth something: it is small and has been waited for. Work that is overdue comes last.
+ */
 export function sortByUrgency (steps: Step[], now: number): void {
-  const rank = new Map<Step, number>()
-  for (const step of steps) {
-    const urgent = step.job.isUrgent ? 0 : 1
-    const late = step.job.objectiveAt < now ? 1 : 0
-    rank.set(step, urgent + 2 * late)
-  }
-  steps.sort((left, right) => (rank.get(left) as number) - (rank.get(right) as number) || left.job.objectiveAt - right.job.objectiveAt || left.index - right.index)
+  const turns = new Map(steps.map(step => [step, turnOf(step.job, now)]))
+  steps.sort((left, right) => (turns.get(left) as Turn) - (turns.get(right) as Turn) || left.job.objectiveAt - right.job.objectiveAt || left.index - right.index)
+}
+
+function turnOf (job: Job, now: number): Turn {
+  if (now > job.lateUntil) return Turn.overdue
+  if (now > job.objectiveAt) return job.isUrgent ? Turn.urgentLate : Turn.late
+  return job.isUrgent ? Turn.urgentInTime : Turn.inTime
 }
 
 function countPerWorker (step: Step): Map<string, number> {
--- a/src/cluster/submissionAppender.ts
+++ b/src/cluster/submissionAppender.ts
@@ -8,8 +8,8 @@
 const RETRY_PAUSE_MILLISECONDS = 80
 /** An append that has no answer after this many times the patience for one copy shows that the log is away. */
 const STALLED_COPIES = 2
-/** Time for which a refusal of the log counts as current, in milliseconds. */
-const REFUSAL_MEMORY_MILLISECONDS = 300
+/** Time for which a refusal of the log counts as current, in milliseconds; a few of its usual answers, so that its return is noticed at once. */
+const REFUSAL_MEMORY_MILLISECONDS = 60
 /** Most records of one append. */
 const MAXIMUM_BATCH_RECORDS = 500
 
--- a/src/programs/vanillaturn.ts
+++ b/src/programs/vanillaturn.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod'
 import { EVENT_KINDS } from '../contracts/events.js'
 import { OperatorClient, type InstanceAnswer, type PublishResult } from '../operator/operatorClient.js'
+import { explainHistory, formatHistory, parseLog, selectHistory } from '../operator/jobHistory.js'
 import { assessStatus, formatStatus } from '../operator/statusReport.js'
 import { checkOrder, filterEvents, formatTimeLine, mergeEvents, parseEvents, renderTimeLinePage } from '../operator/timeLine.js'
 import { checkOptions, EXIT_FAILURE, readSettings, readSiteText, readText, runCommandLine, textOption, UsageError, wholeNumberOption, writeLine, writeText } from './commandLine.js'
@@ -27,6 +28,7 @@
   }),
   show: z.object({ ...settingsOption, revision: wholeNumberOption('a revision').optional() }),
   plain: z.object(settingsOption),
+  explain: z.object({ ...settingsOption, lines: z.boolean().optional() }),
   timeline: z.object({
     job: textOption.optional(),
     request: textOption.optional(),
@@ -76,6 +78,24 @@
   return best === undefined ? [] : [String(best.explanation)]
 }
 
+async function explainFromInstances (client: OperatorClient, subject: string): Promise<void> {
+  const answers = await client.askAll(`/operator/explain/${encodeURIComponent(subject)}`)
+  const explanations = chooseExplanations(answers)
+  for (const line of explanations) writeLine(line)
+  if (explanations.length > 0) return
+  const silent = answers.filter(answer => answer.status !== 404)
+  const unanswered = silent.map(answer => `\n${answer.address}: ${answer.reason ?? (answer.status === 401 ? 'the operator token is refused' : `status ${answer.status}`)}`)
+  throw new Error(`no entry instance that answered knows '${subject}'${unanswered.join('')}`)
+}
+
+function explainFromLogs (job: string, files: readonly string[], showLines: boolean): void {
+  const log = parseLog(files.flatMap(file => readText(file).split('\n')))
+  const explanation = explainHistory(log, job)
+  if (explanation === undefined) throw new Error(`no line of the ${log.length} read is about '${job}'`)
+  if (showLines) writeLine(formatHistory(selectHistory(log, job)))
+  for (const sentence of explanation) writeLine(sentence)
+}
+
 const program = cac('vanillaturn')
 program.option('--settings <file>', 'Settings of the operators\' tool (JSON with comments)', { default: DEFAULT_SETTINGS_FILE })
 
@@ -135,18 +155,15 @@
   })
 })
 
-program.command('explain <subject>', 'Say what happened to a job or request, and why it waits or was refused').action(async (subject: string, given: Record<string, unknown>) => {
-  const options = checkOptions(given, commandOptions.plain)
-  await withClient(options.settings, async client => {
-    const answers = await client.askAll(`/operator/explain/${encodeURIComponent(subject)}`)
-    const explanations = chooseExplanations(answers)
-    for (const line of explanations) writeLine(line)
-    if (explanations.length > 0) return
-    const silent = answers.filter(answer => answer.status !== 404)
-    const unanswered = silent.map(answer => `\n${answer.address}: ${answer.reason ?? (answer.status === 401 ? 'the operator token is refused' : `status ${answer.status}`)}`)
-    throw new Error(`no entry instance that answered knows '${subject}'${unanswered.join('')}`)
+program
+  .command('explain <subject> [...files]', 'Say what happened to a job or request, and why it waits or was refused; given the logs of all instances, of a job on a platform')
+  .example('vanillaturn explain 7d866a70a320b8d2 instance-*.log')
+  .option('--lines', 'Show the lines of the logs, too')
+  .action(async (subject: string, files: string[], given: Record<string, unknown>) => {
+    const options = checkOptions(given, commandOptions.explain)
+    if (files.length > 0) explainFromLogs(subject, files, options.lines === true)
+    else await withClient(options.settings, async client => await explainFromInstances(client, subject))
   })
-})
 
 program
   .command('timeline <...files>', 'Merge the event logs of all processes in causal order')
--- a/test/cluster/placementPass.test.ts
+++ b/test/cluster/placementPass.test.ts
@@ -53,6 +53,21 @@
     })
   }
 
+  /** After an outage urgent work is late: it is placed before other work as long as it is worth something. Room for one task. */
+  const LATE: ReadonlyArray<{ readonly name: string, readonly now: number, readonly first: 'urgent' | 'batch' }> = [
+    { name: 'in time before batch work', now: 0, first: 'urgent' },
+    { name: 'late before batch work in time', now: 3000, first: 'urgent' },
+    { name: 'that has become worthless after batch work', now: 6000, first: 'batch' }
+  ]
+  for (const { name, now, first } of LATE) {
+    it(`places urgent work ${name}`, () => {
+      const scheduler = createSite([{ name: 'only', room: 1, speed: 1 }])
+      add(scheduler, 'batch', {})
+      add(scheduler, 'urgent', {})
+      assert.deepEqual(scheduler.place(now).map(run => run.task.step.job.submission.queue), [first])
+    })
+  }
+
   /** A burst of urgent work finds room on the fast workers although batch work fills the site. */
   it('keeps room on fast workers for as much urgent work as is usual', () => {
     const scheduler = createSite([{ name: 'fast', room: 10, speed: 1.5 }])
--- /dev/null
+++ b/test/operator/jobHistory.test.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { explainHistory, formatHistory, parseLog, selectHistory } from '../../src/operator/jobHistory.js'
+
+const START = Date.parse('2026-05-04T13:00:00.000Z')
+
+function line (milliseconds: number, message: string, fields: object = {}, process = 'entry-1'): string {
+  return JSON.stringify({ type: 'log', time: new Date(START + milliseconds).toISOString(), level: 'info', process, message, ...fields })
+}
+
+const ACCEPTED = line(0, 'job accepted', { job: 'aa', durationMilliseconds: 12 })
+const ORDERED = { task: 'aa.0.0.0', worker: 'w1', count: 1 }
+
+describe('explainHistory', () => {
+  const CASES: ReadonlyArray<{ readonly name: string, readonly lines: readonly string[], readonly sentences: readonly string[] }> = [
+    {
+      name: 'a job that was refused everywhere',
+      lines: [line(0, 'job refused', { job: 'aa', reason: 'the log is away' }), line(1000, 'job refused', { job: 'aa', reason: 'the log did not take the job' }, 'entry-2')],
+      sentences: ['refused by entry-1: the log is away; nothing was stored', 'refused by entry-2: the log did not take the job; nothing was stored', 'never accepted: the job did not run', 'no end is logged']
+    },
+    {
+      name: 'a job that waited while the log was away',
+      lines: [
+        ACCEPTED,
+        line(100, 'the log cannot be read', {}, 'entry-1'),
+        line(110, 'the log cannot be read', {}, 'entry-2'),
+        line(2000, 'the log can be read again', {}, 'entry-2'),
+        line(2100, 'run ordered', ORDERED, 'entry-2'),
+        line(2600, 'run ended', { ...ORDERED, code: 'done', durationMilliseconds: 500 }, 'entry-2'),
+        line(2610, 'job finished', { job: 'aa', code: 'completed', durationMilliseconds: 2600, objectiveMilliseconds: 900 }, 'entry-2')
+      ],
+      sentences: [
+        'accepted by entry-1, stored in 12 ms',
+        "waited 2.100 s after 'job accepted' for 'run ordered'; meanwhile the log cannot be read (2), the log can be read again (entry-2)",
+        'completed after 2600 ms, late (objective 900 ms)'
+      ]
+    },
+    {
+      name: 'a run of unknown start that was repeated',
+      lines: [
+        ACCEPTED,
+        line(20, 'run ordered', ORDERED),
+        line(420, 'start was not confirmed', { ...ORDERED, code: 'unknown', reason: 'timed out' }),
+        line(900, 'run ended', { ...ORDERED, code: 'stopped', durationMilliseconds: 880 }),
+        line(950, 'run ordered', { ...ORDERED, worker: 'w2', count: 2 }),
+        line(1400, 'run ended', { ...ORDERED, worker: 'w2', count: 2, code: 'done', durationMilliseconds: 450 }),
+        line(1401, 'job finished', { job: 'aa', code: 'completed', durationMilliseconds: 1401, objectiveMilliseconds: 2000 })
+      ],
+      sentences: [
+        'accepted by entry-1, stored in 12 ms',
+        'run 1 of aa.0.0.0 ended stopped on w1',
+        'the start of run 1 of aa.0.0.0 on w1 was not confirmed: unknown, timed out',
+        'completed after 1401 ms, in time (objective 2000 ms)'
+      ]
+    },
+    {
+      name: 'a job that waited for room',
+      lines: [ACCEPTED, line(10, 'eligible workers are known', { task: 'aa.0.0' }), line(900, 'eligible workers are known', { task: 'aa.0.0' }), line(1500, 'run ordered', ORDERED)],
+      sentences: [
+        'accepted by entry-1, stored in 12 ms',
+        "waited 1.490 s after 'eligible workers are known' for 'run ordered'; no change of scheduler, log or its workers meanwhile, so it waited for its turn",
+        'no end is logged'
+      ]
+    }
+  ]
+  for (const { name, lines, sentences } of CASES) {
+    it(`explains ${name}`, () => {
+      assert.deepEqual(explainHistory(parseLog(lines), 'aa'), sentences)
+    })
+  }
+
+  it('knows nothing of a job that no line is about', () => {
+    assert.equal(explainHistory(parseLog([ACCEPTED]), 'bb'), undefined)
+  })
+})
+
+describe('selectHistory', () => {
+  it('keeps lines of the job, of its workers and of the role during its life', () => {
+    const log = parseLog([
+      line(-5, 'acting as scheduler'),
+      `   12.5 entry-1 ${ACCEPTED}`,
+      'no log line',
+      line(10, 'run ordered', ORDERED),
+      line(11, 'run ordered', { task: 'aab.0.0.0', worker: 'w1', count: 1 }),
+      line(20, 'worker does not answer', { worker: 'w2' }),
+      line(30, 'worker does not answer', { worker: 'w1' }),
+      line(40, 'no longer acting as scheduler'),
+      line(50, 'run ended', { ...ORDERED, code: 'lapsed' })
+    ])
+    assert.deepEqual(selectHistory(log, 'aa').map(({ message, worker }) => [message, worker]), [
+      ['job accepted', undefined], ['run ordered', 'w1'], ['worker does not answer', 'w1'], ['no longer acting as scheduler', undefined], ['run ended', 'w1']
+    ])
+  })
+
+  it('shows lines with the time since the first', () => {
+    const history = selectHistory(parseLog([ACCEPTED, line(1250, 'run ordered', ORDERED)]), 'aa')
+    assert.equal(formatHistory(history), '    0.000  entry-1  job accepted  job=aa durationMilliseconds=12\n    1.250  entry-1  run ordered  task=aa.0.0.0 worker=w1 count=1')
+  })
+})
