Split links between instances from the instance; hear the holder's first message

The holder of the role greets each link when it opens. Where the greeting came in one piece with the answer to the handshake, it was read before the opener listened, and lost: an instance then noticed a restarted holder only by its silence. The socket of an opened link now rests until its opener listens.

A link to a holder that has resigned is kept, as before; a test says so.

--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -1,22 +1,19 @@
 import { randomUUID } from 'node:crypto'
-import { delay } from '../base/delay.js'
 import { DisposableObject, toDisposable } from '../base/disposable.js'
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
 import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
-import type { ClusterMessage } from '../contracts/clusterMessages.js'
 import { decodeRecord, encodeRecord, type LeadershipRecord } from '../contracts/clusterRecords.js'
 import type { ClusterSettings } from '../contracts/clusterSettings.js'
-import { ClusterLink, ClusterLinkServer, openClusterLink } from '../links/clusterLink.js'
 import { ActingScheduler, type StateAnswer } from './actingScheduler.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
-import type { EligibilityLine } from './eligibilityDesk.js'
+import { InstanceLinks } from './instanceLinks.js'
 import { JobFront, type SchedulerQuestions } from './jobFront.js'
 import { Leadership, RENEWAL_PERIOD_MILLISECONDS } from './leadership.js'
-import { PeerSet, type Peer } from './peerSet.js'
+import type { Peer } from './peerSet.js'
 import { TOPICS, type RecordLog, type StoredRecord } from './recordLog.js'
 import { TopicFollower } from './topicFollower.js'
-import type { EligibilityOutcome, EligibilityPort, WorkerEntry, WorkerPort } from './workerPort.js'
+import type { EligibilityPort, WorkerEntry, WorkerPort } from './workerPort.js'
 
 /** Key of the one record in the leadership topic. */
 const LEADERSHIP_KEY = 'scheduler'
@@ -30,16 +27,12 @@
 const OVERLAP_MILLISECONDS = 3000
 /** Period in which the role is watched, in milliseconds. */
 const WATCH_PERIOD_MILLISECONDS = 50
-/** Pause before a link that could not be opened is tried again, in milliseconds. */
-const LINK_RETRY_MILLISECONDS = 150
 /** Processor share in cores times rank: an instance with the whole of a core has this rank. */
 const RANK_OF_ONE_CORE = 4
 /** A peer with this many times the processor share of the acting scheduler's instance takes the role over. */
 const HANDOVER_FACTOR = 2
 /** Least time in which an instance acts before it hands the role over, and between two tries, in milliseconds; many times what a takeover costs. */
 const HANDOVER_PAUSE_MILLISECONDS = 5000
-/** Time added to a question to another instance for the way there and back, in milliseconds. */
-const LINK_SLACK_MILLISECONDS = 50
 /** Without a read of the log for this long, an instance reports itself as not ready, in milliseconds. */
 const UNREADY_WITHOUT_LOG_MILLISECONDS = FOLLOW_WAIT_MILLISECONDS + 1000
 
@@ -62,12 +55,9 @@
   private readonly configurationFollower: TopicFollower
   private readonly registryFollower: TopicFollower
   private readonly workerEntries = new Map<string, WorkerEntry>()
-  private readonly linkServer: ClusterLinkServer
-  private readonly peers: PeerSet
+  private readonly links: InstanceLinks
   private configurationInForce: ClusterConfiguration | undefined
   private acting: ActingScheduler | undefined
-  private schedulerLink: { readonly incarnation: string, readonly link: ClusterLink } | undefined
-  private isConnecting = false
   private isClaiming = false
   /** When this instance stops acting although nobody has shut it out; set when another instance claims the role. */
   private actingEndsAt: number | undefined
@@ -84,7 +74,7 @@
     private readonly settings: ClusterSettings,
     private readonly log: RecordLog,
     private readonly workers: WorkerPort,
-    private readonly eligibility: EligibilityPort,
+    eligibility: EligibilityPort,
     private readonly feeds: ClusterFeeds,
     private readonly metrics: ClusterMetrics,
     private readonly logger: Logger,
@@ -94,17 +84,17 @@
     super()
     this.linkAddress = `${settings.link.host}:${settings.link.port}`
     this.leadership = new Leadership(settings.instance, this.incarnation, Math.round(RANK_OF_ONE_CORE / settings.processorShare), random.fraction())
-    this.peers = new PeerSet(random)
     this.front = this.register(new JobFront(log, this, logger, random, now))
-    this.linkServer = this.register(new ClusterLinkServer(logger, now))
-    this.register(this.linkServer.onDidOpen(link => this.onLinkOpened(link)))
+    this.links = this.register(new InstanceLinks({ instance: settings.instance, incarnation: this.incarnation, processorShare: settings.processorShare }, eligibility, {
+      stateOf: job => this.acting?.stateOf(job),
+      waitingOf: queue => this.acting?.waitingOf(queue),
+      onRoleOffer: incarnation => this.onRoleOffer(incarnation),
+      onHolderEnded: incarnation => this.leadership.onHolderEnded(incarnation, this.now())
+    }, logger, random, now))
     this.leadershipFollower = this.follower(TOPICS.leadership, () => 0, (records, isSnapshot) => this.onLeadership(records, isSnapshot))
     this.configurationFollower = this.follower(feeds.configurationTopic, () => 0, records => this.onConfiguration(records))
     this.registryFollower = this.follower(feeds.workerTopic, () => this.acting === undefined ? REGISTRY_PERIOD_MILLISECONDS.other : REGISTRY_PERIOD_MILLISECONDS.acting, (records, isSnapshot) => this.onRegistry(records, isSnapshot))
-    this.register(toDisposable(() => {
-      this.acting?.dispose()
-      this.schedulerLink?.link.dispose()
-    }))
+    this.register(toDisposable(() => this.acting?.dispose()))
     metrics.addGauge('acting', '1 while this instance acts as the scheduler', () => this.acting === undefined ? 0 : 1)
     metrics.addGauge('term', 'Term of the acting scheduler as this instance knows it', () => this.leadership.current?.term ?? 0)
     metrics.addGauge('configuration_revision', 'Revision of the configuration in force here', () => this.configurationInForce?.revision ?? 0)
@@ -115,7 +105,7 @@
 
   /** Starts listening for links and following the log. */
   async start (): Promise<void> {
-    const port = await this.linkServer.listen(this.settings.link)
+    const port = await this.links.listen(this.settings.link)
     this.linkAddress = `${this.settings.link.host}:${port}`
     this.leadershipFollower.follow()
     this.configurationFollower.follow()
@@ -146,18 +136,18 @@
    */
   async prepareStop (): Promise<void> {
     this.isStopping = true
-    await this.resign(this.peers.pickSuccessor())
+    await this.resign(this.links.pickSuccessor())
   }
 
   async stateOf (job: string, timeoutMilliseconds: number): Promise<StateAnswer | undefined> {
     if (this.acting !== undefined) return this.acting.stateOf(job)
-    const reply = await this.schedulerLink?.link.ask({ type: 'stateQuestion', job }, timeoutMilliseconds)
+    const reply = await this.links.askHolder({ type: 'stateQuestion', job }, timeoutMilliseconds)
     return reply?.type === 'stateReply' ? reply.state as StateAnswer : undefined
   }
 
   async waitingOf (queue: string, timeoutMilliseconds: number): Promise<number | undefined> {
     if (this.acting !== undefined) return this.acting.waitingOf(queue)
-    const reply = await this.schedulerLink?.link.ask({ type: 'waitingQuestion', queue }, timeoutMilliseconds)
+    const reply = await this.links.askHolder({ type: 'waitingQuestion', queue }, timeoutMilliseconds)
     return reply?.type === 'waitingReply' && reply.waiting >= 0 ? reply.waiting : undefined
   }
 
@@ -232,86 +222,7 @@
     // Until the successor shuts this instance out, it goes on placing: taking over takes some appends.
     if (current?.incarnation !== this.incarnation) this.actingEndsAt ??= this.now() + OVERLAP_MILLISECONDS
     else if (this.acting === undefined && !this.isStopping && this.leadership.isHeldHere) this.act()
-    if (this.schedulerLink !== undefined && this.schedulerLink.incarnation !== current?.incarnation) {
-      this.schedulerLink.link.dispose()
-      this.schedulerLink = undefined
-    }
-    if (current !== undefined && !current.resigned && !this.leadership.isHeldHere) this.connect(current)
-  }
-
-  private async connect (holder: LeadershipRecord): Promise<void> {
-    if (this.schedulerLink !== undefined || this.isConnecting) return
-    this.isConnecting = true
-    const link = await openClusterLink(holder.address, this.logger, this.now)
-    this.isConnecting = false
-    if (!(link instanceof ClusterLink)) {
-      if (link === 'refused') this.leadership.onHolderEnded(holder.incarnation, this.now())
-      await delay(LINK_RETRY_MILLISECONDS)
-      if (!this.isDisposed) this.followRole()
-      return
-    }
-    if (this.isDisposed || this.leadership.current?.incarnation !== holder.incarnation) {
-      link.dispose()
-      if (!this.isDisposed) this.followRole()
-      return
-    }
-    this.schedulerLink = { incarnation: holder.incarnation, link }
-    this.sayHello(link)
-    link.onDidReceive(message => {
-      if (message.type === 'roleOffer') this.onRoleOffer(message.incarnation)
-      else if (message.type !== 'hello') this.onQuestion(link, message)
-      else if (message.incarnation !== holder.incarnation) this.leadership.onHolderEnded(holder.incarnation, this.now())
-    })
-    link.onDidClose(() => {
-      if (this.schedulerLink?.link === link) this.schedulerLink = undefined
-      if (!this.isDisposed) this.followRole()
-    })
-  }
-
-  private onLinkOpened (link: ClusterLink): void {
-    let instance: string | undefined
-    this.sayHello(link)
-    link.onDidReceive(message => {
-      if (message.type === 'hello') {
-        instance = message.instance
-        this.peers.add({ instance, link, processorShare: message.processorShare })
-      } else this.onQuestion(link, message)
-    })
-    link.onDidClose(() => {
-      if (instance !== undefined) this.peers.remove(instance, link)
-    })
-  }
-
-  private sayHello (link: ClusterLink): void {
-    link.send({ type: 'hello', instance: this.settings.instance, incarnation: this.incarnation, processorShare: this.settings.processorShare })
-  }
-
-  private async onQuestion (link: ClusterLink, message: ClusterMessage): Promise<void> {
-    switch (message.type) {
-      case 'stateQuestion':
-        link.send({ type: 'stateReply', id: message.id, state: this.acting?.stateOf(message.job) ?? 'unsure' })
-        return
-      case 'waitingQuestion':
-        link.send({ type: 'waitingReply', id: message.id, waiting: this.acting?.waitingOf(message.queue) ?? -1 })
-        return
-      case 'eligibilityQuestion': {
-        const outcome = await this.eligibility.ask(message.step, message.workers, message.timeoutMilliseconds)
-        link.send({
-          type: 'eligibilityReply',
-          id: message.id,
-          reason: outcome.kind === 'failed' ? outcome.reason : '',
-          workers: outcome.kind === 'failed' ? [] : outcome.workers.map(({ worker, ticket }) => [worker, ticket]),
-          validMilliseconds: outcome.kind === 'failed' ? 0 : outcome.validMilliseconds
-        })
-      }
-    }
-  }
-
-  /** Lines to the eligibility service: this instance's own and those of all linked instances. */
-  private eligibilityLines (): EligibilityLine[] {
-    const own: EligibilityLine = { instance: this.settings.instance, ask: async (step, workers, timeout) => await this.eligibility.ask(step, workers, timeout) }
-    const others = [...this.peers].map(({ instance, link }): EligibilityLine => ({ instance, ask: async (step, workers, timeout) => await askOverLink(link, step, workers, timeout) }))
-    return [own, ...others]
+    this.links.linkTo(this.leadership.isHeldHere ? undefined : current)
   }
 
   private watchRole (): void {
@@ -363,7 +274,7 @@
   /** An instance that is too small for the role hands it over to a much larger one. */
   private handOverIfSmall (): void {
     if (this.acting === undefined || !this.leadership.isHeldHere || this.isStopping || this.now() < this.handOverNotBefore) return
-    const successor = this.peers.pickSuccessor()
+    const successor = this.links.pickSuccessor()
     if (successor === undefined || successor.processorShare < HANDOVER_FACTOR * this.settings.processorShare) return
     this.handOverNotBefore = this.now() + HANDOVER_PAUSE_MILLISECONDS
     this.resign(successor)
@@ -371,7 +282,7 @@
 
   /** Asks another instance to claim the role, because this one cannot write to the log. It may be able to. */
   private offerRole (): void {
-    const peer = this.peers.pickSuccessor()
+    const peer = this.links.pickSuccessor()
     if (!this.leadership.isHeldHere || this.isStopping || peer === undefined) return
     this.logger.warn('the role of scheduler cannot be renewed; another instance is asked to claim it', { peer: peer.instance, term: this.leadership.current?.term })
     peer.link.send({ type: 'roleOffer', incarnation: this.incarnation })
@@ -395,7 +306,7 @@
       term,
       bounds: this.settings.bounds,
       renewedAt: () => this.renewedAt,
-      lines: () => this.eligibilityLines(),
+      lines: () => this.links.eligibilityLines(),
       onDeposed: () => this.onDeposed(acting)
     }, this.metrics, this.logger, this.random, this.now)
     this.acting = acting
@@ -418,10 +329,3 @@
     this.logger.info('no longer acting as scheduler', { term: this.leadership.current?.term, reason })
   }
 }
-
-async function askOverLink (link: ClusterLink, step: string, workers: readonly string[], timeoutMilliseconds: number): Promise<EligibilityOutcome> {
-  const reply = await link.ask({ type: 'eligibilityQuestion', step, workers, timeoutMilliseconds }, timeoutMilliseconds + LINK_SLACK_MILLISECONDS)
-  if (reply?.type !== 'eligibilityReply') return { kind: 'failed', reason: 'the instance did not answer' }
-  if (reply.reason !== '') return { kind: 'failed', reason: reply.reason }
-  return { kind: 'eligible', workers: reply.workers.map(([worker, ticket]) => ({ worker, ticket })), validMilliseconds: reply.validMilliseconds }
-}
--- a/src/links/clusterLink.ts
+++ b/src/links/clusterLink.ts
@@ -141,6 +141,9 @@
     socket.once('error', onError)
     socket.once('open', () => {
       socket.off('error', onError)
+      // The peer's first message may have come with the answer to the handshake; it waits until the opener listens.
+      socket.pause()
+      setImmediate(() => socket.resume())
       resolve(new ClusterLink(socket, logger, now))
     })
   })
--- /dev/null
+++ b/test/cluster/instanceLinks.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { Logger } from '../../src/base/logger.js'
+import { Random } from '../../src/base/random.js'
+import { InstanceLinks } from '../../src/cluster/instanceLinks.js'
+import { EligibilityPort, type EligibilityOutcome } from '../../src/cluster/workerPort.js'
+import type { LeadershipRecord } from '../../src/contracts/clusterRecords.js'
+
+/** Longest wait for an answer that must come, in milliseconds. */
+const ANSWER_MILLISECONDS = 10_000
+
+class NobodyEligible extends EligibilityPort {
+  override async ask (): Promise<EligibilityOutcome> {
+    return { kind: 'eligible', workers: [], validMilliseconds: 1 }
+  }
+}
+
+function createLinks (instance: string, ended: string[] = []): InstanceLinks {
+  return new InstanceLinks({ instance, incarnation: `${instance}-1`, processorShare: 1 }, new NobodyEligible(), {
+    stateOf: job => `${job} at ${instance}`,
+    waitingOf: () => 3,
+    onRoleOffer: () => {},
+    onHolderEnded: incarnation => ended.push(incarnation)
+  }, new Logger(instance, 'error', () => {}), new Random(1), () => performance.now())
+}
+
+async function askUntilAnswered (links: InstanceLinks): Promise<string | undefined> {
+  const endsAt = performance.now() + ANSWER_MILLISECONDS
+  while (performance.now() < endsAt) {
+    const reply = await links.askHolder({ type: 'stateQuestion', job: 'aa' }, 1000)
+    if (reply?.type === 'stateReply') return reply.state
+    await new Promise(resolve => setTimeout(resolve, 5))
+  }
+  return undefined
+}
+
+async function withPair (body: (holder: InstanceLinks, record: LeadershipRecord, other: InstanceLinks, ended: string[]) => Promise<void>): Promise<void> {
+  const ended: string[] = []
+  const holder = createLinks('holder')
+  const other = createLinks('other', ended)
+  try {
+    const port = await holder.listen({ host: '127.0.0.1', port: 0 })
+    await body(holder, { term: 1, instance: 'holder', incarnation: 'holder-1', address: `127.0.0.1:${port}`, resigned: false }, other, ended)
+  } finally {
+    other.dispose()
+    holder.dispose()
+  }
+}
+
+describe('InstanceLinks', () => {
+  it('keeps the link to a holder that has resigned, and drops it for the next', async () => await withPair(async (_holder, record, other) => {
+    other.linkTo(record)
+    assert.equal(await askUntilAnswered(other), 'aa at holder')
+    other.linkTo({ ...record, resigned: true })
+    assert.equal(await askUntilAnswered(other), 'aa at holder')
+    other.linkTo(undefined)
+    assert.equal(await other.askHolder({ type: 'stateQuestion', job: 'aa' }, 1000), undefined)
+  }))
+
+  it('offers the lines of linked instances beside its own', async () => await withPair(async (holder, record, other) => {
+    other.linkTo(record)
+    await askUntilAnswered(other)
+    assert.deepEqual(holder.eligibilityLines().map(line => line.instance), ['holder', 'other'])
+    assert.equal(holder.pickSuccessor()?.instance, 'other')
+  }))
+
+  it('tells when another process answers at the address of the holder', async () => await withPair(async (_holder, record, other, ended) => {
+    other.linkTo({ ...record, incarnation: 'holder-0' })
+    const endsAt = performance.now() + ANSWER_MILLISECONDS
+    while (ended.length === 0 && performance.now() < endsAt) await new Promise(resolve => setTimeout(resolve, 5))
+    assert.deepEqual(ended, ['holder-0'])
+  }))
+})
