--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -15,12 +15,11 @@
 import { TOPICS, type KeyedRecord, type RecordLog, type StoredRecord } from './recordLog.js'
 import { cancelKey, isCancelKey, jobOfCancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
 import { TopicFollower } from './topicFollower.js'
-import type { EndReport, WorkerEntry, WorkerPort, WorkerReport } from './workerPort.js'
-import { CLOCK_DRIFT, WorkerSession } from './workerSession.js'
+import type { EndReport, WorkerEntry, WorkerPort } from './workerPort.js'
+import type { WorkerSession } from './workerSession.js'
+import { WorkerSessions } from './workerSessions.js'
 import type { WorkerState } from './workerState.js'
 
-/** Without contact to the log for this long, leases of workers are no longer renewed, in milliseconds; longer than the outages the log is known for. */
-export const RENEWAL_WITHOUT_LOG_MILLISECONDS = 10_000
 /** Wait of a read of submissions in milliseconds, and least time between two reads. */
 const SUBMISSION_WAIT_MILLISECONDS = 1500
 const SUBMISSION_PERIOD_MILLISECONDS = 12
@@ -53,7 +52,7 @@
   private readonly writer: ProgressWriter
   private readonly desk: EligibilityDesk
   private readonly submissions: TopicFollower[]
-  private readonly sessions = new Map<string, WorkerSession>()
+  private readonly sessions: WorkerSessions
   private readonly abort = new AbortController()
   private readonly startedAt: number
   private wake: (() => void) | undefined
@@ -70,7 +69,7 @@
 
   constructor (
     private readonly log: RecordLog,
-    private readonly workers: WorkerPort,
+    workers: WorkerPort,
     private readonly options: ActingSchedulerOptions,
     private readonly metrics: ClusterMetrics,
     private readonly logger: Logger,
@@ -81,6 +80,13 @@
     this.startedAt = now()
     this.scheduler = new ClusterScheduler(this)
     this.writer = this.register(new ProgressWriter(log, options.term, reason => logger.warn('progress could not be recorded; the append is repeated', { term: options.term, reason }), now))
+    this.sessions = this.register(new WorkerSessions(this.scheduler, workers, {
+      term: options.term,
+      leaseMilliseconds: options.bounds.workerLeaseMilliseconds,
+      renewedAt: options.renewedAt,
+      onDidChange: () => this.trigger(),
+      onDeposed: options.onDeposed
+    }, metrics, logger, now))
     this.desk = new EligibilityDesk(this.scheduler, options.lines, answer => this.onEligibilityAnswer(answer), now)
     this.submissions = Array.from({ length: SUBMISSION_PARTITIONS }, (_, partition) => this.register(new TopicFollower(
       log,
@@ -93,7 +99,6 @@
     )))
     this.register(toDisposable(() => {
       this.abort.abort()
-      for (const session of this.sessions.values()) session.dispose()
       this.wake?.()
     }))
   }
@@ -109,7 +114,7 @@
     if (this.isDisposed) return
     this.isOperating = true
     for (const follower of this.submissions) follower.follow()
-    for (const worker of this.scheduler.workers.values()) this.openSession(worker)
+    for (const worker of this.scheduler.workers.values()) this.sessions.open(worker)
     this.registerInterval(() => this.onTick(), TICK_MILLISECONDS)
     this.registerInterval(() => this.evict(), EVICTION_PERIOD_MILLISECONDS)
     this.logger.info('acting as scheduler', { term: this.options.term, count: this.scheduler.jobs.size, durationMilliseconds: Math.round(this.now() - this.startedAt) })
@@ -127,20 +132,14 @@
   setWorker (entry: WorkerEntry): void {
     const worker = this.scheduler.upsertWorker(entry)
     this.sessions.get(entry.identity)?.setAddress(entry.address)
-    if (this.isOperating) this.openSession(worker)
+    if (this.isOperating) this.sessions.open(worker)
     this.trigger()
   }
 
   /** Takes note that the registry has dropped a worker. */
   removeWorker (identity: string): void {
     this.scheduler.unlistWorker(identity)
-    this.closeSessionOfUnknown(identity)
-  }
-
-  private closeSessionOfUnknown (identity: string): void {
-    if (this.scheduler.workers.has(identity)) return
-    this.sessions.get(identity)?.dispose()
-    this.sessions.delete(identity)
+    this.sessions.closeIfUnknown(identity)
   }
 
   /** State of a job for callers. */
@@ -253,76 +252,6 @@
     this.scheduler.cancelJob(job, now)
   }
 
-  private openSession (worker: WorkerState): void {
-    if (this.sessions.has(worker.identity)) return
-    const identity = worker.identity
-    const lease = this.options.bounds.workerLeaseMilliseconds
-    const session = new WorkerSession(
-      { identity, address: worker.entry.address },
-      this.workers,
-      {
-        onReport: (report, sentAt, acknowledgedEnd) => this.onReport(identity, report, sentAt, acknowledgedEnd),
-        onSilent: reason => this.onSilent(identity, reason),
-        onEnded: () => this.onWorkerEnded(identity),
-        onFenced: () => this.onFenced(identity),
-        onStopConfirmed: (task, run) => this.scheduler.onStopConfirmed(identity, task, run, this.now()),
-        awaitsRecord: () => this.awaitsRecord(identity),
-        acknowledgedEnd: () => this.scheduler.workers.get(identity)?.endToAcknowledge ?? 0,
-        needsLooks: () => this.needsLooks(identity)
-      },
-      { term: this.options.term, leaseMilliseconds: lease, formerLeasesEndAt: this.startedAt + RENEWAL_WITHOUT_LOG_MILLISECONDS + lease / (1 - CLOCK_DRIFT) },
-      () => this.now() - this.options.renewedAt() < RENEWAL_WITHOUT_LOG_MILLISECONDS,
-      this.now
-    )
-    this.sessions.set(identity, session)
-    session.open()
-  }
-
-  private needsLooks (identity: string): boolean {
-    const worker = this.scheduler.workers.get(identity)
-    if (worker === undefined) return false
-    return worker.runs.size > 0 || worker.processedEnd > worker.recordedEnd || worker.endToAcknowledge > 0 || worker.hasStrayRuns || (worker.isSilent && worker.isListed)
-  }
-
-  private awaitsRecord (identity: string): boolean {
-    const worker = this.scheduler.workers.get(identity)
-    return worker !== undefined && worker.processedEnd > worker.recordedEnd
-  }
-
-  private onReport (identity: string, report: WorkerReport, sentAt: number, acknowledgedEnd: number): void {
-    const worker = this.scheduler.workers.get(identity)
-    if (worker === undefined) return
-    if (worker.isSilent) this.logger.info('worker answers again', { worker: identity })
-    this.metrics.look('report')
-    if (report.bornAt === worker.bornAt) worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, acknowledgedEnd)
-    this.scheduler.onReport(identity, report, sentAt, this.now())
-    this.trigger()
-  }
-
-  private onSilent (identity: string, reason: string): void {
-    this.metrics.look('failed')
-    const worker = this.scheduler.workers.get(identity)
-    if (worker === undefined) return
-    if (!worker.isSilent) this.logger.warn('worker does not answer', { worker: identity, reason, count: worker.runs.size })
-    this.scheduler.onSilent(identity)
-  }
-
-  private onWorkerEnded (identity: string): void {
-    const worker = this.scheduler.workers.get(identity)
-    if (worker === undefined) return
-    this.logger.info('nothing can run on a worker any more', { worker: identity, count: worker.runs.size })
-    this.scheduler.onSilent(identity)
-    this.scheduler.onWorkerEnded(identity)
-    this.closeSessionOfUnknown(identity)
-    this.trigger()
-  }
-
-  private onFenced (identity: string): void {
-    if (this.isDisposed) return
-    this.logger.warn('a worker obeys a later term', { worker: identity, term: this.options.term })
-    this.options.onDeposed()
-  }
-
   private onTick (): void {
     const now = this.now()
     this.scheduler.observeLoad()
@@ -419,7 +348,7 @@
   private processedEnds (): Map<WorkerState, number> {
     const ends = new Map<WorkerState, number>()
     for (const worker of this.scheduler.workers.values()) {
-      if (worker.processedEnd !== worker.recordedEnd) ends.set(worker, worker.processedEnd)
+      if (worker.hasUnrecordedEnds) ends.set(worker, worker.processedEnd)
     }
     return ends
   }
--- /dev/null
+++ b/src/cluster/workerSessions.ts
@@ -0,0 +1,123 @@
+import { DisposableObject, toDisposable } from '../base/disposable.js'
+import type { Logger } from '../base/logger.js'
+import type { ClusterMetrics } from './clusterMetrics.js'
+import type { ClusterScheduler } from './clusterScheduler.js'
+import type { WorkerPort, WorkerReport } from './workerPort.js'
+import { CLOCK_DRIFT, WorkerSession } from './workerSession.js'
+import type { WorkerState } from './workerState.js'
+
+/** Without contact to the log for this long, leases of workers are no longer renewed, in milliseconds; longer than the outages the log is known for. */
+export const RENEWAL_WITHOUT_LOG_MILLISECONDS = 10_000
+
+export interface WorkerSessionsOptions {
+  readonly term: number
+  readonly leaseMilliseconds: number
+  /** Time of the last renewal of the role that the log has stored, in milliseconds of the monotonic clock. */
+  readonly renewedAt: () => number
+  /** Something has changed that may let tasks be placed. */
+  readonly onDidChange: () => void
+  /** A worker obeys a later term. */
+  readonly onDeposed: () => void
+}
+
+/** The sessions of the acting scheduler with all workers: carries what they report to the decisions. */
+export class WorkerSessions extends DisposableObject {
+  private readonly sessions = new Map<string, WorkerSession>()
+  private readonly startedAt: number
+
+  constructor (
+    private readonly scheduler: ClusterScheduler,
+    private readonly workers: WorkerPort,
+    private readonly options: WorkerSessionsOptions,
+    private readonly metrics: ClusterMetrics,
+    private readonly logger: Logger,
+    private readonly now: () => number
+  ) {
+    super()
+    this.startedAt = now()
+    this.register(toDisposable(() => {
+      for (const session of this.sessions.values()) session.dispose()
+    }))
+  }
+
+  get (identity: string): WorkerSession | undefined {
+    return this.sessions.get(identity)
+  }
+
+  /** Starts to look at a worker, unless a session with it is open. */
+  open (worker: WorkerState): void {
+    if (this.sessions.has(worker.identity)) return
+    const identity = worker.identity
+    const { term, leaseMilliseconds, renewedAt } = this.options
+    const session = new WorkerSession(
+      { identity, address: worker.entry.address },
+      this.workers,
+      {
+        onReport: (report, sentAt, acknowledgedEnd) => this.onReport(identity, report, sentAt, acknowledgedEnd),
+        onSilent: reason => this.onSilent(identity, reason),
+        onEnded: () => this.onEnded(identity),
+        onFenced: () => this.onFenced(identity),
+        onStopConfirmed: (task, run) => this.scheduler.onStopConfirmed(identity, task, run, this.now()),
+        awaitsRecord: () => this.awaitsRecord(identity),
+        acknowledgedEnd: () => this.scheduler.workers.get(identity)?.endToAcknowledge ?? 0,
+        needsLooks: () => this.needsLooks(identity)
+      },
+      { term, leaseMilliseconds, formerLeasesEndAt: this.startedAt + RENEWAL_WITHOUT_LOG_MILLISECONDS + leaseMilliseconds / (1 - CLOCK_DRIFT) },
+      () => this.now() - renewedAt() < RENEWAL_WITHOUT_LOG_MILLISECONDS,
+      this.now
+    )
+    this.sessions.set(identity, session)
+    session.open()
+  }
+
+  /** Ends the session with a worker that the scheduler has forgotten. */
+  closeIfUnknown (identity: string): void {
+    if (this.scheduler.workers.has(identity)) return
+    this.sessions.get(identity)?.dispose()
+    this.sessions.delete(identity)
+  }
+
+  private needsLooks (identity: string): boolean {
+    const worker = this.scheduler.workers.get(identity)
+    if (worker === undefined) return false
+    return worker.runs.size > 0 || worker.hasUnrecordedEnds || worker.endToAcknowledge > 0 || worker.hasStrayRuns || (worker.isSilent && worker.isListed)
+  }
+
+  private awaitsRecord (identity: string): boolean {
+    return this.scheduler.workers.get(identity)?.hasUnrecordedEnds === true
+  }
+
+  private onReport (identity: string, report: WorkerReport, sentAt: number, acknowledgedEnd: number): void {
+    const worker = this.scheduler.workers.get(identity)
+    if (worker === undefined) return
+    if (worker.isSilent) this.logger.info('worker answers again', { worker: identity })
+    this.metrics.look('report')
+    if (report.bornAt === worker.bornAt) worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, acknowledgedEnd)
+    this.scheduler.onReport(identity, report, sentAt, this.now())
+    this.options.onDidChange()
+  }
+
+  private onSilent (identity: string, reason: string): void {
+    this.metrics.look('failed')
+    const worker = this.scheduler.workers.get(identity)
+    if (worker === undefined) return
+    if (!worker.isSilent) this.logger.warn('worker does not answer', { worker: identity, reason, count: worker.runs.size })
+    this.scheduler.onSilent(identity)
+  }
+
+  private onEnded (identity: string): void {
+    const worker = this.scheduler.workers.get(identity)
+    if (worker === undefined) return
+    this.logger.info('nothing can run on a worker any more', { worker: identity, count: worker.runs.size })
+    this.scheduler.onSilent(identity)
+    this.scheduler.onWorkerEnded(identity)
+    this.closeIfUnknown(identity)
+    this.options.onDidChange()
+  }
+
+  private onFenced (identity: string): void {
+    if (this.isDisposed) return
+    this.logger.warn('a worker obeys a later term', { worker: identity, term: this.options.term })
+    this.options.onDeposed()
+  }
+}
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -51,6 +51,11 @@
     return this.entry.identity
   }
 
+  /** Ends have been taken into account that the log does not hold yet. */
+  get hasUnrecordedEnds (): boolean {
+    return this.processedEnd > this.recordedEnd
+  }
+
   /** Latest end that the worker is still to be told to forget; 0 if there is none, because a new process would take it for one of its own. */
   get endToAcknowledge (): number {
     return this.acknowledgedEnd < this.recordedEnd ? this.recordedEnd : 0
