--- a/bench/capacityCluster.ts
+++ b/bench/capacityCluster.ts
@@ -1,5 +1,6 @@
 import { Random } from '../src/base/random.js'
 import { ClusterScheduler } from '../src/cluster/clusterScheduler.js'
+import { EligibilityDesk } from '../src/cluster/eligibilityDesk.js'
 import { progressOf } from '../src/cluster/jobBook.js'
 import { decodeRecord, encodeRecord, type ProgressRecord, type SubmissionRecord } from '../src/contracts/clusterRecords.js'
 import { stepJobSchema } from '../src/contracts/stepJob.js'
@@ -7,6 +8,11 @@
 
 const WORKER_COUNTS = [33, 245, 900] as const
 const OPEN_JOB_COUNTS = [100, 1000, 5000] as const
+const OPEN_STEP_COUNTS = [100, 400, 1600] as const
+const BACKLOG_WORKERS = 245
+/** Part of the workers that the eligibility service names. */
+const ELIGIBLE_SHARE = 0.4
+const ELIGIBILITY = { decisionMilliseconds: 30, perWorkerMilliseconds: 1, ticketMilliseconds: 3000 }
 const TASKS_PER_JOB = 10
 /** Processors of one worker and of one task, in thousandths. */
 const WORKER_PROCESSORS = 16_000
@@ -17,6 +23,8 @@
 const OBSERVER = { onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidIgnoreEnd () {} }
 const QUEUE = { name: 'queue', host: 'host', routePrefix: '/', pool: 'pool', priority: 1, attempts: 2, stretch: 4, targetMilliseconds: 3000 }
 
+const URGENT_QUEUE = { ...QUEUE, name: 'urgent', priority: 0 }
+
 function createScheduler (workerCount: number): ClusterScheduler {
   const scheduler = new ClusterScheduler(OBSERVER)
   scheduler.configure({ revision: 1, queues: [QUEUE], maximumBodyBytes: 1000 })
@@ -57,6 +65,35 @@
   }
 }
 
+/** Time of one round against the steps that wait while nothing has room: what each report costs in an overload. */
+function runBacklogBench (seed: number, runs: number): void {
+  printTitle('one round of the acting scheduler while no worker has room: 245 workers, a quarter of the steps urgent, a question about each is answered')
+  printRow(['open steps', 'ms placing', 'ms choosing questions'])
+  for (const steps of OPEN_STEP_COUNTS) {
+    const createBacklog = (): ClusterScheduler => {
+      const random = new Random(seed)
+      const scheduler = createScheduler(BACKLOG_WORKERS)
+      scheduler.configure({ revision: 2, queues: [QUEUE, URGENT_QUEUE].map(queue => ({ ...queue, eligibility: ELIGIBILITY })), maximumBodyBytes: 1000 })
+      for (const worker of scheduler.workers.values()) worker.usedProcessors = WORKER_PROCESSORS - TASK_PROCESSORS / 2
+      for (let index = 0; index < steps; index += 1) {
+        const submission = createSubmission(random)
+        scheduler.addJob(index.toString(16).padStart(16, '0'), index % 4 === 0 ? { ...submission, queue: URGENT_QUEUE.name } : submission, 0)
+      }
+      for (const step of scheduler.openSteps) {
+        for (const identity of scheduler.workers.keys()) {
+          step.eligibility.asked.add(identity)
+          if (random.fraction() < ELIGIBLE_SHARE) step.eligibility.tickets.set(identity, { ticket: 'ticket', validUntil: Infinity })
+        }
+      }
+      return scheduler
+    }
+    const placing = medianMilliseconds(runs, createBacklog, scheduler => { scheduler.place(1) })
+    const line = { instance: 'entry', ask: async () => ({ kind: 'failed', reason: 'not asked' }) as const }
+    const choosing = medianMilliseconds(runs, () => new EligibilityDesk(createBacklog(), () => [line], () => {}, () => 1), desk => desk.pump())
+    printRow([steps, placing.toFixed(2), choosing.toFixed(2)])
+  }
+}
+
 /** Time and bytes of a takeover against the number of open jobs. */
 function runRestoreBench (seed: number, runs: number): void {
   printTitle('takeover: open jobs decoded from the log and restored')
@@ -78,5 +115,6 @@
 
 export function runClusterBench (seed: number, runs: number): void {
   runPlacementBench(seed, runs)
+  runBacklogBench(seed, runs)
   runRestoreBench(seed, runs)
 }
