--- a/src/entry/requestSender.ts
+++ b/src/entry/requestSender.ts
@@ -1,6 +1,7 @@
 import { DisposableObject, toDisposable } from '../base/disposable.js'
 import type { ServingError } from '../contracts/verdict.js'
-import { NOT_RUN_HEADER, type ExecutorAnswer, type ExecutorClient, type ExecutorResult, type OutgoingRequest } from '../links/executorClient.js'
+import { NOT_RUN_HEADER, type ExecutorAnswer, type ExecutorClient, type ExecutorResult } from '../links/executorClient.js'
+import type { OutgoingRequest } from '../links/outgoingRequest.js'
 import { PEER_PROOF_HEADER } from '../links/peerProof.js'
 import type { Executor } from '../machines/executor.js'
 import { CALLER_HEADERS, endToEndHeaders } from '../requests/headers.js'
--- a/src/links/connectionSet.ts
+++ b/src/links/connectionSet.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net'
 import { buildConnector, Client, type Dispatcher } from 'undici'
-import type { OutgoingRequest } from './executorClient.js'
+import type { OutgoingRequest } from './outgoingRequest.js'
 
 /** Shorter than the idle time of common HTTP servers (5 s), so that a connection is rarely reused while its peer closes it. */
 const IDLE_MILLISECONDS = 4000
--- a/src/links/executorClient.ts
+++ b/src/links/executorClient.ts
@@ -3,15 +3,7 @@
 import { Emitter, type Event } from '../base/emitter.js'
 import { ConnectionSet } from './connectionSet.js'
 import { isConnectFailure } from './connectFailure.js'
-
-/** A request as it goes to an executor: hop-by-hop headers are removed. */
-export interface OutgoingRequest {
-  readonly method: string
-  /** Path and query. */
-  readonly path: string
-  readonly headers: Readonly<Record<string, string | string[]>>
-  readonly body: Buffer | Readable | undefined
-}
+import type { OutgoingRequest } from './outgoingRequest.js'
 
 /** Head of an executor's answer with its body to be read. */
 export interface ExecutorAnswer {
--- a/src/requests/poolDivision.ts
+++ b/src/requests/poolDivision.ts
@@ -1,5 +1,5 @@
 import { divideProportionally } from './proportionalDivision.js'
-import type { ExecutorLimits, HolderState } from './slotAllocator.js'
+import type { ExecutorLimits, HolderState } from './slotCommitments.js'
 
 /** Share of its entitlement that a holder without waiting requests may lack. */
 const IDLE_HYSTERESIS = 0.25
--- a/src/requests/slotAllocator.ts
+++ b/src/requests/slotAllocator.ts
@@ -1,15 +1,6 @@
 import type { SlotGrant, SlotUse } from '../contracts/linkMessages.js'
 import { PoolDivision } from './poolDivision.js'
-
-/** Limits of one executor as the site text states them. */
-export interface ExecutorLimits {
-  readonly name: string
-  readonly pool: string
-  readonly slots: number
-  readonly connections: number
-  /** Longest time a request can run on the executor, in milliseconds. */
-  readonly maximumRunMilliseconds: number
-}
+import type { Amount, Commitment, ExecutorLimits, HolderState } from './slotCommitments.js'
 
 /** A holder's report as the allocator reads it. */
 export interface HolderReport {
@@ -39,35 +30,6 @@
 /** Unconfirmed grants remembered one by one; older ones are merged into their maximum. */
 const MAXIMUM_UNCONFIRMED = 32
 
-interface Amount {
-  readonly slots: number
-  readonly connections: number
-}
-
-/** What a holder may be using of one executor. */
-export interface Commitment {
-  slots: number
-  connections: number
-  /** Grants sent that the holder has not confirmed, oldest first. */
-  unconfirmed: Array<Amount & { sequence: number }>
-  /** In flight by the last report. */
-  inFlight: number
-  /** Last amount decided; never more slots than the holder counts for. */
-  granted: Amount
-  expiresAt: number
-  /** Greatest maximum run time while the commitment lasted. */
-  maximumRunMilliseconds: number
-}
-
-/** What is known of a holder. */
-export interface HolderState {
-  readonly commitments: Map<string, Commitment>
-  demand: Readonly<Record<string, number>>
-  leaving: boolean
-  lastReportAt: number
-  lastReport: number
-}
-
 const NOTHING: Amount = { slots: 0, connections: 0 }
 
 /**
--- a/test/fakes/fakeExecutors.ts
+++ b/test/fakes/fakeExecutors.ts
@@ -1,5 +1,6 @@
 import { Readable } from 'node:stream'
-import { ExecutorClient, NOT_RUN_HEADER, type ExecutorResult, type OutgoingRequest } from '../../src/links/executorClient.js'
+import { ExecutorClient, NOT_RUN_HEADER, type ExecutorResult } from '../../src/links/executorClient.js'
+import type { OutgoingRequest } from '../../src/links/outgoingRequest.js'
 import type { Network } from './network.js'
 import type { SimulatedProcess } from './pausedClock.js'
 
--- a/test/links/executorClient.test.ts
+++ b/test/links/executorClient.test.ts
@@ -2,7 +2,8 @@
 import { once } from 'node:events'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { describe, it } from 'node:test'
-import { HttpExecutorClient, type ExecutorResult, type OutgoingRequest } from '../../src/links/executorClient.js'
+import { HttpExecutorClient, type ExecutorResult } from '../../src/links/executorClient.js'
+import type { OutgoingRequest } from '../../src/links/outgoingRequest.js'
 
 const REQUEST: OutgoingRequest = { method: 'POST', path: '/', headers: {}, body: Buffer.from('body') }
 const NEVER = new AbortController().signal
--- a/test/requests/slotAllocator.test.ts
+++ b/test/requests/slotAllocator.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { Random } from '../../src/base/random.js'
-import { GRANT_DRIFT_MARGIN_MILLISECONDS, GRANT_VALID_MILLISECONDS, SlotAllocator, type ExecutorLimits, type HolderGrants, type HolderReport } from '../../src/requests/slotAllocator.js'
+import { GRANT_DRIFT_MARGIN_MILLISECONDS, GRANT_VALID_MILLISECONDS, SlotAllocator, type HolderGrants, type HolderReport } from '../../src/requests/slotAllocator.js'
+import type { ExecutorLimits } from '../../src/requests/slotCommitments.js'
 import { SlotHolder } from '../../src/requests/slotHolder.js'
 
 const MAXIMUM_RUN = 2000
