Keep a renewal from taking a resignation back

A renewal that was under way on another connection was stored after the resignation, so that the role counted as held again. The same could happen to an instance that stops. A resignation now waits for the renewals without an answer. The test fails without the wait.

--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -68,6 +68,9 @@
   private handOverNotBefore = Infinity
   private renewedAt = 0
   private renewingSince: number | undefined
+  /** Renewals without an answer yet. */
+  private readonly renewals = new Set<Promise<void>>()
+  private isResigning = false
   private linkAddress: string
 
   constructor (
@@ -111,7 +114,7 @@
     this.configurationFollower.follow()
     this.registryFollower.follow()
     this.registerInterval(() => this.watchRole(), WATCH_PERIOD_MILLISECONDS)
-    this.registerInterval(() => this.renew(), RENEWAL_PERIOD_MILLISECONDS)
+    this.registerInterval(() => this.renewIfDue(), RENEWAL_PERIOD_MILLISECONDS)
   }
 
   /** The newest configuration that this instance has read. */
@@ -250,13 +253,19 @@
     this.followRole()
   }
 
-  /** Restates the role. Readers ignore the record if another instance has claimed a later term before. */
-  private async renew (): Promise<void> {
+  private renewIfDue (): void {
     const current = this.leadership.current
     const now = this.now()
-    if (!this.leadership.isHeldHere || current === undefined || this.isClaiming || this.isStopping) return
+    if (!this.leadership.isHeldHere || current === undefined || this.isClaiming || this.isStopping || this.isResigning) return
     if (this.renewingSince !== undefined && now - this.renewingSince < RENEWAL_PATIENCE_MILLISECONDS) return
     this.renewingSince = now
+    const renewal = this.renew(current, now)
+    this.renewals.add(renewal)
+    renewal.then(() => this.renewals.delete(renewal))
+  }
+
+  /** Restates the role. Readers ignore the record if another instance has claimed a later term before. */
+  private async renew (current: LeadershipRecord, now: number): Promise<void> {
     const outcome = await this.append(current, undefined)
     if (this.renewingSince === now) this.renewingSince = undefined
     if (outcome === 'stored') this.renewedAt = Math.max(this.renewedAt, now)
@@ -266,8 +275,12 @@
   /** Gives the role up in favour of a peer. This instance places on until the successor shuts it out. */
   private async resign (successor: Peer | undefined): Promise<void> {
     const current = this.leadership.current
-    if (!this.leadership.isHeldHere || current === undefined) return
+    if (!this.leadership.isHeldHere || current === undefined || this.isResigning) return
+    this.isResigning = true
+    // A renewal that is stored after the resignation would take it back.
+    await Promise.all(this.renewals)
     const outcome = await this.append({ ...current, resigned: true, successor: successor?.instance ?? '' }, undefined)
+    this.isResigning = false
     this.logger.info('role of scheduler offered', { term: current.term, peer: successor?.instance, code: outcome })
   }
 
--- a/test/cluster/clusterInstance.test.ts
+++ b/test/cluster/clusterInstance.test.ts
@@ -5,7 +5,9 @@
 import { ClusterInstance, type ClusterFeeds } from '../../src/cluster/clusterInstance.js'
 import { ClusterMetrics } from '../../src/cluster/clusterMetrics.js'
 import { EligibilityPort, type EligibilityOutcome } from '../../src/cluster/workerPort.js'
+import { TOPICS } from '../../src/cluster/recordLog.js'
 import type { ClusterConfiguration } from '../../src/contracts/clusterConfiguration.js'
+import { decodeRecord, type LeadershipRecord } from '../../src/contracts/clusterRecords.js'
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
 import { FakeWorker, FakeWorkerPort } from '../fakes/fakeClusterWorkers.js'
 import { FakeRecordLog } from '../fakes/fakeRecordLog.js'
@@ -156,6 +158,21 @@
     assert.ok(large.isActing())
   }))
 
+  /** Appends on two connections may overtake each other. */
+  it('does not take its resignation back with a renewal that was under way', async () => await withSite(async site => {
+    site.publish(5)
+    const first = await site.start('one')
+    await until(() => first.isActing())
+    site.log.appendMilliseconds = 300
+    const appends = site.log.appends
+    await until(() => site.log.appends > appends)
+    site.log.appendMilliseconds = 0
+    await first.prepareStop()
+    await new Promise(resolve => setTimeout(resolve, 400))
+    const latest = site.log.latestValue(TOPICS.leadership, 'scheduler')
+    assert.ok(latest !== undefined && decodeRecord<LeadershipRecord>(latest).resigned)
+  }))
+
   it('goes on with another scheduler when the acting one ends, and runs nothing twice', async () => await withSite(async site => {
     site.publish(5)
     const worker = site.addWorker('w1', 1500)
