Do not let the room kept for urgent work shut other work out for ever

By reading: right after a takeover the first question about the gang's workers names the one or two that have reported. If one is fast and could carry the gang only when empty (15.6 of 16 cores), no other worker was asked about, while the room kept for urgent work on it never let the gang in. The same held for any task nearly as large as a fast worker.

Now the workers that are named must carry a step beside the kept room, else others are asked about; and a step that fits on its eligible workers only without the kept room gets all of it.

Also: the acknowledgement of ends that were recorded while their worker started again is dropped by the worker's start, not by comparing numbers.

--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -46,6 +46,12 @@
   readonly onDeposed: () => void
 }
 
+/** Latest end of a worker's process that has been taken into account. */
+interface ProcessedEnd {
+  readonly number: number
+  readonly bornAt: number
+}
+
 /** Acts as the scheduler during one term: follows submissions, places tasks, records progress, and orders workers. */
 export class ActingScheduler extends DisposableObject implements SchedulerObserver {
   private readonly scheduler: ClusterScheduler
@@ -345,19 +351,20 @@
     return decidedAfter
   }
 
-  private processedEnds (): Map<WorkerState, number> {
-    const ends = new Map<WorkerState, number>()
+  private processedEnds (): Map<WorkerState, ProcessedEnd> {
+    const ends = new Map<WorkerState, ProcessedEnd>()
     for (const worker of this.scheduler.workers.values()) {
-      if (worker.hasUnrecordedEnds) ends.set(worker, worker.processedEnd)
+      if (worker.hasUnrecordedEnds) ends.set(worker, { number: worker.processedEnd, bornAt: worker.bornAt })
     }
     return ends
   }
 
   /** Ends whose effect is in the log may be forgotten by their workers. */
-  private acknowledgeEnds (ends: ReadonlyMap<WorkerState, number>): void {
-    for (const [worker, end] of ends) {
-      if (end > worker.processedEnd) continue // The worker has started again since.
-      worker.recordedEnd = end
+  private acknowledgeEnds (ends: ReadonlyMap<WorkerState, ProcessedEnd>): void {
+    for (const [worker, { number, bornAt }] of ends) {
+      // A new process of the worker counts its ends anew.
+      if (bornAt !== worker.bornAt) continue
+      worker.recordedEnd = number
       this.sessions.get(worker.identity)?.onRecorded()
     }
   }
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -45,7 +45,8 @@
   /** Steps with tasks that wait and whose earlier steps are done. */
   readonly openSteps = new Set<Step>()
   private readonly cancelledEarly = new Set<string>()
-  private readonly headroom = new UrgentHeadroom()
+  /** Room that is kept for urgent work. */
+  readonly headroom = new UrgentHeadroom()
   private plannedStops: PlannedStop[] = []
   private configuration: ClusterConfiguration | undefined
   private readonly queues = new Map<string, Queue>()
--- a/src/cluster/eligibilityDesk.ts
+++ b/src/cluster/eligibilityDesk.ts
@@ -1,7 +1,7 @@
 import type { Queue } from '../contracts/clusterConfiguration.js'
 import type { ClusterScheduler } from './clusterScheduler.js'
 import type { Step } from './jobBook.js'
-import { capacityFor, sortByUrgency } from './placementPass.js'
+import { couldCarryTasks, sortByUrgency } from './placementPass.js'
 import type { EligibilityOutcome } from './workerPort.js'
 import type { WorkerState } from './workerState.js'
 
@@ -93,7 +93,7 @@
     const isSuitable = (worker: WorkerState | undefined): worker is WorkerState => worker !== undefined && worker.entry.pool === queue.pool && worker.isUsable(now) && worker.couldCarry(step.specification)
     const named = [...tickets.keys()].map(identity => this.scheduler.workers.get(identity)).filter(isSuitable)
     // Workers may have become known since the first question, above all after a change of scheduler.
-    if (!couldCarryAll(named, step)) {
+    if (!couldCarryTasks(named, step, step.waitingCount, this.scheduler.headroom)) {
       const unasked = [...this.scheduler.workers.values()].filter(worker => !asked.has(worker.identity)).filter(isSuitable)
       if (unasked.length > 0) return identities([...unasked, ...named])
     }
@@ -132,16 +132,6 @@
   }
 }
 
-/** Whether the workers, if they were empty, could carry all tasks of the step that wait. */
-function couldCarryAll (workers: readonly WorkerState[], step: Step): boolean {
-  let left = step.waitingCount
-  for (const worker of workers) {
-    left -= capacityFor(worker, step)
-    if (left <= 0) return true
-  }
-  return left <= 0
-}
-
 function identities (workers: readonly WorkerState[]): string[] {
   return [...workers]
     .sort((left, right) => right.freeProcessors - left.freeProcessors)
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -32,6 +32,8 @@
   private reservations = 0
   /** Most processors that any worker had free when the pass began, for urgent and for other work, in thousandths. */
   private mostFree = { urgent: 0, other: 0 }
+  /** Steps for which no room is kept free, because they could never be placed otherwise. */
+  private readonly allRoom = new Map<Step, boolean>()
 
   constructor (
     private readonly steps: Step[],
@@ -61,7 +63,9 @@
 
   /** Whether no worker has room for a task of the step; spares the search where the site is full and much is waiting. */
   private isFull (step: Step): boolean {
-    return processorsOf(step.specification) > (step.job.isUrgent ? this.mostFree.urgent : this.mostFree.other)
+    const needed = processorsOf(step.specification)
+    if (step.job.isUrgent || needed > this.mostFree.urgent) return needed > this.mostFree.urgent
+    return needed > this.mostFree.other && !this.needsAllRoom(step)
   }
 
   private placeEach (step: Step): void {
@@ -130,7 +134,7 @@
     let members = 0
     for (const worker of eligible) {
       reservation.add(worker.identity)
-      members += capacityFor(worker, step)
+      members += capacityFor(worker, step, this.needsAllRoom(step) ? 0 : this.headroom.ofEmpty(worker))
       if (members >= step.tasks.length) break
     }
     step.reservation = reservation
@@ -149,7 +153,18 @@
   }
 
   private headroomFor (step: Step, worker: WorkerState): number {
-    return step.job.isUrgent ? 0 : this.headroom.of(worker)
+    if (step.job.isUrgent || this.needsAllRoom(step)) return 0
+    return this.headroom.of(worker)
+  }
+
+  /** Whether the step's tasks fit on no eligible worker, or its gang on all of them together, beside the room kept for urgent work. */
+  private needsAllRoom (step: Step): boolean {
+    const known = this.allRoom.get(step)
+    if (known !== undefined) return known
+    const needed = step.specification.gang ? step.tasks.length : 1
+    const needsAll = !couldCarryTasks(this.eligibleWorkers(step), step, needed, this.headroom)
+    this.allRoom.set(step, needsAll)
+    return needsAll
   }
 
   /**
@@ -244,9 +259,19 @@
   return tasksWithin(step, worker.freeProcessors - headroom, worker.freeMemory, worker.entry.accelerators - worker.usedAccelerators)
 }
 
-/** Tasks of the step that the empty worker could carry. */
-export function capacityFor (worker: WorkerState, step: Step): number {
-  return tasksWithin(step, worker.entry.processorsThousandths, worker.entry.memoryMegabytes, worker.entry.accelerators)
+/** Tasks of the step that the empty worker could carry beside the room that is kept free on it. */
+function capacityFor (worker: WorkerState, step: Step, headroom: number): number {
+  return Math.max(0, tasksWithin(step, worker.entry.processorsThousandths - headroom, worker.entry.memoryMegabytes, worker.entry.accelerators))
+}
+
+/** Whether the workers, if they were empty, could carry this many tasks of the step beside the room kept for urgent work. */
+export function couldCarryTasks (workers: readonly WorkerState[], step: Step, count: number, headroom: UrgentHeadroom): boolean {
+  let left = count
+  for (const worker of workers) {
+    left -= capacityFor(worker, step, step.job.isUrgent ? 0 : headroom.ofEmpty(worker))
+    if (left <= 0) return true
+  }
+  return left <= 0
 }
 
 function tasksWithin (step: Step, processors: number, memory: number, accelerators: number): number {
--- a/test/cluster/eligibilityDesk.test.ts
+++ b/test/cluster/eligibilityDesk.test.ts
@@ -27,6 +27,35 @@
     { name: 'asks about workers that became known later when none was named', step: { count: 1 }, later: ['w2'], named: ['w2'], questions: [['w1'], ['w2']] },
     { name: 'asks about no more workers than a step needs', step: { count: 1 }, later: ['w2'], named: ['w1'], questions: [['w1']] }
   ]
+  /** A gang would wait for the one named worker for ever if room is kept there for urgent work. */
+  it('asks about more workers when the named one can carry a gang only without the room kept for urgent work', async () => {
+    const scheduler = createScheduler()
+    addWorkers(scheduler, ['w1'])
+    const fast = scheduler.workers.get('w1')
+    assert.ok(fast)
+    fast.speed = 1.5
+    fast.urgentProcessors = 200
+    for (let observation = 0; observation < 200; observation += 1) scheduler.observeLoad()
+    fast.urgentProcessors = 0
+    scheduler.addJob('00000000000000aa', { queue: 'queue', pool: 'pool', job: stepJobSchema.parse({ specification: '', steps: [{ count: 1, gang: true, processorsThousandths: 1000 }] }), acceptedAt: Date.now() }, 0)
+    const asked: string[][] = []
+    let now = 0
+    const desk = new EligibilityDesk(scheduler, () => [{
+      instance: 'own',
+      ask: async (_step, workers) => {
+        asked.push([...workers].sort())
+        return { kind: 'eligible', workers: workers.map(worker => ({ worker, ticket: 'ticket' })), validMilliseconds: 2500 }
+      }
+    }], () => {}, () => now)
+    desk.pump()
+    await Promise.resolve()
+    await Promise.resolve()
+    addWorkers(scheduler, ['w2'])
+    now = 1000
+    desk.pump()
+    assert.deepEqual(asked, [['w1'], ['w1', 'w2']])
+  })
+
   for (const { name, step, later, named, questions } of CASES) {
     it(name, async () => {
       const scheduler = createScheduler()
--- a/test/cluster/placementPass.test.ts
+++ b/test/cluster/placementPass.test.ts
@@ -31,6 +31,15 @@
   return scheduler.place(now).map(run => run.worker.identity).sort()
 }
 
+/** Lets the scheduler see a fast worker that is a fifth full of urgent work for a while, and empties it. */
+function learnUrgentShare (scheduler: ClusterScheduler, name: string): void {
+  const worker = scheduler.workers.get(name)
+  assert.ok(worker)
+  worker.urgentProcessors = worker.entry.processorsThousandths / 5
+  for (let observation = 0; observation < 200; observation += 1) scheduler.observeLoad()
+  worker.urgentProcessors = 0
+}
+
 describe('PlacementPass', () => {
   /** Urgent work that would be late on a slow worker waits for a fast one, until that would be late too. */
   const URGENT: ReadonlyArray<{ readonly name: string, readonly now: number, readonly fastIsFull: boolean, readonly gang: boolean, readonly placed: readonly string[] }> = [
@@ -80,6 +89,21 @@
     assert.equal(place(scheduler).length, 1)
   })
 
+  /** Work that the kept room would shut out for ever. */
+  const LARGE: ReadonlyArray<{ readonly name: string, readonly step: object, readonly placed: number }> = [
+    { name: 'a task as large as the worker', step: { count: 1, processorsThousandths: 10_000 }, placed: 1 },
+    { name: 'a gang that needs all of the worker', step: { count: 10, gang: true }, placed: 10 },
+    { name: 'a gang that needs all but what is kept', step: { count: 6, gang: true }, placed: 6 }
+  ]
+  for (const { name, step, placed } of LARGE) {
+    it(`places ${name} although room is kept for urgent work`, () => {
+      const scheduler = createSite([{ name: 'fast', room: 10, speed: 1.5 }])
+      learnUrgentShare(scheduler, 'fast')
+      add(scheduler, 'batch', step)
+      assert.equal(place(scheduler).length, placed)
+    })
+  }
+
   it('does not keep room where there is no urgent work', () => {
     const scheduler = createSite([{ name: 'fast', room: 10, speed: 1.5 }])
     add(scheduler, 'batch', { count: 20 })
