--- a/test/programs/commandLine.test.ts
+++ b/test/programs/commandLine.test.ts
@@ -50,7 +50,8 @@
   ['vanillaturn', ['publish', SITE, '--base', '0', '--wait', '601'], /^vanillaturn: --wait: expected at most 600 seconds\n$/],
   ['vanillaturn', ['show', '--settings', 'missing.jsonc'], /^vanillaturn: cannot read missing.jsonc: no such file or directory\n$/],
   ['vanillaturn', ['show', '--revision', 'x', '--settings', operator], /^vanillaturn: --revision: expected a revision, a whole number\n$/],
-  ['vanillaturn', ['explain'], /^vanillaturn: an argument is missing; expected explain <subject>; see --help\n$/],
+  ['vanillaturn', ['explain'], /^vanillaturn: an argument is missing; expected explain <subject> \[\.\.\.files\]; see --help\n$/],
+  ['vanillaturn', ['explain', 'aa', 'missing.log'], /^vanillaturn: cannot read missing.log: no such file or directory\n$/],
   ['vanillaturn', ['timeline'], /^vanillaturn: an argument is missing; expected timeline <\.\.\.files>; see --help\n$/],
   ['vanillaturn', ['timeline', 'missing.log'], /^vanillaturn: cannot read missing.log: no such file or directory\n$/],
   ['vanillaturn', ['timeline', SITE, '--kind', 'bogus'], /^vanillaturn: --kind: expected a kind of event/],
@@ -73,6 +74,18 @@
 ]
 
 describe('command lines', () => {
+  it('vanillaturn explains a job from the logs of several processes, and fails for one that no line is about', () => {
+    const line = (process: string, message: string, fields: object): string => JSON.stringify({ type: 'log', time: '2026-05-04T13:00:00.000Z', level: 'info', process, message, ...fields })
+    const first = file('entry-1.log', line('entry-1', 'job refused', { job: 'aa', reason: 'the log is away' }))
+    const second = file('entry-2.log', line('entry-2', 'job accepted', { job: 'aa', durationMilliseconds: 12 }))
+    const known = run('vanillaturn', ['explain', 'aa', first, second])
+    assert.equal(known.output, 'refused by entry-1: the log is away; nothing was stored\naccepted by entry-2, stored in 12 ms\nno end is logged\n')
+    assert.equal(known.status, 0)
+    const unknown = run('vanillaturn', ['explain', 'bb', first, second])
+    assert.match(unknown.errors, /^vanillaturn: no line of the 2 read is about 'bb'\n$/)
+    assert.equal(unknown.status, 1)
+  })
+
   for (const binary of ['vanillaturn', 'entry', 'standin', 'load', 'site']) {
     it(`${binary} prints help and version`, () => {
       const help = run(binary, ['--help'])
