Give no number of waiting jobs while submissions cannot be read

The acting scheduler counted what it knew although it had not read some submissions for longer than its own bound for an unknown job (2.5 s). It now says that it does not know, and the caller is told to come back. The test fails before.

--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -159,7 +159,7 @@
 
   /** Jobs of a queue of which no task has started; undefined while that is not known. */
   waitingOf (queue: string): number | undefined {
-    return this.isOperating ? this.scheduler.waitingJobs(queue) : undefined
+    return this.isOperating && this.isFresh() ? this.scheduler.waitingJobs(queue) : undefined
   }
 
   /** Numbers for metrics. */
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -339,6 +339,19 @@
     assert.ok(worker.looks <= 3 * 10, `${worker.looks} looks`)
   }))
 
+  it('gives no number of waiting jobs while it cannot read what has been accepted', async () => await withSite(async (site, act) => {
+    const scheduler = act(1)
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(1000)
+    assert.equal(scheduler.waitingOf('queue'), 1)
+    site.log.fault = 'silent'
+    await site.clock.tickAsync(6000)
+    assert.equal(scheduler.waitingOf('queue'), undefined)
+    site.log.fault = 'none'
+    await site.clock.tickAsync(6000)
+    assert.equal(scheduler.waitingOf('queue'), 1)
+  }))
+
   it('shows a job as completed only once the log holds it, while the log answers', async () => await withSite(async (site, act) => {
     site.log.answerMilliseconds = 150
     const worker = site.port.add(new FakeWorker('w1', 1, () => 1000))
