--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -228,7 +228,7 @@
 }
 
 /** Classes of work in the order in which they are placed. */
-const enum Turn { urgentInTime, urgentLate, inTime, late, overdue }
+const enum Turn { UrgentInTime, UrgentLate, InTime, Late, Overdue }
 
 /**
  * Sorts steps by their turn, and by objective within one turn. Urgent work that is late comes before all other work while it
@@ -240,9 +240,9 @@
 }
 
 function turnOf (job: Job, now: number): Turn {
-  if (now > job.lateUntil) return Turn.overdue
-  if (now > job.objectiveAt) return job.isUrgent ? Turn.urgentLate : Turn.late
-  return job.isUrgent ? Turn.urgentInTime : Turn.inTime
+  if (now > job.lateUntil) return Turn.Overdue
+  if (now > job.objectiveAt) return job.isUrgent ? Turn.UrgentLate : Turn.Late
+  return job.isUrgent ? Turn.UrgentInTime : Turn.InTime
 }
 
 function countPerWorker (step: Step): Map<string, number> {
