One runner for both fuzzers; deciding apart from recording; no work where no room is kept

Found on rereading the change; behaviour stays. - The two fuzzers had the same options, check and failure text: `checkTraces` serves both. `timeline` and `explain` parse lines by one function. - A round returned the time that deciding took from five places: it is now `decide` and `recordRound`. - Whether a step needs all room is worked out only for workers that keep room.

--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -307,34 +307,39 @@
       if (this.isDisposed) return
       this.isWoken = false
       const startedAt = this.now()
-      const decidedAfter = await this.runRound()
-      const pause = decidedAfter / DECIDING_SHARE - (this.now() - startedAt)
+      const planned = this.decide(startedAt)
+      const decidingMilliseconds = this.now() - startedAt
+      await this.recordRound(planned, startedAt)
+      const pause = decidingMilliseconds / DECIDING_SHARE - (this.now() - startedAt)
       if (pause >= 1) await delay(pause, this.abort.signal)
     }
   }
 
-  /** Returns how long deciding took, in milliseconds. */
-  private async runRound (): Promise<number> {
-    const now = this.now()
+  /** Chooses the runs of a round, and sends stops and questions. */
+  private decide (now: number): PlannedRun[] {
     const planned = [...this.unordered.splice(0), ...this.scheduler.place(now)]
     this.sendStops(this.scheduler.takeStops())
     this.desk.pump()
-    const decidedAfter = this.now() - now
+    return planned
+  }
+
+  /** Records what has changed; then acknowledges the ends that it covers and orders the runs. */
+  private async recordRound (planned: readonly PlannedRun[], startedAt: number): Promise<void> {
     const jobs = [...this.scheduler.unrecorded]
     const evicted = this.evictedKeys.splice(0)
     if (jobs.length === 0 && evicted.length === 0) {
       this.acknowledgeEnds(this.processedEnds())
-      return decidedAfter
+      return
     }
     this.scheduler.unrecorded.clear()
     const ends = this.processedEnds()
     const states = jobs.map(job => job.state)
     const records = jobs.map((job): KeyedRecord => ({ key: job.identity, value: encodeRecord(progressOf(job)) }))
     const outcome = await this.writer.write([...records, ...evicted.map(key => ({ key }))])
-    if (this.isDisposed || outcome === 'disposed') return decidedAfter
+    if (this.isDisposed || outcome === 'disposed') return
     if (outcome === 'fenced') {
       this.options.onDeposed()
-      return decidedAfter
+      return
     }
     if (outcome === 'behind') {
       this.logger.error('the log lacks progress that was taken for recorded; all of it is written again', { term: this.options.term, count: this.scheduler.jobs.size })
@@ -342,13 +347,12 @@
       this.unordered.push(...planned)
       this.evictedKeys.push(...evicted)
       this.trigger()
-      return decidedAfter
+      return
     }
-    this.metrics.recorded(this.now() - now)
+    this.metrics.recorded(this.now() - startedAt)
     jobs.forEach((job, index) => this.scheduler.onRecorded(job, states[index] as JobState))
     this.acknowledgeEnds(ends)
     for (const run of planned) this.order(run)
-    return decidedAfter
   }
 
   private processedEnds (): Map<WorkerState, ProcessedEnd> {
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -153,8 +153,9 @@
   }
 
   private headroomFor (step: Step, worker: WorkerState): number {
-    if (step.job.isUrgent || this.needsAllRoom(step)) return 0
-    return this.headroom.of(worker)
+    if (step.job.isUrgent) return 0
+    const kept = this.headroom.of(worker)
+    return kept === 0 || this.needsAllRoom(step) ? 0 : kept
   }
 
   /** Whether the step's tasks fit on no eligible worker, or its gang on all of them together, beside the room kept for urgent work. */
--- a/src/operator/jobHistory.ts
+++ b/src/operator/jobHistory.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod'
+import { parseJsonLine } from './jsonLine.js'
 
 const logLineSchema = z.looseObject({
   type: z.literal('log'),
@@ -54,7 +55,7 @@
   for (const text of lines) {
     const start = text.indexOf('{"type":"log"')
     if (start < 0) continue
-    const line = logLineSchema.safeParse(parseJson(text.slice(start)))
+    const line = logLineSchema.safeParse(parseJsonLine(text.slice(start)))
     if (line.success) found.push({ line: line.data, time: Date.parse(line.data.time) })
   }
   return found.sort((left, right) => left.time - right.time).map(({ line }) => line)
@@ -170,11 +171,3 @@
 function seconds (milliseconds: number): string {
   return (milliseconds / 1000).toFixed(3)
 }
-
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined // Cut short by the end of the process.
-  }
-}
--- a/src/operator/timeLine.ts
+++ b/src/operator/timeLine.ts
@@ -1,4 +1,5 @@
 import { eventSchema, type SystemEvent } from '../contracts/events.js'
+import { parseJsonLine } from './jsonLine.js'
 
 /** Which events to show; absent fields match everything. */
 export interface TimeLineFilter {
@@ -18,7 +19,7 @@
   const events: SystemEvent[] = []
   for (const line of lines) {
     if (!line.startsWith('{')) continue
-    const event = eventSchema.safeParse(parseLine(line))
+    const event = eventSchema.safeParse(parseJsonLine(line))
     if (event.success) events.push(event.data)
   }
   return events
@@ -127,14 +128,6 @@
   return Object.entries(fields).map(([name, value]) => `${name}=${value}`).join(' ')
 }
 
-function parseLine (line: string): unknown {
-  try {
-    return JSON.parse(line)
-  } catch {
-    return undefined
-  }
-}
-
 function compareTexts (left: string, right: string): number {
   if (left === right) return 0
   return left < right ? -1 : 1
--- a/test/fuzz/clusterFaults.ts
+++ b/test/fuzz/clusterFaults.ts
@@ -3,7 +3,7 @@
 import { ProgressWriter } from '../../src/cluster/progressWriter.js'
 import { WorkerSession } from '../../src/cluster/workerSession.js'
 import { WorkerState } from '../../src/cluster/workerState.js'
-import { replace } from './faults.js'
+import { replace, replaceGetter } from './faults.js'
 
 /** A fault planted in the cluster scheduler, and the checks of which any must find it. */
 export interface PlantedClusterFault {
@@ -15,16 +15,6 @@
   readonly plant: () => () => void
 }
 
-/** Replaces a getter of a class until the returned function is called. */
-function replaceGetter (type: { prototype: object }, name: string, substitute: (self: never) => unknown): () => () => void {
-  return () => {
-    const original = Object.getOwnPropertyDescriptor(type.prototype, name)
-    if (original?.get === undefined) throw new Error(`there is no getter '${name}' to plant a fault in`)
-    Object.defineProperty(type.prototype, name, { ...original, get () { return substitute(this as never) } })
-    return () => Object.defineProperty(type.prototype, name, original)
-  }
-}
-
 /** The worker's clock reading of a session, loosely typed. */
 interface LooseSession {
   leasesEndAt: number
--- a/test/fuzz/clusterFuzz.test.ts
+++ b/test/fuzz/clusterFuzz.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { PLANTED_CLUSTER_FAULTS } from './clusterFaults.js'
-import { fuzzCluster, type ClusterFuzzOptions } from './clusterFuzzer.js'
+import { fuzzCluster } from './clusterFuzzer.js'
+import type { TraceOptions } from './fuzzer.js'
 
-const CASES: ReadonlyArray<Pick<ClusterFuzzOptions, 'seed' | 'runs' | 'firstRun'>> = [
+const CASES: ReadonlyArray<Pick<TraceOptions, 'seed' | 'runs' | 'firstRun'>> = [
   { seed: 51, runs: 25 },
   // A run was started on a worker that had been restarted unnoticed; the first report of the new process gave it up.
   { seed: 1, runs: 1, firstRun: 25 }
--- a/test/fuzz/clusterFuzzer.ts
+++ b/test/fuzz/clusterFuzzer.ts
@@ -2,25 +2,11 @@
 import { FakeCluster, type PathFault, type StartedScheduler } from '../fakes/fakeCluster.js'
 import type { FakeWorker } from '../fakes/fakeClusterWorkers.js'
 import { ClusterOracle } from './clusterOracle.js'
-import type { FuzzFailure } from './fuzzer.js'
-
-/** How to fuzz the cluster scheduler. */
-export interface ClusterFuzzOptions {
-  readonly seed: number
-  readonly runs: number
-  readonly commands?: number
-  /** Number of the first run, so that a run found earlier is repeated alone. */
-  readonly firstRun?: number
-  /** Runs before a cluster is built, to plant a fault; what it returns runs after the cluster has ended. */
-  readonly plant?: () => () => void
-  /** Whether a failing trace is made small. */
-  readonly shrink?: boolean
-}
+import { checkTraces, DEFAULT_COMMANDS, type FuzzFailure, type TraceOptions } from './fuzzer.js'
 
 const WORKERS = 4
 /** Time for everything to end once all faults are over: two leases, and the jobs one after the other. */
 const END_MILLISECONDS = 90_000
-const SHRINK_LIMIT_MILLISECONDS = 600_000
 
 interface ClusterUnderTest {
   readonly cluster: FakeCluster
@@ -108,28 +94,15 @@
   if (scheduler !== undefined) act(scheduler)
 }
 
-/** Runs traces of commands against a fresh cluster each. Returns the first failure, or undefined. */
-export async function fuzzCluster (options: ClusterFuzzOptions): Promise<FuzzFailure | undefined> {
-  const { seed, runs, commands = 40 } = options
+/** Runs traces of commands against a fresh cluster each, ends all faults at the end, and checks again after enough time. */
+export async function fuzzCluster (options: TraceOptions): Promise<FuzzFailure | undefined> {
+  const { commands = DEFAULT_COMMANDS } = options
   const traces = fc.commands(COMMANDS.flatMap(({ weight, arbitrary }) => Array.from({ length: weight }, () => arbitrary)), { maxCommands: commands, size: 'max' })
-  const property = fc.asyncProperty(fc.nat({ max: 1_000_000 }), traces, async (clusterSeed, trace) => { await runTrace(options, clusterSeed, trace) })
-  const details = await fc.check(property, { seed, numRuns: runs, path: options.firstRun === undefined ? undefined : String(options.firstRun - 1), endOnFailure: options.shrink === false, interruptAfterTimeLimit: options.shrink === false ? undefined : SHRINK_LIMIT_MILLISECONDS })
-  if (!details.failed) return undefined
-  const [clusterSeed, trace] = details.counterexample ?? [0, '']
-  const problem = details.errorInstance instanceof Error ? details.errorInstance.message : String(details.errorInstance)
-  return { seed, path: details.counterexamplePath ?? '', runs: details.numRuns, problem, trace: `cluster(${clusterSeed})\n${String(trace).split(/,(?=[a-zA-Z]+\()/).join('\n')}` }
-}
-
-/** Runs one trace, ends all faults, and checks again after enough time. */
-async function runTrace (options: ClusterFuzzOptions, seed: number, trace: Iterable<fc.AsyncCommand<object, ClusterUnderTest>>): Promise<void> {
-  const restore = options.plant?.()
-  try {
+  return await checkTraces(options, 'cluster', traces, async (seed, trace) => {
     await proveCluster(seed, async (cluster, oracle) => {
       await fc.asyncModelRun(() => ({ model: {}, real: { cluster, oracle } }), trace)
     })
-  } finally {
-    restore?.()
-  }
+  })
 }
 
 /** Starts a cluster, acts on it, ends all faults, and checks what must hold in the end. */
--- a/test/fuzz/faults.ts
+++ b/test/fuzz/faults.ts
@@ -39,6 +39,16 @@
   }
 }
 
+/** Replaces a getter of a class until the returned function is called. */
+export function replaceGetter (type: { prototype: object }, name: string, substitute: (self: never) => unknown): () => () => void {
+  return () => {
+    const original = Object.getOwnPropertyDescriptor(type.prototype, name)
+    if (original?.get === undefined) throw new Error(`there is no getter '${name}' to plant a fault in`)
+    Object.defineProperty(type.prototype, name, { ...original, get () { return substitute(this as never) } })
+    return () => Object.defineProperty(type.prototype, name, original)
+  }
+}
+
 /** Changes every result of an executor client. */
 function withResults (change: (result: ExecutorResult, send: () => Promise<ExecutorResult>) => Promise<ExecutorResult>): FuzzOptions['wrapConnections'] {
   return (connections: EntryConnections) => {
@@ -127,11 +137,7 @@
     seed: 1,
     runs: 2,
     options: {
-      plant: () => {
-        const descriptor = Object.getOwnPropertyDescriptor(FrontDoor.prototype, 'active') as PropertyDescriptor
-        Object.defineProperty(FrontDoor.prototype, 'active', { configurable: true, get: () => 0 })
-        return () => Object.defineProperty(FrontDoor.prototype, 'active', descriptor)
-      }
+      plant: replaceGetter(FrontDoor, 'active', () => 0)
     }
   },
   {
--- a/test/fuzz/fuzzer.ts
+++ b/test/fuzz/fuzzer.ts
@@ -1,24 +1,32 @@
 import fc from 'fast-check'
 import { FakeSite, type FakeSiteOptions } from '../fakes/fakeSite.js'
-import { traces, type FuzzModel } from './commands.js'
+import { traces } from './commands.js'
 import { assertChecks, decidedRevision, FINAL_CHECKS, NoAcceptedJobLost, watch } from './oracle.js'
 
-/** How to fuzz. */
-export interface FuzzOptions {
+/** How many traces are run, and which. */
+export interface TraceOptions {
   readonly seed: number
   readonly runs: number
   readonly commands?: number
   /** Number of the first run, so that a run found earlier is repeated alone. */
   readonly firstRun?: number
-  /** Whether keyed requests are submitted. */
-  readonly keys?: boolean
-  readonly wrapConnections?: FakeSiteOptions['wrapConnections']
-  /** Runs before a site is built, to plant a fault; what it returns runs after the site has ended. */
+  /** Runs before a trace, to plant a fault; what it returns runs after the trace has ended. */
   readonly plant?: () => () => void
   /** Whether a failing trace is made small. */
   readonly shrink?: boolean
 }
 
+/** How to fuzz the entry instances. */
+export interface FuzzOptions extends TraceOptions {
+  /** Whether keyed requests are submitted. */
+  readonly keys?: boolean
+  readonly wrapConnections?: FakeSiteOptions['wrapConnections']
+}
+
+/** Commands of a trace if the options do not tell. */
+export const DEFAULT_COMMANDS = 40
+const SHRINK_LIMIT_MILLISECONDS = 600_000
+
 /** The first violation that was found. */
 export interface FuzzFailure {
   readonly seed: number
@@ -35,27 +43,32 @@
 /** Longest wait for jobs at the end: two ownership changes, the bound for silent workers, and their run time. */
 const JOBS_END_MILLISECONDS = 180_000
 
-/** Runs traces of commands against a fresh site each. Returns the first failure, or undefined. */
-export async function fuzz (options: FuzzOptions): Promise<FuzzFailure | undefined> {
-  const { seed, runs, keys = false, commands = 40 } = options
-  const property = fc.asyncProperty(fc.nat({ max: 1_000_000 }), traces(keys, commands), async (siteSeed, trace) => { await runTrace(options, siteSeed, trace) })
-  const details = await fc.check(property, { seed, numRuns: runs, path: options.firstRun === undefined ? undefined : String(options.firstRun - 1), endOnFailure: options.shrink === false, interruptAfterTimeLimit: options.shrink === false ? undefined : 600_000 })
+/** Runs traces of commands against a fresh subject each; `subject` is its name in a failing trace. Returns the first failure, or undefined. */
+export async function checkTraces<Trace> (options: TraceOptions, subject: string, traces: fc.Arbitrary<Trace>, run: (seed: number, trace: Trace) => Promise<void>): Promise<FuzzFailure | undefined> {
+  const { seed, runs } = options
+  const property = fc.asyncProperty(fc.nat({ max: 1_000_000 }), traces, async (subjectSeed, trace) => {
+    const restore = options.plant?.()
+    try {
+      await run(subjectSeed, trace)
+    } finally {
+      restore?.()
+    }
+  })
+  const details = await fc.check(property, { seed, numRuns: runs, path: options.firstRun === undefined ? undefined : String(options.firstRun - 1), endOnFailure: options.shrink === false, interruptAfterTimeLimit: options.shrink === false ? undefined : SHRINK_LIMIT_MILLISECONDS })
   if (!details.failed) return undefined
-  const [siteSeed, trace] = details.counterexample ?? [0, '']
+  const [subjectSeed, trace] = details.counterexample ?? [0, '']
   const problem = details.errorInstance instanceof Error ? details.errorInstance.message : String(details.errorInstance)
-  return { seed, path: details.counterexamplePath ?? '', runs: details.numRuns, problem, trace: `site(${siteSeed})\n${String(trace).split(/,(?=[a-zA-Z]+\()/).join('\n')}` }
+  return { seed, path: details.counterexamplePath ?? '', runs: details.numRuns, problem, trace: `${subject}(${subjectSeed})\n${String(trace).split(/,(?=[a-zA-Z]+\()/).join('\n')}` }
 }
 
-/** Runs one trace, heals all faults, and checks again after enough time. */
-async function runTrace (options: FuzzOptions, seed: number, trace: Iterable<fc.AsyncCommand<FuzzModel, FakeSite>>): Promise<void> {
-  const restore = options.plant?.()
-  try {
-    await prove({ seed, wrapConnections: options.wrapConnections }, async site => {
-      await fc.asyncModelRun(() => ({ model: { keys: options.keys ?? false }, real: site }), trace)
+/** Runs traces of commands against a fresh site each, heals all faults at the end, and checks again after enough time. */
+export async function fuzz (options: FuzzOptions): Promise<FuzzFailure | undefined> {
+  const { keys = false, commands = DEFAULT_COMMANDS, wrapConnections } = options
+  return await checkTraces(options, 'site', traces(keys, commands), async (seed, trace) => {
+    await prove({ seed, wrapConnections }, async site => {
+      await fc.asyncModelRun(() => ({ model: { keys }, real: site }), trace)
     })
-  } finally {
-    restore?.()
-  }
+  })
 }
 
 /** Starts a site, acts on it, heals all faults, checks every invariant and that no timer is left. */
