Log how waiting jobs are counted and which recorded runs are missing

A takeover says how many jobs have recorded progress. explain names a run that was never there. No decision changes.

--- a/bench/capacityCluster.ts
+++ b/bench/capacityCluster.ts
@@ -20,7 +20,7 @@
 /** Part of the room that is taken before the placements that are measured. */
 const FILLED_SHARE = 0.8
 
-const OBSERVER = { onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidIgnoreEnd () {} }
+const OBSERVER = { onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidMissRun () {}, onDidIgnoreEnd () {} }
 const QUEUE = { name: 'queue', host: 'host', routePrefix: '/', pool: 'pool', priority: 1, attempts: 2, stretch: 4, targetMilliseconds: 3000 }
 
 const URGENT_QUEUE = { ...QUEUE, name: 'urgent', priority: 0 }
--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -123,7 +123,9 @@
     for (const worker of this.scheduler.workers.values()) this.sessions.open(worker)
     this.registerInterval(() => this.onTick(), TICK_MILLISECONDS)
     this.registerInterval(() => this.evict(), EVICTION_PERIOD_MILLISECONDS)
-    this.logger.info('acting as scheduler', { term: this.options.term, count: this.scheduler.jobs.size, durationMilliseconds: Math.round(this.now() - this.startedAt) })
+    const open = [...this.scheduler.jobs.values()].filter(job => !job.isFinal)
+    const restored = open.filter(job => progress.has(job.identity)).length
+    this.logger.info('acting as scheduler', { term: this.options.term, count: this.scheduler.jobs.size, reason: `${open.length} jobs are not finished, ${restored} of them have recorded progress`, durationMilliseconds: Math.round(this.now() - this.startedAt) })
     this.metrics.takeover(this.now() - this.startedAt)
     this.recordAndOrder()
     this.trigger()
@@ -159,7 +161,10 @@
 
   /** Jobs of a queue of which no task has started; undefined while that is not known. */
   waitingOf (queue: string): number | undefined {
-    return this.isOperating && this.isFresh() ? this.scheduler.waitingJobs(queue) : undefined
+    const count = this.isOperating && this.isFresh() ? this.scheduler.waitingJobs(queue) : undefined
+    const open = [...this.scheduler.jobs.values()].filter(job => job.submission.queue === queue && !job.isFinal).length
+    this.logger.info('waiting jobs counted', { queue, count, term: this.options.term, reason: `${open} jobs of the queue are not finished; submissions were read ${Math.round(this.submissionsAge())} ms ago` })
+    return count
   }
 
   /** Numbers for metrics. */
@@ -185,12 +190,21 @@
     this.logger.warn('a worker runs what it should not; it is told to stop', { worker: worker.identity, task, count: run })
   }
 
+  onDidMissRun (worker: WorkerState, task: Task): void {
+    this.logger.info('run is not on its worker; its task waits again', { task: task.name, count: task.run, worker: worker.identity, reason: `the run was ${task.phase}` })
+  }
+
   onDidIgnoreEnd (worker: WorkerState, end: EndReport, task: Task): void {
     this.logger.warn('end of a run that the task has no more', { worker: worker.identity, task: task.name, count: end.run, code: end.kind, reason: `the task is ${task.phase} with run ${task.run} on ${task.worker === '' ? 'no worker' : task.worker}` })
   }
 
   private isFresh (): boolean {
-    return this.submissions.every(follower => follower.currentAsOf !== undefined && this.now() - follower.currentAsOf < FRESH_MILLISECONDS)
+    return this.submissionsAge() < FRESH_MILLISECONDS
+  }
+
+  /** Time since the submissions were read, of the partition that was read longest ago, in milliseconds. */
+  private submissionsAge (): number {
+    return this.now() - Math.min(...this.submissions.map(follower => follower.currentAsOf ?? -Infinity))
   }
 
   /** The former scheduler may have placed jobs that were accepted after their partition was read here: those are read again. */
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -22,6 +22,8 @@
   onDidEndRun (task: Task, worker: WorkerState, kind: EndReport['kind'], durationMilliseconds: number): void
   onDidQuarantine (worker: WorkerState): void
   onDidFindStrayRun (worker: WorkerState, task: string, run: number): void
+  /** A worker does not list a run that was placed there, and it cannot come to be any more. */
+  onDidMissRun (worker: WorkerState, task: Task): void
   /** An end was reported of a run that the task has no more. */
   onDidIgnoreEnd (worker: WorkerState, end: EndReport, task: Task): void
 }
@@ -211,7 +213,9 @@
     if (!worker.hasStrayRuns) worker.strayStops.clear()
     for (const task of [...worker.runs.values()]) {
       if (listed.has(task.name)) continue
-      if (this.isGone(task, isFirst, sentAt)) this.giveUpRun(task)
+      if (!this.isGone(task, isFirst, sentAt)) continue
+      this.observer.onDidMissRun(worker, task)
+      this.giveUpRun(task)
     }
   }
 
--- a/src/operator/jobHistory.ts
+++ b/src/operator/jobHistory.ts
@@ -146,6 +146,7 @@
   }
   for (const line of history) {
     if (line.message === 'start was not confirmed') sentences.push(`the start of run ${line.count} of ${line.task} on ${line.worker} was not confirmed: ${line.code}${line.reason === undefined ? '' : `, ${line.reason}`}`)
+    if (line.message === 'run is not on its worker; its task waits again') sentences.push(`run ${line.count} of ${line.task} was not on ${line.worker}: ${line.reason}`)
     if (line.message === 'run makes no progress; it is stopped') sentences.push(`run ${line.count} of ${line.task} on ${line.worker} made no progress and was stopped`)
   }
   return sentences
--- a/test/cluster/eligibilityDesk.test.ts
+++ b/test/cluster/eligibilityDesk.test.ts
@@ -8,7 +8,7 @@
 const QUEUE = { name: 'queue', host: 'host', routePrefix: '/q/', pool: 'pool', priority: 1, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 100, perWorkerMilliseconds: 1, ticketMilliseconds: 2500 } }
 
 function createScheduler (): ClusterScheduler {
-  const scheduler = new ClusterScheduler({ onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidIgnoreEnd () {} })
+  const scheduler = new ClusterScheduler({ onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidMissRun () {}, onDidIgnoreEnd () {} })
   scheduler.configure({ revision: 1, queues: [QUEUE], maximumBodyBytes: 1000 })
   return scheduler
 }
--- a/test/cluster/placementPass.test.ts
+++ b/test/cluster/placementPass.test.ts
@@ -12,7 +12,7 @@
 interface WorkerCase { readonly name: string, readonly room: number, readonly speed: number }
 
 function createSite (workers: readonly WorkerCase[]): ClusterScheduler {
-  const scheduler = new ClusterScheduler({ onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidIgnoreEnd () {} })
+  const scheduler = new ClusterScheduler({ onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidMissRun () {}, onDidIgnoreEnd () {} })
   scheduler.configure({ revision: 1, queues: QUEUES, maximumBodyBytes: 1000 })
   for (const { name, room, speed } of workers) {
     scheduler.upsertWorker(new FakeWorker(name, room, () => 0).entry).speed = speed
--- a/test/operator/jobHistory.test.ts
+++ b/test/operator/jobHistory.test.ts
@@ -53,6 +53,21 @@
         'completed after 1401 ms, in time (objective 2000 ms)'
       ]
     },
+    {
+      name: 'a run that was recorded but never ordered, because its scheduler ended',
+      lines: [
+        ACCEPTED,
+        line(700, 'acting as scheduler', {}, 'entry-2'),
+        line(710, 'run is not on its worker; its task waits again', { ...ORDERED, reason: 'the run was uncertain' }, 'entry-2'),
+        line(900, 'run ordered', { ...ORDERED, count: 2 }, 'entry-2')
+      ],
+      sentences: [
+        'accepted by entry-1, stored in 12 ms',
+        "waited 0.900 s after 'job accepted' for 'run ordered'; meanwhile acting as scheduler (entry-2)",
+        'run 1 of aa.0.0.0 was not on w1: the run was uncertain',
+        'no end is logged'
+      ]
+    },
     {
       name: 'a job that waited for room',
       lines: [ACCEPTED, line(10, 'eligible workers are known', { task: 'aa.0.0' }), line(900, 'eligible workers are known', { task: 'aa.0.0' }), line(1500, 'run ordered', ORDERED)],
