Test: a job whose recorded placement was never ordered is waiting (known red)

The successor of a scheduler that ended between the record of a placement and the order shows the job as running.

--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -12,6 +12,7 @@
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
 import { FakeWorker, FakeWorkerPort, type OrderFault } from '../fakes/fakeClusterWorkers.js'
 import { FakeRecordLog, type LogFault } from '../fakes/fakeRecordLog.js'
+import { itUnlessKnownRed } from '../knownRed.js'
 
 const BOUNDS = { workerLeaseMilliseconds: 6000, graceMilliseconds: 6000, stateRetentionMilliseconds: 120_000 }
 
@@ -148,6 +149,33 @@
     }))
   }
 
+  /** A placement is recorded before it is ordered: the record does not show that a task has started (MIXED: jobs that wait were not counted). */
+  const RESTORED_JOBS: ReadonlyArray<{ readonly name: string, readonly hasHappened: (site: Site, worker: FakeWorker) => boolean, readonly waiting: number, readonly state: string }> = [
+    { name: 'whose placement was recorded but never ordered', hasHappened: site => site.log.latestValue(TOPICS.progress, JOB) !== undefined, waiting: 1, state: 'pending' },
+    { name: 'whose first task runs', hasHappened: (_, worker) => worker.running.size > 0, waiting: 0, state: 'running' },
+    { name: 'whose first task has ended meanwhile', hasHappened: (_, worker) => worker.ended.length > 0, waiting: 0, state: 'running' }
+  ]
+  for (const { name, hasHappened, waiting, state } of RESTORED_JOBS) {
+    itUnlessKnownRed(`counts ${waiting} waiting jobs after a takeover with a job ${name}`, async () => await withSite(async (site, act) => {
+      const worker = site.port.add(new FakeWorker('w1', 1, () => 1000))
+      const former = act(1)
+      await site.clock.tickAsync(100)
+      site.log.answerMilliseconds = 200
+      submit(site.log, JOB, [step(), step({ after: [0] })])
+      while (!hasHappened(site, worker)) {
+        await site.clock.tickAsync(10)
+        if (worker.started.length > 0) former.dispose()
+      }
+      former.dispose()
+      site.log.answerMilliseconds = 5
+      worker.state = 'draining'
+      const successor = act(2)
+      await site.clock.tickAsync(1000)
+      assert.equal(successor.waitingOf('queue'), waiting)
+      assert.equal(successor.stateOf(JOB), state)
+    }))
+  }
+
   /** Looks go on after a worker has fallen silent; they must not put off the end of its leases for ever. */
   it('runs tasks elsewhere once the leases of a worker that never answers again have ended', async () => await withSite(async (site, act) => {
     const workers = ['w1', 'w2'].map(identity => site.port.add(new FakeWorker(identity, 2, () => 3000)))
