Count a job as waiting until a worker has shown a run of it

Cause: intent taken for fact at recovery. A placement is recorded before the start is ordered. A successor that restored such a record set the job to running, although the order may never have left. When the workers did not list the runs, the tasks waited again, but the job stayed running and was not counted.

The test disposes the scheduler between the record and the order: 0 waiting jobs were counted, 1 waits; also on a worker that does not answer.

Change: the restored job keeps the recorded state. The first run that a worker shows, by its answer, its list or an end, makes the job running, and this is recorded, so that a successor shows it too. It costs one more record for each job.

--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -318,8 +318,17 @@
     task.phase = 'running'
     task.progressedAt = now
     task.percent = 0
-    const job = task.step.job
-    if (job.state === 'pending') job.state = 'running'
+    this.markStarted(task.step.job)
+  }
+
+  /**
+   * Notes that a worker has shown a run of one of the job's tasks. The recorded placement does not prove a start, because it
+   * precedes the order: a successor takes the job for running only if the log says so.
+   */
+  private markStarted (job: Job): void {
+    if (job.state !== 'pending') return
+    job.state = 'running'
+    this.unrecorded.add(job)
   }
 
   private onRunningRow (worker: WorkerState, taskName: string, run: number, checkpoint: string, percent: number, now: number): void {
@@ -381,6 +390,7 @@
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
     this.observer.onDidEndRun(task, worker, end.kind, now - task.startedAt)
     const job = task.step.job
+    this.markStarted(job)
     if (end.kind === 'done' && !task.step.specification.longRunning) {
       worker.recordSuccess(task.step.specification.estimateMilliseconds, task.phase === 'running' && task.startedAt > 0 ? now - task.startedAt : 0)
       this.onDone(task, worker, now)
--- a/src/cluster/jobBook.ts
+++ b/src/cluster/jobBook.ts
@@ -158,8 +158,6 @@
     occurrence.steps.forEach((step, stepIndex) => restoreStep(step, stepRows[stepIndex] ?? [[], []]))
     if (occurrence.isDone) job.finishedOccurrences += 1
   }
-  // The record of a first placement is written before the run starts.
-  if (job.state === 'pending' && record.occurrences.length > 0) job.state = 'running'
 }
 
 function restoreStep (step: Step, [done, rows]: StepRow): void {
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -150,12 +150,21 @@
   }
 
   /** A placement is recorded before it is ordered: the record does not show that a task has started (MIXED: jobs that wait were not counted). */
-  const RESTORED_JOBS: ReadonlyArray<{ readonly name: string, readonly hasHappened: (site: Site, worker: FakeWorker) => boolean, readonly waiting: number, readonly state: string }> = [
-    { name: 'whose placement was recorded but never ordered', hasHappened: site => site.log.latestValue(TOPICS.progress, JOB) !== undefined, waiting: 1, state: 'pending' },
+  interface RestoredJob {
+    readonly name: string
+    readonly hasHappened: (site: Site, worker: FakeWorker) => boolean
+    readonly isWorkerSilent?: boolean
+    readonly waiting: number
+    readonly state: string
+  }
+  const hasRecord = (site: Site): boolean => site.log.latestValue(TOPICS.progress, JOB) !== undefined
+  const RESTORED_JOBS: readonly RestoredJob[] = [
+    { name: 'whose placement was recorded but never ordered', hasHappened: hasRecord, waiting: 1, state: 'pending' },
+    { name: 'whose placement was recorded but never ordered, on a worker that does not answer', hasHappened: hasRecord, isWorkerSilent: true, waiting: 1, state: 'pending' },
     { name: 'whose first task runs', hasHappened: (_, worker) => worker.running.size > 0, waiting: 0, state: 'running' },
     { name: 'whose first task has ended meanwhile', hasHappened: (_, worker) => worker.ended.length > 0, waiting: 0, state: 'running' }
   ]
-  for (const { name, hasHappened, waiting, state } of RESTORED_JOBS) {
+  for (const { name, hasHappened, isWorkerSilent, waiting, state } of RESTORED_JOBS) {
     itUnlessKnownRed(`counts ${waiting} waiting jobs after a takeover with a job ${name}`, async () => await withSite(async (site, act) => {
       const worker = site.port.add(new FakeWorker('w1', 1, () => 1000))
       const former = act(1)
@@ -169,6 +178,7 @@
       former.dispose()
       site.log.answerMilliseconds = 5
       worker.state = 'draining'
+      worker.isReachable = isWorkerSilent !== true
       const successor = act(2)
       await site.clock.tickAsync(1000)
       assert.equal(successor.waitingOf('queue'), waiting)
