Keep the state of jobs that finished before a takeover for the whole retention

What callers saw: in an instance that had run for longer than the retention (120 s), a takeover evicted every finished job within ten seconds: GET answered 410 for jobs that had been accepted and completed (LOST).

The record of a finished job does not say when it finished, and the restored job kept the initial 0 of the monotonic clock.

Found by going through what restoreProgress leaves at its initial value. The retention now counts from the takeover. The test fails before (the state is not known 30 s after the takeover).

--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -102,7 +102,10 @@
     const objective = queue === undefined ? 0 : estimateObjective(submission.job, queue)
     job.objectiveAt = now - age + objective
     job.lateUntil = now - age + LATE_FACTOR * objective
-    if (!job.isFinal) {
+    if (job.isFinal) {
+      // The record does not say when the job finished.
+      job.finishedAt = now
+    } else {
       for (const task of job.tasks()) this.adoptRestoredRun(task)
       this.openDueOccurrences(job, now, Date.now())
       for (const occurrence of job.occurrences.values()) this.openReadySteps(occurrence, now)
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -286,6 +286,20 @@
     assert.equal(scheduler.stateOf('00000000000000bb'), 'completed')
   }))
 
+  /** Retention counts from the takeover; a job that had finished before was evicted at once (LOST: an accepted job is unknown). */
+  it('keeps the state of a job that finished before a takeover', async () => await withSite(async (site, act) => {
+    site.port.add(new FakeWorker('w1', 1, () => 500))
+    await site.clock.tickAsync(2 * BOUNDS.stateRetentionMilliseconds)
+    const former = act(1)
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(3000)
+    assert.equal(former.stateOf(JOB), 'completed')
+    former.dispose()
+    const successor = act(2)
+    await site.clock.tickAsync(30_000)
+    assert.equal(successor.stateOf(JOB), 'completed')
+  }))
+
   it('is deposed by a later term and orders nothing more', async () => await withSite(async (site, act) => {
     const worker = site.port.add(new FakeWorker('w1', 4, () => 1000))
     act(1)
