Answer questions about unknown jobs and queue lengths while nothing is handed in

A read of an idle partition waits for 1.5 s, and what it proves is dated by its start: while the next read waits, the last answered one is up to 3 s old. For a third of the time such questions were put off, or answered with 503 after 1.5 s.

The test asks every 50 ms for ten seconds; before, the answer is missing from 2.0 s on.

Change: a read waits for 1 s, and the bound is two waits and the time of the answers (2.5 s as before, within the 3 s in which an accepted job must be known).

--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -21,7 +21,7 @@
 import type { WorkerState } from './workerState.js'
 
 /** Wait of a read of submissions in milliseconds, and least time between two reads. */
-const SUBMISSION_WAIT_MILLISECONDS = 1500
+const SUBMISSION_WAIT_MILLISECONDS = 1000
 const SUBMISSION_PERIOD_MILLISECONDS = 12
 /** Deciding takes at most this part of the time, so that the reports and questions that decisions depend on are still served. */
 const DECIDING_SHARE = 1 / 3
@@ -29,8 +29,8 @@
 const TICK_MILLISECONDS = 100
 /** Period in which finished jobs are evicted, in milliseconds. */
 const EVICTION_PERIOD_MILLISECONDS = 10_000
-/** Age of the last read of submissions beyond which an unknown job may exist, in milliseconds. */
-const FRESH_MILLISECONDS = SUBMISSION_WAIT_MILLISECONDS + 1000
+/** Age of the last read of submissions beyond which an unknown job may exist, in milliseconds. The last read that was answered is up to two waits old while the next one waits. */
+const FRESH_MILLISECONDS = 2 * SUBMISSION_WAIT_MILLISECONDS + 500
 
 /** Answer to a question about a job. `unsure`: the job may exist without being known here yet. */
 export type StateAnswer = JobState | 'unknown' | 'unsure'
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -404,6 +404,17 @@
     assert.equal(scheduler.waitingOf('queue'), 1)
   }))
 
+  /** The reads of an idle topic wait: what was stored before the last answered read is up to two waits old. */
+  it('knows at any time which jobs exist while nothing is handed in', async () => await withSite(async (site, act) => {
+    const scheduler = act(1)
+    await site.clock.tickAsync(500)
+    for (let time = 0; time < 10_000; time += 50) {
+      await site.clock.tickAsync(50)
+      assert.equal(scheduler.stateOf(JOB), 'unknown', `after ${time} ms`)
+      assert.equal(scheduler.waitingOf('queue'), 0, `after ${time} ms`)
+    }
+  }))
+
   it('shows a job as completed only once the log holds it, while the log answers', async () => await withSite(async (site, act) => {
     site.log.answerMilliseconds = 150
     const worker = site.port.add(new FakeWorker('w1', 1, () => 1000))
--- a/test/fuzz/clusterFaults.ts
+++ b/test/fuzz/clusterFaults.ts
@@ -26,7 +26,7 @@
     name: 'placements are ordered before they are recorded',
     checks: ['RunsOnce', 'WithinRoom'],
     seed: 1,
-    runs: 2,
+    runs: 3,
     plant: replace(ProgressWriter, 'write', (original, _self, records) => {
       original(records)
       return Promise.resolve('stored')
@@ -36,7 +36,7 @@
     name: 'ends are acknowledged before they are recorded',
     checks: ['RunsOnce', 'CompletedMeansDone', 'NoJobLost'],
     seed: 1,
-    runs: 13,
+    runs: 20,
     plant: replaceGetter(WorkerState, 'endToAcknowledge', (self: { processedEnd: number }) => self.processedEnd)
   },
   {
