Bound the age of new work by the reads of the log, not by the clocks of two instances alone

Cause: the age of a job was taken from the time of day of two machines. A record that comes by following was stored after the read before was sent, which the monotonic clock of the reader tells; the age is now at most the time since then.

The test fails before with a clock that is 20 s behind.

--- a/bench/capacityCluster.ts
+++ b/bench/capacityCluster.ts
@@ -106,7 +106,7 @@
     former.place(0)
     const records = [...former.jobs.values()].map(job => ({ identity: job.identity, submission: encodeRecord(job.submission), progress: encodeRecord(progressOf(job)) }))
     const milliseconds = medianMilliseconds(runs, () => createScheduler(workers), scheduler => {
-      for (const { identity, submission, progress } of records) scheduler.addJob(identity, decodeRecord<SubmissionRecord>(submission), 0, decodeRecord<ProgressRecord>(progress))
+      for (const { identity, submission, progress } of records) scheduler.addJob(identity, decodeRecord<SubmissionRecord>(submission), 0, { progress: decodeRecord<ProgressRecord>(progress) })
     })
     const kilobytes = (of: (record: typeof records[number]) => Buffer): string => (records.reduce((sum, record) => sum + of(record).length, 0) / 1000).toFixed(0)
     printRow([jobs, kilobytes(record => record.submission), kilobytes(record => record.progress), milliseconds.toFixed(1)])
--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -46,6 +46,13 @@
   readonly onDeposed: () => void
 }
 
+/** Submissions that one read has given. `storedAfter`: a time that precedes their storing, in milliseconds of the monotonic clock; undefined if none is known. */
+interface SubmissionBatch {
+  readonly partition: number
+  readonly records: readonly StoredRecord[]
+  readonly storedAfter: number | undefined
+}
+
 /** Latest end of a worker's process that has been taken into account. */
 interface ProcessedEnd {
   readonly number: number
@@ -71,7 +78,7 @@
   /** Partition that holds each record of a job that is kept, by key. */
   private readonly partitionOfKey = new Map<string, number>()
   /** Submissions that were read before the progress of their jobs. */
-  private unprocessed: Array<{ readonly partition: number, readonly records: readonly StoredRecord[] }> | undefined = []
+  private unprocessed: SubmissionBatch[] | undefined = []
 
   constructor (
     private readonly log: RecordLog,
@@ -98,7 +105,7 @@
       log,
       { topic: TOPICS.submissions, partition, waitMilliseconds: SUBMISSION_WAIT_MILLISECONDS, periodMilliseconds: () => SUBMISSION_PERIOD_MILLISECONDS },
       {
-        onRecords: records => this.onSubmissions(partition, records),
+        onRecords: (records, _, storedAfter) => this.onSubmissions({ partition, records, storedAfter }),
         onDidChangeReachable: (reachable, reason) => logger.info(reachable ? 'submissions can be read again' : 'submissions cannot be read', { term: options.term, reason })
       },
       random, now
@@ -220,7 +227,7 @@
   private applyUnprocessed (progress: ReadonlyMap<string, ProgressRecord>): void {
     const unprocessed = this.unprocessed ?? []
     this.unprocessed = undefined
-    for (const { partition, records } of unprocessed) this.applySubmissions(partition, records, progress)
+    for (const batch of unprocessed) this.applySubmissions(batch, progress)
   }
 
   /** Progress after writers of former terms were shut out; undefined if the role is lost. */
@@ -251,18 +258,18 @@
     while (!this.isDisposed && !await follower.load()) await delay(TICK_MILLISECONDS, this.abort.signal)
   }
 
-  private onSubmissions (partition: number, records: readonly StoredRecord[]): void {
-    if (this.unprocessed === undefined) this.applySubmissions(partition, records, new Map())
-    else this.unprocessed.push({ partition, records })
+  private onSubmissions (batch: SubmissionBatch): void {
+    if (this.unprocessed === undefined) this.applySubmissions(batch, new Map())
+    else this.unprocessed.push(batch)
   }
 
-  private applySubmissions (partition: number, records: readonly StoredRecord[], progress: ReadonlyMap<string, ProgressRecord>): void {
+  private applySubmissions ({ partition, records, storedAfter }: SubmissionBatch, progress: ReadonlyMap<string, ProgressRecord>): void {
     const now = this.now()
     for (const { key, value } of records) {
       if (value === undefined) continue
       this.partitionOfKey.set(key, partition)
       if (isCancelKey(key)) this.onCancel(jobOfCancelKey(key), now)
-      else if (!this.scheduler.jobs.has(key)) this.scheduler.addJob(key, decodeRecord<SubmissionRecord>(value), now, progress.get(key))
+      else if (!this.scheduler.jobs.has(key)) this.scheduler.addJob(key, decodeRecord<SubmissionRecord>(value), now, { progress: progress.get(key), storedAfter })
     }
     this.trigger()
   }
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -13,7 +13,7 @@
 /** Time after which the stop of a stray run is ordered again, in milliseconds; longer than a worker takes to stop one. */
 const STRAY_STOP_PERIOD_MILLISECONDS = 1500
 
-/** Greatest age that a job is taken to have when it arrives, in milliseconds; the clocks of two instances may differ by seconds. */
+/** Greatest age that a job is taken to have when only its time of acceptance tells, in milliseconds. */
 const MAXIMUM_ADOPTED_AGE_MILLISECONDS = 60_000
 
 /** What the scheduler tells about its decisions. */
@@ -28,6 +28,14 @@
   onDidIgnoreEnd (worker: WorkerState, end: EndReport, task: Task): void
 }
 
+/** What is known of a job beside its submission. */
+export interface KnownOfJob {
+  /** Progress that a former scheduler has recorded. */
+  readonly progress?: ProgressRecord
+  /** A time that precedes the storing of its submission, in milliseconds of the monotonic clock. */
+  readonly storedAfter?: number
+}
+
 /** A run that is to be stopped. */
 export interface PlannedStop {
   readonly worker: string
@@ -90,7 +98,7 @@
   }
 
   /** Adds a job that the log holds. A repeat is ignored. */
-  addJob (identity: string, submission: SubmissionRecord, now: number, progress?: ProgressRecord): Job {
+  addJob (identity: string, submission: SubmissionRecord, now: number, { progress, storedAfter }: KnownOfJob = {}): Job {
     const known = this.jobs.get(identity)
     if (known !== undefined) return known
     const job = new Job(identity, submission, now)
@@ -98,7 +106,9 @@
     if (progress !== undefined) restoreProgress(job, progress)
     const queue = this.queueOf(job)
     job.isUrgent = queue?.priority === URGENT_PRIORITY
-    const age = Math.min(MAXIMUM_ADOPTED_AGE_MILLISECONDS, Math.max(0, Date.now() - submission.acceptedAt))
+    // The time of day of two instances may differ by seconds; what the monotonic clock says limits the error.
+    const maximumAge = storedAfter === undefined ? MAXIMUM_ADOPTED_AGE_MILLISECONDS : now - storedAfter
+    const age = Math.min(maximumAge, Math.max(0, Date.now() - submission.acceptedAt))
     const objective = queue === undefined ? 0 : estimateObjective(submission.job, queue)
     job.objectiveAt = now - age + objective
     job.lateUntil = now - age + LATE_FACTOR * objective
--- a/src/cluster/topicFollower.ts
+++ b/src/cluster/topicFollower.ts
@@ -17,8 +17,11 @@
 }
 
 export interface TopicFollowerObserver {
-  /** Records in order. Of a snapshot only the latest of each key are given; `isSnapshot` says that keys that are not given have no record. */
-  onRecords (records: readonly StoredRecord[], isSnapshot: boolean): void
+  /**
+   * Records in order. Of a snapshot only the latest of each key are given; `isSnapshot` says that keys that are not given have no record.
+   * `storedAfter`: when the read that ended before these records was sent, in milliseconds of the monotonic clock; undefined for a snapshot.
+   */
+  onRecords (records: readonly StoredRecord[], isSnapshot: boolean, storedAfter: number | undefined): void
   /** The log could not be read, or could be read again. */
   onDidChangeReachable (reachable: boolean, reason: string): void
 }
@@ -60,7 +63,7 @@
     }
     this.next = outcome.end
     this.onSuccess(sentAt)
-    this.observer.onRecords(outcome.records, true)
+    this.observer.onRecords(outcome.records, true, undefined)
     return true
   }
 
@@ -98,11 +101,13 @@
       case 'expired':
         this.next = undefined
         return true
-      case 'records':
+      case 'records': {
+        const storedAfter = this.currentAsOf
         this.next = outcome.next
         this.onSuccess(sentAt)
-        if (outcome.records.length > 0) this.observer.onRecords(outcome.records, false)
+        if (outcome.records.length > 0) this.observer.onRecords(outcome.records, false, storedAfter)
         return true
+      }
     }
   }
 
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -18,7 +18,10 @@
 
 const CONFIGURATION: ClusterConfiguration = {
   revision: 1,
-  queues: [{ name: 'queue', host: 'host', routePrefix: '/q/', pool: 'pool', priority: 0, attempts: 3, stretch: 2, targetMilliseconds: 500 }],
+  queues: [
+    { name: 'queue', host: 'host', routePrefix: '/q/', pool: 'pool', priority: 0, attempts: 3, stretch: 2, targetMilliseconds: 500 },
+    { name: 'batch', host: 'host', routePrefix: '/b/', pool: 'pool', priority: 1, attempts: 3, stretch: 2, targetMilliseconds: 500 }
+  ],
   maximumBodyBytes: 100_000
 }
 
@@ -53,9 +56,9 @@
   }
 }
 
-function submit (log: FakeRecordLog, identity: string, steps: object[]): void {
+function submit (log: FakeRecordLog, identity: string, steps: object[], fields: { readonly queue?: string, readonly acceptedAt?: number } = {}): void {
   const job = stepJobSchema.parse({ specification: 'text', steps })
-  log.write(TOPICS.submissions, identity, encodeRecord({ queue: 'queue', pool: 'pool', job, acceptedAt: Date.now() }))
+  log.write(TOPICS.submissions, identity, encodeRecord({ queue: 'queue', pool: 'pool', job, acceptedAt: Date.now(), ...fields }))
 }
 
 function step (fields: object = {}): object {
@@ -225,6 +228,21 @@
     assert.deepEqual(workers.flatMap(worker => worker.started).sort(), [1, 2, 3].map(run => `${JOB}.0.0.0/${run}`))
   }))
 
+  /** The clocks of instances differ and jump: by the time of day alone, new urgent work looks overdue, which is placed after all other work. */
+  const CLOCK_OFFSETS: readonly number[] = [-20_000, 0, 20_000]
+  for (const offset of CLOCK_OFFSETS) {
+    it(`places urgent work before batch work when the clock of the accepting instance is off by ${offset} ms`, async () => await withSite(async (site, act) => {
+      const worker = site.port.add(new FakeWorker('w1', 1, () => 1000))
+      act(1)
+      await site.clock.tickAsync(100)
+      submit(site.log, '00000000000000bb', [step({ count: 4 })], { queue: 'batch' })
+      await site.clock.tickAsync(500)
+      submit(site.log, JOB, [step()], { acceptedAt: Date.now() + offset })
+      await site.clock.tickAsync(2000)
+      assert.equal(worker.started[1], `${JOB}.0.0.0/1`)
+    }))
+  }
+
   it('places nothing on a worker that is leaving, and runs of a restarted one again', async () => await withSite(async (site, act) => {
     const leaving = site.port.add(new FakeWorker('w1', 2, () => 1000))
     const staying = site.port.add(new FakeWorker('w2', 2, () => 1000))
