Count a failed run of a gang once over a takeover

What callers saw: a gang job could be shown as failed after fewer failed runs than its queue allows (LOST). When one member's failure had been recorded and a second member of the same run failed under the next scheduler, that run counted twice.

The test fails before: the job is failed after two runs of three.

--- a/src/cluster/jobBook.ts
+++ b/src/cluster/jobBook.ts
@@ -144,7 +144,7 @@
     if (task.phase === 'done') done.push(task.index)
     else if (task.run > 0) tasks.push([task.index, task.run, task.hasRun ? task.worker : '', task.failures, task.checkpoint])
   }
-  return [done, tasks]
+  return step.lastFailedRun === 0 ? [done, tasks] : [done, tasks, step.lastFailedRun]
 }
 
 /** Restores the occurrences of a job from its record. Runs that may exist become `uncertain`. */
@@ -160,7 +160,8 @@
   }
 }
 
-function restoreStep (step: Step, [done, rows]: StepRow): void {
+function restoreStep (step: Step, [done, rows, lastFailedRun]: StepRow): void {
+  step.lastFailedRun = lastFailedRun ?? 0
   for (const index of done) {
     const task = step.tasks[index]
     if (task === undefined) continue
--- a/src/contracts/clusterRecords.ts
+++ b/src/contracts/clusterRecords.ts
@@ -4,8 +4,8 @@
 /** Progress of one task that is not done: index, last run, worker (empty if none), failed runs, checkpoint (empty if none). */
 export type TaskRow = readonly [index: number, run: number, worker: string, failures: number, checkpoint: string]
 
-/** Progress of one step: indexes of the tasks that are done, and rows of the others that have started. */
-export type StepRow = readonly [done: readonly number[], tasks: readonly TaskRow[]]
+/** Progress of one step: indexes of the tasks that are done, rows of the others that have started, and the last run of a gang that was counted as failed. */
+export type StepRow = readonly [done: readonly number[], tasks: readonly TaskRow[], lastFailedRun?: number]
 
 /** Progress of one occurrence. */
 export type OccurrenceRow = readonly [occurrence: number, steps: readonly StepRow[]]
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -243,6 +243,31 @@
     }))
   }
 
+  /** Two members of one gang run fail, the second under another scheduler: counted twice, the job is shown as failed too early (LOST). */
+  it('counts a failed run of a gang once over a takeover', async () => await withSite(async (site, act) => {
+    const workers = ['w1', 'w2'].map(identity => site.port.add(new FakeWorker(identity, 1, () => Infinity)))
+    const holderOf = (task: string): FakeWorker => workers.find(worker => worker.running.has(task)) as FakeWorker
+    const [member, other] = [`${JOB}.0.0.0`, `${JOB}.0.0.1`]
+    const former = act(1)
+    submit(site.log, JOB, [step({ count: 2, gang: true })])
+    await site.clock.tickAsync(500)
+    const unreachable = holderOf(other)
+    unreachable.isReachable = false
+    holderOf(member).endIfRunning(member, 1, 'failed')
+    await site.clock.tickAsync(200)
+    unreachable.endIfRunning(other, 1, 'failed')
+    former.dispose()
+    unreachable.isReachable = true
+    const successor = act(2)
+    for (const run of [2, 3]) {
+      await site.clock.tickAsync(1000)
+      assert.equal(successor.stateOf(JOB), 'running')
+      holderOf(member).endIfRunning(member, run, 'failed')
+    }
+    await site.clock.tickAsync(1000)
+    assert.equal(successor.stateOf(JOB), 'failed')
+  }))
+
   it('places nothing on a worker that is leaving, and runs of a restarted one again', async () => await withSite(async (site, act) => {
     const leaving = site.port.add(new FakeWorker('w1', 2, () => 1000))
     const staying = site.port.add(new FakeWorker('w2', 2, () => 1000))
