Drop every copy of a finished job's submission before its progress

A caller that hands a job in again at another instance leaves a second copy in another partition, and only one partition was remembered. The drop of a submission was also sent once, without a repeat when the log refused it, while the drop of its progress was repeated until stored. A submission without progress is a new job for the next scheduler.

Change: JobRetention remembers all partitions of a key and repeats each drop until it is stored. A job is forgotten, and its progress dropped, only when the drop of every copy has been read back. If the process ends in between, the progress of a finished job stays in the log, which does no harm.

Both cases of the test fail before: the task is started a second time.

--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -10,10 +10,11 @@
 import { ClusterScheduler, type PlannedStop, type SchedulerObserver } from './clusterScheduler.js'
 import { EligibilityDesk, type EligibilityAnswer, type EligibilityLine } from './eligibilityDesk.js'
 import { progressOf, type Job, type Task } from './jobBook.js'
+import { JobRetention } from './jobRetention.js'
 import type { PlannedRun } from './placementPass.js'
 import { ProgressWriter } from './progressWriter.js'
 import { TOPICS, type KeyedRecord, type RecordLog, type StoredRecord } from './recordLog.js'
-import { cancelKey, isCancelKey, jobOfCancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
+import { isCancelKey, jobOfCancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
 import { TopicFollower } from './topicFollower.js'
 import type { EndReport, WorkerEntry, WorkerPort } from './workerPort.js'
 import type { WorkerSession } from './workerSession.js'
@@ -73,10 +74,9 @@
   private isOperating = false
   /** Placements of a round whose record has to be written again. */
   private readonly unordered: PlannedRun[] = []
-  /** Finished jobs whose progress is to be dropped from the log. */
+  /** Finished jobs without a submission, whose progress is to be dropped from the log. */
   private readonly evictedKeys: string[] = []
-  /** Partition that holds each record of a job that is kept, by key. */
-  private readonly partitionOfKey = new Map<string, number>()
+  private readonly retention: JobRetention
   /** Submissions that were read before the progress of their jobs. */
   private unprocessed: SubmissionBatch[] | undefined = []
 
@@ -100,6 +100,7 @@
       onDidChange: () => this.trigger(),
       onDeposed: options.onDeposed
     }, metrics, logger, now))
+    this.retention = this.register(new JobRetention(log, logger))
     this.desk = new EligibilityDesk(this.scheduler, options.lines, answer => this.onEligibilityAnswer(answer), now)
     this.submissions = Array.from({ length: SUBMISSION_PARTITIONS }, (_, partition) => this.register(new TopicFollower(
       log,
@@ -266,8 +267,11 @@
   private applySubmissions ({ partition, records, storedAfter }: SubmissionBatch, progress: ReadonlyMap<string, ProgressRecord>): void {
     const now = this.now()
     for (const { key, value } of records) {
-      if (value === undefined) continue
-      this.partitionOfKey.set(key, partition)
+      if (value === undefined) {
+        this.onDropped(key, partition)
+        continue
+      }
+      this.retention.onStored(key, partition)
       if (isCancelKey(key)) this.onCancel(jobOfCancelKey(key), now)
       else if (!this.scheduler.jobs.has(key)) this.scheduler.addJob(key, decodeRecord<SubmissionRecord>(value), now, { progress: progress.get(key), storedAfter })
     }
@@ -288,24 +292,13 @@
   }
 
   private evict (): void {
-    const evicted = this.scheduler.evictFinishedBefore(this.now() - this.options.bounds.stateRetentionMilliseconds)
-    if (evicted.length === 0) return
-    // The round writes these too: the writer takes one write at a time.
-    this.evictedKeys.push(...evicted)
-    this.trigger()
-    const dropped = new Map<number, KeyedRecord[]>()
-    for (const key of evicted.flatMap(identity => [identity, cancelKey(identity)])) {
-      const partition = this.partitionOfKey.get(key)
-      if (partition === undefined) continue
-      this.partitionOfKey.delete(key)
-      dropped.set(partition, [...dropped.get(partition) ?? [], { key }])
-    }
-    for (const [partition, records] of dropped) this.dropSubmissions(partition, records)
+    this.retention.drop(this.scheduler.finishedBefore(this.now() - this.options.bounds.stateRetentionMilliseconds))
   }
 
-  private async dropSubmissions (partition: number, records: readonly KeyedRecord[]): Promise<void> {
-    const outcome = await this.log.append(TOPICS.submissions, partition, records)
-    if (outcome.kind !== 'stored') this.logger.warn('old submissions could not be dropped from the log', { count: records.length, reason: outcome.kind })
+  /** A submission has been dropped from the log. Its progress follows, because without it a copy that is left would be a new job. */
+  private onDropped (key: string, partition: number): void {
+    if (!this.retention.onDropped(key, partition) || isCancelKey(key) || !this.scheduler.forgetFinished(key)) return
+    this.evictedKeys.push(key)
   }
 
   private onEligibilityAnswer (answer: EligibilityAnswer): void {
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -266,14 +266,18 @@
     job.recordedState = state
   }
 
-  /** Forgets jobs that finished before a time; returns their identities. */
-  evictFinishedBefore (time: number): string[] {
-    const evicted: string[] = []
+  /** Identities of jobs that finished before a time, as far as the log holds their final state. */
+  finishedBefore (time: number): string[] {
+    const found: string[] = []
     for (const job of this.jobs.values()) {
-      if (job.isFinal && job.finishedAt < time && job.recordedState === job.state) evicted.push(job.identity)
+      if (job.isFinal && job.finishedAt < time && job.recordedState === job.state) found.push(job.identity)
     }
-    for (const identity of evicted) this.jobs.delete(identity)
-    return evicted
+    return found
+  }
+
+  /** Forgets a job if it is finished; returns whether it was. */
+  forgetFinished (identity: string): boolean {
+    return this.jobs.get(identity)?.isFinal === true && this.jobs.delete(identity)
   }
 
   /** A new process counts its ends anew. Runs may have been started on it before its first report: the report tells which are left. */
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -343,6 +343,32 @@
     assert.equal(successor.stateOf(JOB), 'completed')
   }))
 
+  /** A submission that is left in the log without its progress is a new job for the next scheduler (TWICE: a finished task is started again). */
+  const LEFT_COPIES: ReadonlyArray<{ readonly name: string, readonly hasCopy: boolean, readonly isRefused: boolean }> = [
+    { name: 'which was handed in at two instances', hasCopy: true, isRefused: false },
+    { name: 'whose submission the log would not drop at first', hasCopy: false, isRefused: true }
+  ]
+  for (const { name, hasCopy, isRefused } of LEFT_COPIES) {
+    it(`does not run a job again after its retention and a takeover ${name}`, async () => await withSite(async (site, act) => {
+      const worker = site.port.add(new FakeWorker('w1', 2, () => 500))
+      const former = act(1)
+      const partitions = hasCopy ? [0, 1] : [0]
+      const value = encodeRecord({ queue: 'queue', pool: 'pool', job: stepJobSchema.parse({ specification: 'text', steps: [step()] }), acceptedAt: Date.now() })
+      for (const partition of partitions) site.log.append(TOPICS.submissions, partition, [{ key: JOB, value }])
+      await site.clock.tickAsync(121_000)
+      assert.equal(former.stateOf(JOB), 'completed')
+      if (isRefused) site.log.fault = 'refused'
+      await site.clock.tickAsync(10_000)
+      site.log.fault = 'none'
+      await site.clock.tickAsync(10_000)
+      assert.equal(site.log.latestValue(TOPICS.progress, JOB), undefined)
+      former.dispose()
+      act(2)
+      await site.clock.tickAsync(3000)
+      assert.deepEqual(worker.started, [`${JOB}.0.0.0/1`])
+    }))
+  }
+
   it('is deposed by a later term and orders nothing more', async () => await withSite(async (site, act) => {
     const worker = site.port.add(new FakeWorker('w1', 4, () => 1000))
     act(1)
