Keep the policy of a queue with each job

What callers saw: after an operator had removed a route, an accepted job of it was shown as failed at its first failed run (LOST). A job that was read before its queue was known counted as overdue and not urgent for good.

Cause: the policy was looked up in the present configuration only; without the queue, defaults took its place. The submission now records the policy of its acceptance, which holds while the configuration does not name the queue. It costs some 80 bytes a submission. Records of former versions are read with the former defaults.

--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -1,4 +1,4 @@
-import type { ClusterConfiguration, Queue } from '../contracts/clusterConfiguration.js'
+import type { ClusterConfiguration, Queue, QueuePolicy } from '../contracts/clusterConfiguration.js'
 import type { ProgressRecord, SubmissionRecord } from '../contracts/clusterRecords.js'
 import { Job, Occurrence, restoreProgress, type Step, type Task } from './jobBook.js'
 import { estimateObjective, LATE_FACTOR } from './objective.js'
@@ -71,9 +71,9 @@
     for (const queue of configuration.queues) this.queues.set(queue.name, queue)
   }
 
-  /** Policy of a job's queue; undefined if no configuration names it any more. */
-  queueOf (job: Job): Queue | undefined {
-    return this.queues.get(job.submission.queue)
+  /** Policy of a job: that of its queue or, while the configuration does not name the queue, that of its acceptance. */
+  policyOf (job: Job): QueuePolicy {
+    return this.queues.get(job.submission.queue) ?? job.acceptedPolicy
   }
 
   /** Adds a worker or takes over its new entry. Returns its state. */
@@ -104,12 +104,12 @@
     const job = new Job(identity, submission, now)
     this.jobs.set(identity, job)
     if (progress !== undefined) restoreProgress(job, progress)
-    const queue = this.queueOf(job)
-    job.isUrgent = queue?.priority === URGENT_PRIORITY
+    const policy = this.policyOf(job)
+    job.isUrgent = policy.priority === URGENT_PRIORITY
     // The time of day of two instances may differ by seconds; what the monotonic clock says limits the error.
     const maximumAge = storedAfter === undefined ? MAXIMUM_ADOPTED_AGE_MILLISECONDS : now - storedAfter
     const age = Math.min(maximumAge, Math.max(0, Date.now() - submission.acceptedAt))
-    const objective = queue === undefined ? 0 : estimateObjective(submission.job, queue)
+    const objective = estimateObjective(submission.job, policy)
     job.objectiveAt = now - age + objective
     job.lateUntil = now - age + LATE_FACTOR * objective
     if (job.isFinal) {
@@ -164,7 +164,7 @@
 
   /** Chooses runs for tasks that wait. The runs have room from now on; each is to be recorded before it is ordered. */
   place (now: number): PlannedRun[] {
-    const pass = new PlacementPass([...this.openSteps], this.workers, step => this.queueOf(step.job), this.headroom, now)
+    const pass = new PlacementPass([...this.openSteps], this.workers, step => this.policyOf(step.job), this.headroom, now)
     const planned = pass.run()
     for (const { task } of planned) this.onPlaced(task, now)
     return planned
@@ -448,7 +448,7 @@
     step.lastFailedRun = task.run
     const failed = step.specification.gang ? step.tasks : [task]
     for (const member of failed) member.failures += 1
-    const attempts = this.queueOf(step.job)?.attempts ?? 1
+    const attempts = this.policyOf(step.job).attempts
     if (task.failures < attempts) return
     this.finish(step.job, 'failed', `task ${task.name} has failed ${task.failures} times`, now)
   }
--- a/src/cluster/eligibilityDesk.ts
+++ b/src/cluster/eligibilityDesk.ts
@@ -1,4 +1,4 @@
-import type { Queue } from '../contracts/clusterConfiguration.js'
+import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
 import type { ClusterScheduler } from './clusterScheduler.js'
 import type { Step } from './jobBook.js'
 import { couldCarryTasks, sortByUrgency } from './placementPass.js'
@@ -77,20 +77,20 @@
     sortByUrgency(steps, now)
     let ahead = 0
     for (const step of steps) {
-      const queue = this.scheduler.queueOf(step.job)
-      if (queue?.eligibility === undefined) continue
-      if (queue.priority > 0) ahead += 1
+      const policy = this.scheduler.policyOf(step.job)
+      if (policy.eligibility === undefined) continue
+      if (policy.priority > 0) ahead += 1
       if (ahead > ASKED_AHEAD) return
       if (step.eligibility.asking || now < step.eligibility.notBefore) continue
-      const workers = this.workersToAsk(step, queue, now)
+      const workers = this.workersToAsk(step, policy, now)
       if (workers.length === 0) continue
-      yield { step, workers, expectedMilliseconds: queue.eligibility.decisionMilliseconds + workers.length * queue.eligibility.perWorkerMilliseconds }
+      yield { step, workers, expectedMilliseconds: policy.eligibility.decisionMilliseconds + workers.length * policy.eligibility.perWorkerMilliseconds }
     }
   }
 
-  private workersToAsk (step: Step, queue: Queue, now: number): string[] {
+  private workersToAsk (step: Step, policy: QueuePolicy, now: number): string[] {
     const { tickets, asked } = step.eligibility
-    const isSuitable = (worker: WorkerState | undefined): worker is WorkerState => worker !== undefined && worker.entry.pool === queue.pool && worker.isUsable(now) && worker.couldCarry(step.specification)
+    const isSuitable = (worker: WorkerState | undefined): worker is WorkerState => worker !== undefined && worker.entry.pool === policy.pool && worker.isUsable(now) && worker.couldCarry(step.specification)
     const named = [...tickets.keys()].map(identity => this.scheduler.workers.get(identity)).filter(isSuitable)
     // Workers may have become known since the first question, above all after a change of scheduler.
     if (!couldCarryTasks(named, step, step.waitingCount, this.scheduler.headroom)) {
--- a/src/cluster/jobBook.ts
+++ b/src/cluster/jobBook.ts
@@ -1,3 +1,4 @@
+import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
 import type { OccurrenceRow, ProgressRecord, StepRow, SubmissionRecord, TaskRow } from '../contracts/clusterRecords.js'
 import { isFinalState, type JobState, type JobStep } from '../contracts/stepJob.js'
 
@@ -91,7 +92,12 @@
   }
 }
 
+/** Policy of jobs whose record holds none. */
+const FORMER_POLICY: Omit<QueuePolicy, 'pool'> = { priority: 1, attempts: 1, stretch: 1, targetMilliseconds: 0 }
+
 export class Job {
+  /** Policy of the job's queue when the job was accepted. */
+  readonly acceptedPolicy: QueuePolicy
   readonly occurrences = new Map<number, Occurrence>()
   finishedOccurrences = 0
   state: JobState = 'pending'
@@ -107,7 +113,9 @@
   /** When the job reached a final state, in milliseconds of the monotonic clock. */
   finishedAt = 0
 
-  constructor (readonly identity: string, readonly submission: SubmissionRecord, readonly acceptedAt: number) {}
+  constructor (readonly identity: string, readonly submission: SubmissionRecord, readonly acceptedAt: number) {
+    this.acceptedPolicy = { ...submission.policy ?? FORMER_POLICY, pool: submission.pool }
+  }
 
   get isFinal (): boolean {
     return isFinalState(this.state)
--- a/src/cluster/jobFront.ts
+++ b/src/cluster/jobFront.ts
@@ -2,7 +2,7 @@
 import { DisposableObject } from '../base/disposable.js'
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
-import type { Queue } from '../contracts/clusterConfiguration.js'
+import type { Queue, QueuePolicy } from '../contracts/clusterConfiguration.js'
 import { encodeRecord } from '../contracts/clusterRecords.js'
 import { isFinalState, type JobState, type StepJob } from '../contracts/stepJob.js'
 import type { StateAnswer } from './actingScheduler.js'
@@ -63,7 +63,7 @@
     if (this.accepted.has(identity)) return { kind: 'accepted' }
     const startedAt = this.now()
     if (this.appender.isStalled) return this.refuse(identity, 'the log is away')
-    const value = encodeRecord({ queue: queue.name, pool: queue.pool, job, acceptedAt: Date.now() })
+    const value = encodeRecord({ queue: queue.name, pool: queue.pool, policy: recordedPolicy(queue), job, acceptedAt: Date.now() })
     const outcome = await this.appender.append({ key: identity, value }, Math.max(0, timeLimitMilliseconds - ANSWER_MARGIN_MILLISECONDS))
     if (outcome === 'refused') return this.refuse(identity, 'the log did not take the job')
     if (outcome === 'unknown') {
@@ -127,6 +127,11 @@
   }
 }
 
+function recordedPolicy ({ priority, attempts, stretch, targetMilliseconds, eligibility }: Queue): Omit<QueuePolicy, 'pool'> {
+  const policy = { priority, attempts, stretch, targetMilliseconds }
+  return eligibility === undefined ? policy : { ...policy, eligibility }
+}
+
 const CANCEL_VALUE = Buffer.from([1])
 
 /** A map that forgets its oldest entries beyond a size. */
--- a/src/cluster/objective.ts
+++ b/src/cluster/objective.ts
@@ -1,4 +1,4 @@
-import type { Queue } from '../contracts/clusterConfiguration.js'
+import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
 import type { StepJob } from '../contracts/stepJob.js'
 
 /** Workers that one question about eligibility is taken to name when the chain of work is estimated. */
@@ -8,7 +8,7 @@
 export const LATE_FACTOR = 3
 
 /** Longest chain of estimated work of a job's steps, in milliseconds, with one question about eligibility for each step. */
-export function estimateChain (job: StepJob, queue: Pick<Queue, 'eligibility'>): number {
+export function estimateChain (job: StepJob, queue: Pick<QueuePolicy, 'eligibility'>): number {
   const question = queue.eligibility === undefined ? 0 : queue.eligibility.decisionMilliseconds + WORKERS_PER_QUESTION * queue.eligibility.perWorkerMilliseconds
   const ends: number[] = []
   for (const step of job.steps) {
@@ -19,6 +19,6 @@
 }
 
 /** Time from acceptance within which a job earns its full benefit, in milliseconds. */
-export function estimateObjective (job: StepJob, queue: Pick<Queue, 'eligibility' | 'stretch' | 'targetMilliseconds'>): number {
+export function estimateObjective (job: StepJob, queue: Pick<QueuePolicy, 'eligibility' | 'stretch' | 'targetMilliseconds'>): number {
   return queue.stretch * estimateChain(job, queue) + queue.targetMilliseconds
 }
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -1,4 +1,4 @@
-import type { Queue } from '../contracts/clusterConfiguration.js'
+import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
 import type { Job, Step, Task } from './jobBook.js'
 import { FAST_WORKER_SPEED, type UrgentHeadroom } from './urgentHeadroom.js'
 import { processorsOf, type WorkerState } from './workerState.js'
@@ -38,7 +38,7 @@
   constructor (
     private readonly steps: Step[],
     private readonly workers: ReadonlyMap<string, WorkerState>,
-    private readonly queueOf: (step: Step) => Queue | undefined,
+    private readonly policyOf: (step: Step) => QueuePolicy,
     private readonly headroom: UrgentHeadroom,
     private readonly now: number
   ) {}
@@ -183,9 +183,8 @@
 
   /** Workers of the queue's pool that have the label and, where a service decides, are named by it. */
   private eligibleWorkers (step: Step): WorkerState[] {
-    const queue = this.queueOf(step)
-    const pool = queue?.pool ?? step.job.submission.pool
-    const named = queue?.eligibility === undefined ? undefined : step.eligibility.tickets
+    const { pool, eligibility } = this.policyOf(step)
+    const named = eligibility === undefined ? undefined : step.eligibility.tickets
     const found: WorkerState[] = []
     for (const worker of named === undefined ? this.workers.values() : [...named.keys()].map(identity => this.workers.get(identity))) {
       if (worker !== undefined && worker.entry.pool === pool && worker.isListed && worker.entry.state === 'ready' && worker.hasLabel(step.specification)) found.push(worker)
@@ -195,7 +194,7 @@
 
   /** Ticket for a start now; empty where none is needed, undefined where there is no valid one. */
   private ticketOf (step: Step, worker: WorkerState): string | undefined {
-    if (this.queueOf(step)?.eligibility === undefined) return ''
+    if (this.policyOf(step).eligibility === undefined) return ''
     const ticket = step.eligibility.tickets.get(worker.identity)
     return ticket !== undefined && ticket.validUntil - TICKET_MARGIN_MILLISECONDS > this.now ? ticket.ticket : undefined
   }
--- a/src/contracts/clusterConfiguration.ts
+++ b/src/contracts/clusterConfiguration.ts
@@ -6,11 +6,8 @@
   readonly ticketMilliseconds: number
 }
 
-/** A queue of jobs: the route by which callers reach it and the policy of its jobs. */
-export interface Queue {
-  readonly name: string
-  readonly host: string
-  readonly routePrefix: string
+/** How the jobs of a queue are treated. */
+export interface QueuePolicy {
   /** Name of the worker pool that runs the queue's tasks. */
   readonly pool: string
   /** 0 is the most urgent. */
@@ -24,6 +21,13 @@
   readonly eligibility?: EligibilityTiming
 }
 
+/** A queue of jobs: the route by which callers reach it and the policy of its jobs. */
+export interface Queue extends QueuePolicy {
+  readonly name: string
+  readonly host: string
+  readonly routePrefix: string
+}
+
 /** One revision of the operators' configuration. */
 export interface ClusterConfiguration {
   readonly revision: number
--- a/src/contracts/clusterRecords.ts
+++ b/src/contracts/clusterRecords.ts
@@ -1,4 +1,5 @@
 import { Packr } from 'msgpackr'
+import type { QueuePolicy } from './clusterConfiguration.js'
 import type { StepJob, JobState } from './stepJob.js'
 
 /** Progress of one task that is not done: index, last run, worker (empty if none), failed runs, checkpoint (empty if none). */
@@ -14,6 +15,8 @@
 export interface SubmissionRecord {
   readonly queue: string
   readonly pool: string
+  /** Policy of the queue at acceptance; holds while no configuration names the queue. Missing in records of former versions. */
+  readonly policy?: Omit<QueuePolicy, 'pool'>
   readonly job: StepJob
   /** Unix time of acceptance, in milliseconds; used for ordering and statistics only. */
   readonly acceptedAt: number
