Shut the former scheduler out before anything is read at a takeover

Submissions were read beside the fence. A job that the former scheduler accepted into a placement and completed between the two was final in the progress and unknown here; it was read later as a new job without progress, and all its tasks ran again (TWICE). Only jobs that were not final yet were looked for again.

Now the fence comes first, and progress and submissions are read at the same time after it: all that has been placed or finished was accepted before. The second reading of missing jobs is gone. A test fails before: run 2 of the task. The takeover takes one append longer until it operates; the former scheduler places until then.

--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -5,7 +5,7 @@
 import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
 import { decodeRecord, encodeRecord, type ProgressRecord, type SubmissionRecord } from '../contracts/clusterRecords.js'
 import type { ClusterBounds } from '../contracts/clusterSettings.js'
-import { isFinalState, type JobState } from '../contracts/stepJob.js'
+import type { JobState } from '../contracts/stepJob.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
 import { ClusterScheduler, type PlannedStop, type SchedulerObserver } from './clusterScheduler.js'
 import { EligibilityDesk, type EligibilityAnswer, type EligibilityLine } from './eligibilityDesk.js'
@@ -121,11 +121,11 @@
   async takeOver (configuration: ClusterConfiguration, entries: Iterable<WorkerEntry>): Promise<void> {
     this.scheduler.configure(configuration)
     for (const entry of entries) this.setWorker(entry)
-    const [progress] = await Promise.all([this.readFencedProgress(), ...this.submissions.map(async follower => await this.loadUntilDone(follower))])
-    if (this.isDisposed || progress === undefined) return
-    this.applyUnprocessed(progress)
-    await this.loadMissingJobs(progress)
+    // What the former scheduler has placed or finished was accepted before it was shut out, so that a later read has all of it.
+    if (!await this.shutOutFormerSchedulers()) return
+    const [progress] = await Promise.all([this.readProgress(), ...this.submissions.map(async follower => await this.loadUntilDone(follower))])
     if (this.isDisposed) return
+    this.applyUnprocessed(progress)
     this.isOperating = true
     for (const follower of this.submissions) follower.follow()
     for (const worker of this.scheduler.workers.values()) this.sessions.open(worker)
@@ -214,30 +214,20 @@
     return this.now() - Math.min(...this.submissions.map(follower => follower.currentAsOf ?? -Infinity))
   }
 
-  /** The former scheduler may have placed jobs that were accepted after their partition was read here: those are read again. */
-  private async loadMissingJobs (progress: ReadonlyMap<string, ProgressRecord>): Promise<void> {
-    const isMissing = ([identity, record]: [string, ProgressRecord]): boolean => !isFinalState(record.state) && !this.scheduler.jobs.has(identity)
-    while (!this.isDisposed && [...progress].some(isMissing)) {
-      this.unprocessed = []
-      for (const follower of this.submissions) await this.loadUntilDone(follower)
-      this.applyUnprocessed(progress)
-    }
-  }
-
   private applyUnprocessed (progress: ReadonlyMap<string, ProgressRecord>): void {
     const unprocessed = this.unprocessed ?? []
     this.unprocessed = undefined
     for (const batch of unprocessed) this.applySubmissions(batch, progress)
   }
 
-  /** Progress after writers of former terms were shut out; undefined if the role is lost. */
-  private async readFencedProgress (): Promise<Map<string, ProgressRecord> | undefined> {
+  /** Resolves with false if the role is lost. */
+  private async shutOutFormerSchedulers (): Promise<boolean> {
     const fenced = await this.writer.fence()
-    if (fenced === 'stored') return await this.readProgress()
     if (fenced === 'fenced') this.options.onDeposed()
-    return undefined
+    return fenced === 'stored'
   }
 
+  /** All progress; complete only once the writers of former terms are shut out. */
   private async readProgress (): Promise<Map<string, ProgressRecord>> {
     const found = new Map<string, ProgressRecord>()
     while (!this.isDisposed) {
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -315,6 +315,21 @@
     assert.equal(successor.stateOf(JOB), 'completed')
   }))
 
+  /** A job that its successor has not read yet may even be done when the former scheduler is shut out. */
+  it('does not run a job again that was accepted and completed while it took over', async () => await withSite(async (site, act) => {
+    const worker = site.port.add(new FakeWorker('w1', 4, () => 20))
+    act(1)
+    await site.clock.tickAsync(100)
+    site.log.appendMilliseconds = 200
+    const successor = act(2)
+    await site.clock.tickAsync(10)
+    site.log.appendMilliseconds = 0
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(6000)
+    assert.deepEqual(worker.started, [`${JOB}.0.0.0/1`])
+    assert.equal(successor.stateOf(JOB), 'completed')
+  }))
+
   it('drops a finished job from the log once its state need not be kept, beside other writes', async () => await withSite(async (site, act) => {
     site.port.add(new FakeWorker('w1', 2, () => 500))
     const scheduler = act(1)
