Give each claim of the role a term of its own, by its offset in the log

A claim took the term after the latest one read. A renewal of the former holder that was under way is stored after the claim of its successor, and of each key only the latest record is read at a start: an instance that started then, for instance after all had lost power, did not see that claim and claimed the same term again. The log answers the fence of the second writer of a term with the first one's outcome, or turns it away as out of sequence: then the instance repeated the fence for ever while it renewed the role, and nothing was placed any more; or its first five appends were answered as those of the first writer and not stored, so that ends would be acknowledged that the log does not hold.

Claims are stored only at the offset that they name, so that no two have the same: the term is now one more than that offset, or than the latest term. A fence that is out of sequence ends the term instead of being repeated. Three tests fail before; in one of them a job waits for ever.

--- a/src/cluster/leadership.ts
+++ b/src/cluster/leadership.ts
@@ -42,9 +42,12 @@
     return this.latest !== undefined && this.latest.incarnation === this.incarnation && !this.latest.resigned && this.latest.term > this.deposedTerm
   }
 
-  /** Term of the next claim. */
-  get nextTerm (): number {
-    return (this.latest?.term ?? 0) + 1
+  /**
+   * Term of a claim that is stored at an offset of the log. No two claims are stored at the same offset, so that the term is greater
+   * than that of any claim before, also of one that a late renewal of a former holder has replaced as the latest record.
+   */
+  termOfClaim (offset: number): number {
+    return Math.max(this.latest?.term ?? 0, offset) + 1
   }
 
   /** Takes a record into account; returns whether the holder has changed. */
--- a/src/cluster/progressWriter.ts
+++ b/src/cluster/progressWriter.ts
@@ -32,6 +32,8 @@
       if (outcome.kind === 'stored') return 'stored'
       if (outcome.kind === 'fenced') return 'fenced'
       this.onFailure(outcome.kind === 'refused' || outcome.kind === 'unknown' ? outcome.reason : outcome.kind)
+      // Another process has written under this term; a repeat would never be stored.
+      if (outcome.kind === 'outOfSequence') return 'fenced'
       await delay(RETRY_PAUSE_MILLISECONDS, this.abort.signal)
     }
     return 'disposed'
--- a/test/cluster/clusterInstance.test.ts
+++ b/test/cluster/clusterInstance.test.ts
@@ -7,7 +7,7 @@
 import { EligibilityPort, type EligibilityOutcome } from '../../src/cluster/workerPort.js'
 import { TOPICS } from '../../src/cluster/recordLog.js'
 import type { ClusterConfiguration } from '../../src/contracts/clusterConfiguration.js'
-import { decodeRecord, type LeadershipRecord } from '../../src/contracts/clusterRecords.js'
+import { decodeRecord, encodeRecord, type LeadershipRecord } from '../../src/contracts/clusterRecords.js'
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
 import { FakeWorker, FakeWorkerPort } from '../fakes/fakeClusterWorkers.js'
 import { FakeRecordLog } from '../fakes/fakeRecordLog.js'
@@ -173,6 +173,23 @@
     assert.ok(latest !== undefined && decodeRecord<LeadershipRecord>(latest).resigned)
   }))
 
+  /** A renewal that was under way when another instance claimed the role hides that claim from whoever starts then: of each key only the latest record is read. */
+  it('claims a term of its own although a late renewal hides the latest claim', async () => await withSite(async site => {
+    site.publish(5)
+    site.addWorker('w1', 20)
+    const former = { instance: 'former', incarnation: 'x', address: '127.0.0.1:1', resigned: false }
+    const hidden = { ...former, instance: 'hidden', incarnation: 'y' }
+    for (const record of [{ ...former, term: 1 }, { ...former, term: 1 }, { ...hidden, term: 3 }, { ...former, term: 1 }]) {
+      site.log.write(TOPICS.leadership, 'scheduler', encodeRecord(record))
+    }
+    for (let sequence = 0; sequence < 9; sequence += 1) {
+      await site.log.append(TOPICS.progress, 0, [], { writer: { name: 'scheduler', term: 3, sequence } })
+    }
+    const instance = await site.start('one')
+    await until(async () => (await instance.front.submit(JOB, queue, job, 3000)).kind === 'accepted')
+    await until(async () => await instance.front.state(JOB, 3000) === 'completed')
+  }))
+
   it('goes on with another scheduler when the acting one ends, and runs nothing twice', async () => await withSite(async site => {
     site.publish(5)
     const worker = site.addWorker('w1', 1500)
--- a/test/cluster/leadership.test.ts
+++ b/test/cluster/leadership.test.ts
@@ -41,7 +41,16 @@
     assert.ok(leadership.isHeldHere)
     leadership.onDeposed()
     assert.equal(leadership.isHeldHere, false)
-    assert.equal(leadership.nextTerm, 6)
+    assert.equal(leadership.termOfClaim(2), 6)
+  })
+
+  /** A reader that starts late sees only the latest record, which may be a renewal of a former term. */
+  it('claims a greater term than any claim before, also than one that it has not read', () => {
+    const leadership = new Leadership('instance', 'own', RANK, 0)
+    leadership.onRecord(HELD, 0)
+    const offsetOfHiddenClaim = 40
+    assert.ok(leadership.termOfClaim(offsetOfHiddenClaim + 2) > leadership.termOfClaim(offsetOfHiddenClaim))
+    assert.ok(leadership.termOfClaim(0) > HELD.term)
   })
 
   it('does not claim from a holder whose address refuses connections but which goes on renewing', () => {
--- a/test/cluster/progressWriter.test.ts
+++ b/test/cluster/progressWriter.test.ts
@@ -47,4 +47,13 @@
       writer.dispose()
     })
   }
+
+  /** The log has seen another writer of this term: repeats would be answered with the outcome of that one's appends. */
+  it('is shut out by another writer of its term', async () => {
+    const log = new ScriptedLog([{ kind: 'outOfSequence', expected: 7 }])
+    const writer = new ProgressWriter(log, TERM, () => {}, () => 0)
+    assert.equal(await writer.fence(), 'fenced')
+    assert.deepEqual(log.sequences, [0])
+    writer.dispose()
+  })
 })
