Log how far progress was read at a takeover and how many ends a lost role leaves unrecorded

A cancel is logged only where it changes something: at a takeover the cancels of all finished jobs filled the log, so that the lines of the takeover itself were cut off.

--- a/src/cluster/actingScheduler.ts
+++ b/src/cluster/actingScheduler.ts
@@ -72,6 +72,8 @@
   private wake: (() => void) | undefined
   private isWoken = false
   private isOperating = false
+  /** Ends of runs that have been taken into account and are not recorded yet. */
+  private unrecordedEnds = 0
   /** Placements of a round whose record has to be written again. */
   private readonly unordered: PlannedRun[] = []
   /** Finished jobs without a submission, whose progress is to be dropped from the log. */
@@ -175,8 +177,8 @@
   }
 
   /** Numbers for metrics. */
-  get figures (): { jobs: number, openSteps: number, workers: number } {
-    return { jobs: this.scheduler.jobs.size, openSteps: this.scheduler.openSteps.size, workers: this.scheduler.workers.size }
+  get figures (): { jobs: number, openSteps: number, workers: number, unrecordedEnds: number } {
+    return { jobs: this.scheduler.jobs.size, openSteps: this.scheduler.openSteps.size, workers: this.scheduler.workers.size, unrecordedEnds: this.unrecordedEnds }
   }
 
   onDidFinish (job: Job): void {
@@ -185,6 +187,7 @@
   }
 
   onDidEndRun (task: Task, worker: WorkerState, kind: string, durationMilliseconds: number): void {
+    this.unrecordedEnds += 1
     this.metrics.runEnded(kind)
     this.logger.info('run ended', { task: task.name, count: task.run, worker: worker.identity, code: kind, durationMilliseconds: Math.round(durationMilliseconds) })
   }
@@ -236,6 +239,7 @@
         for (const record of outcome.records) {
           if (record.value !== undefined) found.set(record.key, decodeRecord<ProgressRecord>(record.value))
         }
+        this.logger.info('progress of former schedulers was read', { term: this.options.term, offset: outcome.end, count: found.size })
         return found
       }
       this.logger.warn('progress cannot be read', { term: this.options.term, reason: outcome.reason })
@@ -268,7 +272,7 @@
   }
 
   private onCancel (job: string, now: number): void {
-    this.logger.info('job cancelled', { job })
+    if (this.scheduler.jobs.get(job)?.isFinal !== true) this.logger.info('job cancelled', { job })
     this.scheduler.cancelJob(job, now)
   }
 
@@ -331,11 +335,13 @@
     const jobs = [...this.scheduler.unrecorded]
     const evicted = this.evictedKeys.splice(0)
     if (jobs.length === 0 && evicted.length === 0) {
+      this.unrecordedEnds = 0
       this.acknowledgeEnds(this.processedEnds())
       return
     }
     this.scheduler.unrecorded.clear()
     const ends = this.processedEnds()
+    const endCount = this.unrecordedEnds
     const states = jobs.map(job => job.state)
     const records = jobs.map((job): KeyedRecord => ({ key: job.identity, value: encodeRecord(progressOf(job)) }))
     const outcome = await this.writer.write([...records, ...evicted.map(key => ({ key }))])
@@ -353,6 +359,7 @@
       return
     }
     this.metrics.recorded(this.now() - startedAt)
+    this.unrecordedEnds -= endCount
     jobs.forEach((job, index) => this.scheduler.onRecorded(job, states[index] as JobState))
     this.acknowledgeEnds(ends)
     for (const run of planned) this.order(run)
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -553,6 +553,19 @@
     }))
   }
 
+  it('counts the ends that it could not record yet', async () => await withSite(async (site, act) => {
+    site.port.add(new FakeWorker('w1', 2, () => 1000))
+    const scheduler = act(1)
+    submit(site.log, JOB, [step({ count: 2 })])
+    await site.clock.tickAsync(900)
+    site.log.fault = 'silent'
+    await site.clock.tickAsync(1500)
+    assert.equal(scheduler.figures.unrecordedEnds, 2)
+    site.log.fault = 'none'
+    await site.clock.tickAsync(3000)
+    assert.equal(scheduler.figures.unrecordedEnds, 0)
+  }))
+
   it('completes a job without running it again whose end its former scheduler could not record', async () => await withSite(async (site, act) => {
     const worker = site.port.add(new FakeWorker('w1', 1, () => 1000))
     const scheduler = act(1)
