Let a long read of the log last as long as bytes arrive

Each page had 2 s in all. On a link of 7 Mbit/s the submissions of some 3,000 jobs take longer, so that every page timed out and was asked for again, for ever, while the role was renewed.

With the scheduler killed at 32 s: four instances take the role one after the other (terms 2 to 5, "timed out" at 34.447, 36.806, 38.252 and 39.659 s), none acts, LOST 1483.

Ruled out: the processor (at most 0.27 of 0.81 cores in use); the log (other instances read and wrote it).

A connection that has fallen silent is given up as soon as before.

--- a/src/links/httpCaller.ts
+++ b/src/links/httpCaller.ts
@@ -15,6 +15,8 @@
   readonly body?: Uint8Array | string
   /** Time after which the call is given up and its connection closed, in milliseconds. */
   readonly timeoutMilliseconds: number
+  /** Counts the time limit anew from each part of the answer's body, for answers that take a slow link longer to carry. */
+  readonly isExtendedByProgress?: boolean
   readonly signal?: AbortSignal
 }
 
@@ -50,8 +52,12 @@
         body: call.body,
         signal: controller.signal
       })
-      const body = Buffer.from(await answer.body.arrayBuffer())
-      return { kind: 'answer', status: answer.statusCode, body }
+      const parts: Buffer[] = []
+      for await (const part of answer.body) {
+        parts.push(part)
+        if (call.isExtendedByProgress === true) timer.refresh()
+      }
+      return { kind: 'answer', status: answer.statusCode, body: Buffer.concat(parts) }
     } catch (error) {
       return { kind: isConnectFailure(error) ? 'notSent' : 'unknown', reason: describeError(error) }
     } finally {
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -2,6 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { after, before, describe, it } from 'node:test'
+import FakeTimers from '@sinonjs/fake-timers'
+import type { ReadOutcome, SnapshotOutcome } from '../../src/cluster/recordLog.js'
 import { HttpCaller } from '../../src/links/httpCaller.js'
 import { decodeJob } from '../../platform/jobFormat.js'
 import { PlatformLogClient } from '../../platform/logClient.js'
@@ -99,6 +101,56 @@
   })
 })
 
+describe('PlatformLogClient on a slow link', () => {
+  /** Turns of the event loop after which what the server has written has been read. */
+  const TURNS_UNTIL_READ = 20
+  /** Time from one part of an answer to the next, in milliseconds; two take longer than any time limit of a call. */
+  const PART_MILLISECONDS = 1500
+  const WAIT_MILLISECONDS = 1000
+  const PARTS = 3
+
+  /** Sends the answer to a call in parts on the paused clock, as many as are given, and gives the outcome. */
+  async function receiveInParts<T> (call: (log: PlatformLogClient) => Promise<T>, body: Buffer, sentParts: number): Promise<T> {
+    const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout'] })
+    try {
+      const responded = new Promise<ServerResponse>(resolve => { answer = (_request, _body, response) => resolve(response) })
+      const outcome = call(new PlatformLogClient(address, http))
+      const response = await responded
+      const size = Math.ceil(body.length / PARTS)
+      for (let part = 0; part < PARTS; part += 1) {
+        if (part < sentParts) response.write(body.subarray(part * size, (part + 1) * size))
+        for (let turn = 0; turn < TURNS_UNTIL_READ; turn += 1) await new Promise(resolve => setImmediate(resolve))
+        clock.tick(PART_MILLISECONDS)
+      }
+      response.end()
+      return await outcome
+    } finally {
+      clock.uninstall()
+    }
+  }
+
+  const record = { key: 'a', value: Buffer.from('a'), offset: 1 }
+  /** An instance whose link takes longer than one time limit for the state in the log would try for ever to take the role over. */
+  const CALLS: ReadonlyArray<{ readonly name: string, readonly call: (log: PlatformLogClient) => Promise<SnapshotOutcome | ReadOutcome>, readonly body: Buffer, readonly outcome: object }> = [
+    {
+      name: 'a snapshot',
+      call: async log => await log.snapshot('keyed.t', 0),
+      body: Buffer.from(JSON.stringify({ items: [{ ...record, value: record.value.toString('base64') }], more: false, end: 6 })),
+      outcome: { kind: 'snapshot', end: 6, records: [record] }
+    },
+    {
+      name: 'a read',
+      call: async log => await log.read('keyed.t', 0, 1, WAIT_MILLISECONDS),
+      body: Buffer.concat([bigEndian(8, 2), bigEndian(8, 0), bigEndian(4, 3), Buffer.from('\x01aa')]),
+      outcome: { kind: 'records', next: 2, records: [record] }
+    }
+  ]
+  for (const { name, call, body, outcome } of CALLS) {
+    it(`takes ${name} that lasts longer than a time limit as long as bytes arrive`, async () => assert.deepEqual(await receiveInParts(call, body, PARTS), outcome))
+    it(`gives ${name} up when no bytes arrive for a time limit`, async () => assert.equal((await receiveInParts(call, body, 1)).kind, 'unavailable'))
+  }
+})
+
 describe('PlatformWorkerClient', () => {
   const worker = (): { identity: string, address: string } => ({ identity: 'i-1', address })
   const order = { task: 'a.0.0.1', run: 2, specification: 'text', leaseUntil: 1000.5, term: 7, checkpoint: '', ticket: 't' }
