Count the link into what an instance can carry as the scheduler

Cause: the role went by processor share alone. After an outage of the log an instance with 0.81 cores and a link of 7 Mbit/s may claim it, because the claims of a slow log are spread over seconds. It keeps the role for good: a peer has to have twice the processor share, and the largest machines have 1.35 cores. But the work of the scheduler fills that link: orders and looks time out, workers seem silent, and little is started.

Change: rank, choice of a successor and handover go by the scheduler's work that an instance can carry: its processor share, or less where its link is full before. The metric scheduling_capacity_cores and the line of the offer show it.

--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -11,6 +11,7 @@
 import { JobFront, type SchedulerQuestions } from './jobFront.js'
 import { Leadership, RENEWAL_PERIOD_MILLISECONDS } from './leadership.js'
 import type { Peer } from './peerSet.js'
+import { schedulingCapacityOf } from './schedulingCapacity.js'
 import { TOPICS, type RecordLog, type StoredRecord } from './recordLog.js'
 import { TopicFollower } from './topicFollower.js'
 import type { EligibilityPort, WorkerEntry, WorkerPort } from './workerPort.js'
@@ -27,9 +28,9 @@
 const OVERLAP_MILLISECONDS = 3000
 /** Period in which the role is watched, in milliseconds. */
 const WATCH_PERIOD_MILLISECONDS = 50
-/** Processor share in cores times rank: an instance with the whole of a core has this rank. */
+/** Capacity in cores times rank: an instance that can carry a whole core of the scheduler's work has this rank. */
 const RANK_OF_ONE_CORE = 4
-/** A peer with this many times the processor share of the acting scheduler's instance takes the role over. */
+/** A peer with this many times the capacity of the acting scheduler's instance takes the role over. */
 const HANDOVER_FACTOR = 2
 /** Least time in which an instance acts before it hands the role over, and between two tries, in milliseconds; many times what a takeover costs. */
 const HANDOVER_PAUSE_MILLISECONDS = 5000
@@ -72,6 +73,8 @@
   private readonly renewals = new Set<Promise<void>>()
   private isResigning = false
   private linkAddress: string
+  /** Work of the acting scheduler that this instance can carry, in cores. */
+  private readonly capacity: number
 
   constructor (
     private readonly settings: ClusterSettings,
@@ -86,9 +89,10 @@
   ) {
     super()
     this.linkAddress = `${settings.link.host}:${settings.link.port}`
-    this.leadership = new Leadership(settings.instance, this.incarnation, Math.round(RANK_OF_ONE_CORE / settings.processorShare), random.fraction())
+    this.capacity = schedulingCapacityOf(settings)
+    this.leadership = new Leadership(settings.instance, this.incarnation, Math.round(RANK_OF_ONE_CORE / this.capacity), random.fraction())
     this.front = this.register(new JobFront(log, this, logger, random, now))
-    this.links = this.register(new InstanceLinks({ instance: settings.instance, incarnation: this.incarnation, processorShare: settings.processorShare }, eligibility, {
+    this.links = this.register(new InstanceLinks({ instance: settings.instance, incarnation: this.incarnation, processorShare: settings.processorShare, linkMegabits: settings.linkMegabits }, eligibility, {
       stateOf: job => this.acting?.stateOf(job),
       waitingOf: queue => this.acting?.waitingOf(queue),
       onRoleOffer: incarnation => this.onRoleOffer(incarnation),
@@ -101,6 +105,7 @@
     metrics.addGauge('acting', '1 while this instance acts as the scheduler', () => this.acting === undefined ? 0 : 1)
     metrics.addGauge('term', 'Term of the acting scheduler as this instance knows it', () => this.leadership.current?.term ?? 0)
     metrics.addGauge('configuration_revision', 'Revision of the configuration in force here', () => this.configurationInForce?.revision ?? 0)
+    metrics.addGauge('scheduling_capacity_cores', 'Work of the acting scheduler that this instance can carry', () => this.capacity)
     metrics.addGauge('jobs', 'Jobs that the acting scheduler here keeps', () => this.acting?.figures.jobs ?? 0)
     metrics.addGauge('open_steps', 'Steps with tasks that wait for room', () => this.acting?.figures.openSteps ?? 0)
     metrics.addGauge('unrecorded_ends', 'Ends of runs that the acting scheduler here knows and the log does not hold', () => this.acting?.figures.unrecordedEnds ?? 0)
@@ -140,7 +145,7 @@
    */
   async prepareStop (): Promise<void> {
     this.isStopping = true
-    await this.resign(this.links.pickSuccessor())
+    await this.resign(this.links.pickSuccessor(), 'the instance stops')
   }
 
   async stateOf (job: string, timeoutMilliseconds: number): Promise<StateAnswer | undefined> {
@@ -274,7 +279,7 @@
   }
 
   /** Gives the role up in favour of a peer. This instance places on until the successor shuts it out. */
-  private async resign (successor: Peer | undefined): Promise<void> {
+  private async resign (successor: Peer | undefined, reason: string): Promise<void> {
     const current = this.leadership.current
     if (!this.leadership.isHeldHere || current === undefined || this.isResigning) return
     this.isResigning = true
@@ -282,16 +287,16 @@
     await Promise.all(this.renewals)
     const outcome = await this.append({ ...current, resigned: true, successor: successor?.instance ?? '' }, undefined)
     this.isResigning = false
-    this.logger.info('role of scheduler offered', { term: current.term, peer: successor?.instance, code: outcome })
+    this.logger.info('role of scheduler offered', { term: current.term, peer: successor?.instance, code: outcome, reason })
   }
 
-  /** An instance that is too small for the role hands it over to a much larger one. */
+  /** An instance that can carry too little of the work hands the role over to one that can carry much more. */
   private handOverIfSmall (): void {
     if (this.acting === undefined || !this.leadership.isHeldHere || this.isStopping || this.now() < this.handOverNotBefore) return
     const successor = this.links.pickSuccessor()
-    if (successor === undefined || successor.processorShare < HANDOVER_FACTOR * this.settings.processorShare) return
+    if (successor === undefined || successor.capacity < HANDOVER_FACTOR * this.capacity) return
     this.handOverNotBefore = this.now() + HANDOVER_PAUSE_MILLISECONDS
-    this.resign(successor)
+    this.resign(successor, `the peer can carry ${successor.capacity.toFixed(2)} cores of the work, this instance ${this.capacity.toFixed(2)}`)
   }
 
   /** Asks another instance to claim the role, because this one cannot write to the log. It may be able to. */
--- a/src/cluster/instanceLinks.ts
+++ b/src/cluster/instanceLinks.ts
@@ -8,6 +8,7 @@
 import { ClusterLink, ClusterLinkServer, openClusterLink } from '../links/clusterLink.js'
 import type { EligibilityLine } from './eligibilityDesk.js'
 import { PeerSet, type Peer } from './peerSet.js'
+import { schedulingCapacityOf, type InstanceResources } from './schedulingCapacity.js'
 import type { EligibilityOutcome, EligibilityPort } from './workerPort.js'
 
 /** Pause before a link that could not be opened is tried again, in milliseconds. */
@@ -16,11 +17,9 @@
 const LINK_SLACK_MILLISECONDS = 50
 
 /** Who this instance is to the others. */
-export interface LinkIdentity {
+export interface LinkIdentity extends InstanceResources {
   readonly instance: string
   readonly incarnation: string
-  /** Processor time that the instance may use, in cores. */
-  readonly processorShare: number
 }
 
 /** Answers of this instance to others, and what it learns over links. */
@@ -122,7 +121,7 @@
     link.onDidReceive(message => {
       if (message.type === 'hello') {
         instance = message.instance
-        this.peers.add({ instance, link, processorShare: message.processorShare })
+        this.peers.add({ instance, link, capacity: schedulingCapacityOf(message) })
       } else this.onQuestion(link, message)
     })
     link.onDidClose(() => {
--- a/src/contracts/clusterMessages.ts
+++ b/src/contracts/clusterMessages.ts
@@ -4,7 +4,7 @@
 
 /** Messages between an instance and the acting scheduler. Both sides begin with `hello`. Every question carries an id, which its reply repeats. */
 export const clusterMessageSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('hello'), instance: z.string(), incarnation: z.string(), /** In cores. */ processorShare: z.number() }),
+  z.object({ type: z.literal('hello'), instance: z.string(), incarnation: z.string(), /** In cores. */ processorShare: z.number(), /** Bandwidth of the instance's own link, in megabits per second. */ linkMegabits: z.number().default(Infinity) }),
   /** The acting scheduler cannot write to the log; the receiver should claim the role if it can. */
   z.object({ type: z.literal('roleOffer'), incarnation: z.string() }),
   z.object({ type: z.literal('stateQuestion'), id: identifier, job: z.string() }),
--- a/src/contracts/clusterSettings.ts
+++ b/src/contracts/clusterSettings.ts
@@ -24,5 +24,7 @@
   readonly metrics: SocketAddress
   /** Processor time that the instance may use, in cores. */
   readonly processorShare: number
+  /** Bandwidth of the instance's own link, in megabits per second. */
+  readonly linkMegabits: number
   readonly bounds: ClusterBounds
 }
--- a/test/cluster/clusterInstance.test.ts
+++ b/test/cluster/clusterInstance.test.ts
@@ -4,6 +4,7 @@
 import { Random } from '../../src/base/random.js'
 import { ClusterInstance, type ClusterFeeds } from '../../src/cluster/clusterInstance.js'
 import { ClusterMetrics } from '../../src/cluster/clusterMetrics.js'
+import type { InstanceResources } from '../../src/cluster/schedulingCapacity.js'
 import { EligibilityPort, type EligibilityOutcome } from '../../src/cluster/workerPort.js'
 import { TOPICS } from '../../src/cluster/recordLog.js'
 import type { ClusterConfiguration } from '../../src/contracts/clusterConfiguration.js'
@@ -16,6 +17,8 @@
 /** Longest wait for something that must come, in milliseconds; only a failing test waits that long. */
 const LONGEST_WAIT_MILLISECONDS = 30_000
 
+const SMALL: InstanceResources = { processorShare: 0.25, linkMegabits: 1000 }
+
 const CONFIGURATION: ClusterConfiguration = {
   revision: 5,
   queues: [{ name: 'queue', host: 'host', routePrefix: '/q/', pool: 'pool', priority: 0, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 1, perWorkerMilliseconds: 0, ticketMilliseconds: 2000 } }],
@@ -43,7 +46,7 @@
   readonly port = new FakeWorkerPort()
   readonly instances: ClusterInstance[] = []
 
-  async start (name: string, processorShare = 1): Promise<ClusterInstance> {
+  async start (name: string, resources: InstanceResources = { processorShare: 1, linkMegabits: 1000 }): Promise<ClusterInstance> {
     const instance = new ClusterInstance({
       instance: name,
       failureDomain: 'a',
@@ -51,7 +54,7 @@
       readiness: { host: '127.0.0.1', port: 0 },
       link: { host: '127.0.0.1', port: 0 },
       metrics: { host: '127.0.0.1', port: 0 },
-      processorShare,
+      ...resources,
       bounds: { workerLeaseMilliseconds: 6000, graceMilliseconds: 6000, stateRetentionMilliseconds: 120_000 }
     }, this.log, this.port, new AllEligible(), feeds, new ClusterMetrics(), new Logger(name, 'error', () => {}), new Random(this.instances.length), () => performance.now())
     this.instances.push(instance)
@@ -126,32 +129,44 @@
   }))
 
   /** All instances learn the first configuration at the same time, long after their start. */
-  it('lets the largest instance claim first in a new system', async () => await withSite(async site => {
-    const small = [await site.start('one', 0.25), await site.start('two', 0.25), await site.start('three', 0.25)]
-    const large = await site.start('four', 2)
-    await new Promise(resolve => setTimeout(resolve, 1000))
-    site.publish(5)
-    await until(() => [...small, large].some(instance => instance.isActing()))
-    assert.ok(large.isActing())
-  }))
+  const FIRST_CLAIMS: ReadonlyArray<{ readonly name: string, readonly others: InstanceResources, readonly largest: InstanceResources }> = [
+    { name: 'the instance with the largest processor share', others: SMALL, largest: { processorShare: 2, linkMegabits: 1000 } },
+    { name: 'the instance whose link can carry the work', others: { processorShare: 0.8, linkMegabits: 5 }, largest: { processorShare: 0.7, linkMegabits: 140 } }
+  ]
+  for (const { name, others, largest } of FIRST_CLAIMS) {
+    it(`lets ${name} claim first in a new system`, async () => await withSite(async site => {
+      const small = [await site.start('one', others), await site.start('two', others), await site.start('three', others)]
+      const large = await site.start('four', largest)
+      await new Promise(resolve => setTimeout(resolve, 1000))
+      site.publish(5)
+      await until(() => [...small, large].some(instance => instance.isActing()))
+      assert.ok(large.isActing())
+    }))
+  }
 
-  /** A small instance may have to take the role over, but it cannot keep up with the work for long. */
-  it('hands the role from a small instance over to a much larger one', async () => await withSite(async site => {
-    site.publish(5)
-    const small = await site.start('one', 0.25)
-    await until(() => small.isActing())
-    const medium = await site.start('two', 0.4)
-    const large = await site.start('three', 1.2)
-    await until(() => large.isActing() && !small.isActing())
-    assert.ok(!medium.isActing())
-  }))
+  /** An instance that cannot keep up with the work may have to take the role over; if it kept it, nothing more would be placed. */
+  const HANDOVERS: ReadonlyArray<{ readonly name: string, readonly first: InstanceResources, readonly alike: InstanceResources, readonly larger: InstanceResources }> = [
+    { name: 'a small instance over to a much larger one', first: SMALL, alike: { processorShare: 0.4, linkMegabits: 1000 }, larger: { processorShare: 1.2, linkMegabits: 1000 } },
+    { name: 'an instance whose link the work fills over to one with a wide link', first: { processorShare: 0.81, linkMegabits: 7 }, alike: { processorShare: 0.81, linkMegabits: 7 }, larger: { processorShare: 1.35, linkMegabits: 140 } }
+  ]
+  for (const { name, first, alike, larger } of HANDOVERS) {
+    it(`hands the role from ${name}`, async () => await withSite(async site => {
+      site.publish(5)
+      const small = await site.start('one', first)
+      await until(() => small.isActing())
+      const medium = await site.start('two', alike)
+      const large = await site.start('three', larger)
+      await until(() => large.isActing() && !small.isActing())
+      assert.ok(!medium.isActing())
+    }))
+  }
 
   it('names one of the largest instances as its successor when it stops', async () => await withSite(async site => {
     site.publish(5)
-    const first = await site.start('one', 1.3)
+    const first = await site.start('one', { processorShare: 1.3, linkMegabits: 1000 })
     await until(() => first.isActing())
-    const small = [await site.start('two', 0.25), await site.start('three', 0.25), await site.start('four', 0.25)]
-    const large = await site.start('five', 1.2)
+    const small = [await site.start('two', SMALL), await site.start('three', SMALL), await site.start('four', SMALL)]
+    const large = await site.start('five', { processorShare: 1.2, linkMegabits: 1000 })
     for (const instance of [...small, large]) await until(async () => await instance.front.state('00000000000000bb', 3000) === 'unknownJob')
     await first.prepareStop()
     await until(() => !first.isActing())
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -273,6 +273,7 @@
 [limits]
 cpuShare = 0.5
 cores = 2
+linkMbps = 525.0
 [bounds]
 holdMaxMs = 6000
 stopMs = 900
@@ -286,6 +287,7 @@
   it('gives the settings and ignores keys that it does not know', () => {
     const settings = parsePlatformSettings('file', text)
     assert.equal(settings.cluster.processorShare, 1)
+    assert.equal(settings.cluster.linkMegabits, 525)
     assert.deepEqual(settings.cluster.link, { host: '127.0.0.1', port: 7720 })
     assert.equal(settings.cluster.bounds.graceMilliseconds, 6000)
   })
