End listening and every connection gracefully at a planned stop

What callers saw: SIGTERM to one of three instances of examples/small while 200 callers send again at once on kept connections. 201 to 231 requests ended in a reset without an answer when the process went, on kept connections and on fresh ones; meanwhile the instance went on telling 503 on the same connections.

Cause: the stop waited only for requests that the front door had taken. It went on listening, answered without `connection: close`, and then destroyed all connections (closeAllConnections): requests being read, requests waiting for their refusal and connections that were never accepted were reset.

What was changed: - src/links/httpServer.ts drains an HTTP server. It accepts the connections that the kernel has established (libuv 1.46 accepts one in a turn of the event loop, so it goes on until a turn accepts none) and holds back requests meanwhile, so that refused callers do not fill the backlog again; then it stops listening. http.Server.close is not used, since it destroys idle connections on which a request may just have arrived. - The last answer of each connection carries `connection: close`; of pipelined requests only the last one, since requests after it are not processed. - A connection is half-closed after its last answer, and what still arrives is discarded until the caller closes or 2 s have passed. node:http destroys the socket, which resets it if bytes are unread, and the answer is lost. - Idle connections stay open for the keep-alive time that callers have been told (5 s), so that a request on its way is answered. - Requests whose body has not arrived whole, and submissions of jobs, are refused at once with retry-after; they have not been passed on. - The embedded site closes its callers' connections before the instances stop.

Ruled out: a full accept queue (the kernel counted no listen overflow).

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { Readable } from 'node:stream'
-import { H3, serve, type H3Event } from 'h3'
-import { DisposableObject, toDisposable } from '../base/disposable.js'
+import { H3, toNodeHandler, type H3Event } from 'h3'
+import { DisposableObject } from '../base/disposable.js'
 import { jobSubmissionSchema } from '../contracts/jobs.js'
 import type { ServingError } from '../contracts/verdict.js'
 import { urgencyRank, urgencySchema, type Urgency } from '../contracts/siteText.js'
@@ -9,10 +9,11 @@
 import type { ConfigurationTask } from './configurationTask.js'
 import { monotonicNow } from './entryContext.js'
 import type { CallerAnswer } from './callerRequest.js'
-import type { FrontDoor } from './frontDoor.js'
-import { RequestBody } from './requestBody.js'
+import { STOPPING_ERROR, type FrontDoor } from './frontDoor.js'
+import { REPLAYABLE_BODY_BYTES, RequestBody } from './requestBody.js'
 import { errorResponse } from './errorResponse.js'
 import type { Forwarder } from './forwarder.js'
+import { HttpServer } from '../links/httpServer.js'
 import { PEER_PROOF_HEADER } from '../links/peerProof.js'
 import type { KeyTask } from './keyTask.js'
 import type { JobApi } from './jobApi.js'
@@ -20,9 +21,13 @@
 
 /** Body limit before a configuration is in force, in bytes. */
 const DEFAULT_BODY_LIMIT_BYTES = 1024 * 1024
+/** Longest time in which the body of a submission may arrive, in milliseconds; node:http gives a request up after the same time. */
+const SUBMISSION_BODY_MILLISECONDS = 300_000
 
 /** HTTP towards callers and operators. */
 export class CallerServer extends DisposableObject {
+  private readonly server: HttpServer
+
   constructor (
     private readonly configuration: ConfigurationTask,
     private readonly frontDoor: FrontDoor,
@@ -33,10 +38,25 @@
     private readonly isReady: () => boolean
   ) {
     super()
+    this.server = this.register(new HttpServer(toNodeHandler(this.routes())))
   }
 
   /** Listens; resolves with the port, rejects if the address is taken. */
   async listen (host: string, port: number): Promise<number> {
+    return await this.server.listen(host, port)
+  }
+
+  /** Stops listening once the connections that wait to be accepted have been. `deadline` is in monotonic milliseconds. */
+  async stopListening (deadline: number): Promise<void> {
+    await this.server.stopListening(deadline)
+  }
+
+  /** Ends each connection after its last answer, until `deadline` in monotonic milliseconds. Resolves with the number of requests cut off. */
+  async drain (deadline: number): Promise<number> {
+    return await this.server.drain(deadline)
+  }
+
+  private routes (): H3 {
     const app = new H3()
     app.get('/health', () => new Response('ok\n'))
     app.get('/ready', () => new Response(this.isReady() ? 'ready\n' : 'not ready\n', { status: this.isReady() ? 200 : 503 }))
@@ -48,16 +68,14 @@
     app.delete('/jobs/:job', async event => await this.jobs.cancel(event.context.params?.job ?? ''))
     app.post('/peer/keys', async event => await this.onKeyQuestion(event))
     this.operators.route(app)
-    const server = serve(app, { port, hostname: host, silent: true, gracefulShutdown: false })
-    await server.ready()
-    this.register(toDisposable(() => { server.close(true) }))
-    return Number(new URL(server.url as string).port)
+    return app
   }
 
   private async onSubmit (event: H3Event): Promise<Response> {
-    const body = await readBody(event.req, this.bodyLimit())
-    if (body === 'tooLarge') return errorResponse({ code: 'bodyTooLarge', verdict: 'notRun', message: `the body is larger than ${this.bodyLimit()} bytes` })
-    const parsed = parseSubmission(body)
+    if (this.frontDoor.isStopping) return errorResponse(STOPPING_ERROR)
+    const body = await this.readRequestBody(event.req, SUBMISSION_BODY_MILLISECONDS, this.bodyLimit())
+    if (!(body instanceof RequestBody)) return errorResponse(body)
+    const parsed = parseSubmission(body.bytes)
     if ('error' in parsed) return errorResponse(parsed.error)
     return await this.jobs.submit(parsed.submission, event.req.headers.get(CALLER_HEADERS.idempotencyKey) ?? undefined)
   }
@@ -77,6 +95,7 @@
   }
 
   private async onIdentifiedRequest (event: H3Event, identity: string, forwardedFrom: string | null): Promise<Response> {
+    if (this.frontDoor.isStopping) return errorResponse(STOPPING_ERROR)
     const serviceName = event.context.params?.service ?? ''
     const service = this.configuration.inForce?.text.services[serviceName]
     if (this.configuration.inForce !== undefined && service === undefined) {
@@ -108,19 +127,24 @@
     return toResponse(answer)
   }
 
-  /** Reads the part of a body that is kept in memory; a caller that sends it slowly is given up at the deadline. */
-  private async readRequestBody (request: Request, deadlineMilliseconds: number): Promise<RequestBody | ServingError> {
+  /** Reads up to `memoryBytes` of a body; a caller that sends it slowly is given up at the deadline, or when the instance stops. */
+  private async readRequestBody (request: Request, deadlineMilliseconds: number, memoryBytes = REPLAYABLE_BODY_BYTES): Promise<RequestBody | ServingError> {
     if (request.body === null) return RequestBody.EMPTY
     const limit = this.bodyLimit()
     const tooLarge: ServingError = { code: 'bodyTooLarge', verdict: 'notRun', message: `the body is larger than ${limit} bytes` }
     if (Number(request.headers.get('content-length') ?? 0) > limit) return tooLarge
     const timeout = AbortSignal.timeout(Math.max(1, deadlineMilliseconds))
+    const stop = new AbortController()
+    const subscription = this.frontDoor.onWillStop(() => { stop.abort() })
     try {
-      const body = await RequestBody.read(request.body, limit, AbortSignal.any([request.signal, timeout]))
+      const body = await RequestBody.read(request.body, limit, AbortSignal.any([request.signal, timeout, stop.signal]), memoryBytes)
       return body === 'tooLarge' ? tooLarge : body
     } catch {
+      if (this.frontDoor.isStopping) return STOPPING_ERROR
       if (timeout.aborted) return { code: 'deadlineExpired', verdict: 'notRun', message: 'the body did not arrive before the deadline' }
       return { code: 'cancelled', verdict: 'notRun', message: 'the caller has gone' }
+    } finally {
+      subscription.dispose()
     }
   }
 
@@ -164,15 +188,3 @@
   if (!stated.success) return service
   return urgencyRank(stated.data) < urgencyRank(service) ? stated.data : service
 }
-
-async function readBody (request: Request, limitBytes: number): Promise<Buffer | 'tooLarge'> {
-  if (request.body === null) return Buffer.alloc(0)
-  const chunks: Uint8Array[] = []
-  let size = 0
-  for await (const chunk of request.body as unknown as AsyncIterable<Uint8Array>) {
-    size += chunk.length
-    if (size > limitBytes) return 'tooLarge'
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks)
-}
--- a/src/entry/entryInstance.ts
+++ b/src/entry/entryInstance.ts
@@ -73,14 +73,16 @@
     return { callers, links }
   }
 
-  /** Stops gracefully: refuses new requests, lets those in flight end, gives up ownership, closes links. Returns the number cut off. */
+  /** Stops gracefully: ends listening, refuses new requests, lets those in flight end, gives up ownership, ends connections, closes links. Returns the number of requests cut off. */
   async stop (): Promise<number> {
     const { settings, events, logger } = this.context
+    const deadline = performance.now() + settings.stopBoundMilliseconds
     this.accepting = false
-    this.parts.frontDoor.stopAccepting()
     this.parts.membership.announceLeaving()
     events.record('instanceStopping')
-    const deadline = performance.now() + settings.stopBoundMilliseconds
+    await this.parts.server.stopListening(deadline)
+    this.parts.frontDoor.stopAccepting()
+    const drained = this.parts.server.drain(deadline)
     let returned = false
     while (this.parts.frontDoor.active > 0 && performance.now() < deadline && !this.isDisposed) {
       if (!returned && this.parts.frontDoor.waiting === 0) {
@@ -90,9 +92,10 @@
       await delay(STOP_POLL_MILLISECONDS)
     }
     this.parts.slots.returnGrants()
-    const cutOff = this.parts.frontDoor.active
-    if (cutOff > 0) logger.warn('the time bound of the stop has passed; requests are cut off', { count: cutOff })
+    const unfinished = this.parts.frontDoor.active
     await this.parts.ownership.release(RELEASE_TIMEOUT_MILLISECONDS)
+    const cutOff = Math.max(unfinished, await drained)
+    if (cutOff > 0) logger.warn('the time bound of the stop has passed; requests are cut off', { count: cutOff })
     events.record('instanceStopped')
     this.dispose()
     return cutOff
--- a/src/entry/frontDoor.ts
+++ b/src/entry/frontDoor.ts
@@ -1,6 +1,7 @@
 import { backoffMilliseconds, delay } from '../base/delay.js'
 import { DisposableObject } from '../base/disposable.js'
-import type { ServingErrorCode } from '../contracts/verdict.js'
+import { Emitter, type Event } from '../base/emitter.js'
+import type { ServingError, ServingErrorCode } from '../contracts/verdict.js'
 import type { Service } from '../contracts/siteText.js'
 import type { ExecutorClient } from '../links/executorClient.js'
 import { ejectOutlier, Executor } from '../machines/executor.js'
@@ -32,6 +33,9 @@
 const RETRY_BASE_MILLISECONDS = 10
 const RETRY_MAXIMUM_MILLISECONDS = 200
 
+/** Refusal of an instance that stops. */
+export const STOPPING_ERROR: ServingError = { code: 'stopping', verdict: 'notRun', message: 'the instance is stopping', retryAfterSeconds: 1 }
+
 const REFUSAL_MESSAGES: Readonly<Record<Refusal['code'], string>> = {
   queueFull: 'too many requests wait; send the request again later',
   deadlineUnreachable: 'the request could not be answered before its deadline; send it again later',
@@ -46,6 +50,9 @@
   private readonly sender: RequestSender
   private activeCount = 0
   private stopping = false
+  private readonly willStop = this.register(new Emitter<void>())
+  /** Fires before new requests are refused for good. */
+  readonly onWillStop: Event<void> = this.willStop.event
 
   constructor (
     private readonly context: EntryContext,
@@ -89,9 +96,16 @@
     return [...this.pools.values()].some(pool => pool.urgentWaits)
   }
 
+  /** Whether new requests are refused because the instance stops. */
+  get isStopping (): boolean {
+    return this.stopping
+  }
+
   /** Refuses new requests from now on; requests in flight go on. */
   stopAccepting (): void {
+    if (this.stopping) return
     this.stopping = true
+    this.willStop.fire()
   }
 
   /** Waiting requests, weighted by urgency, and running ones by executor pool, for the division of slots. */
@@ -106,10 +120,10 @@
   async serve (request: CallerRequest): Promise<CallerAnswer> {
     const text = this.configuration.inForce?.text
     const service = text?.services[request.service]
-    if (this.stopping) return refuse(request, 'stopping', 'the instance is stopping', 1)
-    if (text === undefined) return refuse(request, 'notReady', 'no configuration is in force yet', 1)
-    if (service === undefined) return refuse(request, 'unknownService', `there is no service '${request.service}'`)
-    if (monotonicNow() >= request.deadline) return refuse(request, 'deadlineExpired', 'the deadline has passed')
+    if (this.stopping) return refuse(request, STOPPING_ERROR)
+    if (text === undefined) return refuse(request, { code: 'notReady', verdict: 'notRun', message: 'no configuration is in force yet', retryAfterSeconds: 1 })
+    if (service === undefined) return refuse(request, { code: 'unknownService', verdict: 'notRun', message: `there is no service '${request.service}'` })
+    if (monotonicNow() >= request.deadline) return refuse(request, { code: 'deadlineExpired', verdict: 'notRun', message: 'the deadline has passed' })
     this.activeCount += 1
     this.context.events.record('requestAccepted', { request: request.identity, service: request.service, urgency: request.urgency })
     const run = async (): Promise<CallerAnswer> => await new Promise(resolve => this.enqueue(new PendingRequest(request, service, resolve), text.limits.queuedRequests))
@@ -262,7 +276,7 @@
   pending.settle(errorAnswer({ code, verdict: 'notRun', message, retryAfterSeconds }))
 }
 
-function refuse (request: CallerRequest, code: 'stopping' | 'notReady' | 'unknownService' | 'deadlineExpired', message: string, retryAfterSeconds?: number): CallerAnswer {
+function refuse (request: CallerRequest, error: ServingError): CallerAnswer {
   request.body.discard()
-  return errorAnswer({ code, verdict: 'notRun', message, retryAfterSeconds })
+  return errorAnswer(error)
 }
--- a/src/entry/requestBody.ts
+++ b/src/entry/requestBody.ts
@@ -19,15 +19,15 @@
     return new RequestBody(bytes, undefined, bytes.length)
   }
 
-  /** Reads up to the replayable size; 'tooLarge' if the body is larger than `limitBytes` by then. Rejects if the caller breaks off or `signal` aborts. */
-  static async read (stream: ReadableStream<Uint8Array>, limitBytes: number, signal: AbortSignal): Promise<RequestBody | 'tooLarge'> {
+  /** Reads up to `memoryBytes`, and leaves the rest to be streamed; 'tooLarge' if the body is larger than `limitBytes` by then. Rejects if the caller breaks off or `signal` aborts. */
+  static async read (stream: ReadableStream<Uint8Array>, limitBytes: number, signal: AbortSignal, memoryBytes = REPLAYABLE_BODY_BYTES): Promise<RequestBody | 'tooLarge'> {
     const reader = stream.getReader()
     const cancel = (): void => { reader.cancel().catch(() => {}) }
     signal.addEventListener('abort', cancel, { once: true })
     try {
       const chunks: Uint8Array[] = []
       let size = 0
-      while (size <= REPLAYABLE_BODY_BYTES) {
+      while (size <= memoryBytes) {
         const { done, value } = await reader.read()
         signal.throwIfAborted()
         if (done) return new RequestBody(Buffer.concat(chunks), undefined, limitBytes)
@@ -46,6 +46,11 @@
     return this.rest === undefined || !this.begun
   }
 
+  /** The part that is in memory. */
+  get bytes (): Buffer {
+    return this.first
+  }
+
   /** The body for one attempt; a streamed one is read from the caller at the pace of the executor. */
   open (): Buffer | Readable | undefined {
     if (this.rest !== undefined) return Readable.from(this.chunks(this.rest), { objectMode: false })
--- a/src/programs/embeddedSite.ts
+++ b/src/programs/embeddedSite.ts
@@ -67,9 +67,9 @@
   }
 
   async stop (): Promise<void> {
+    await this.agent.close()
     await Promise.all(this.instances.map(async instance => await instance.stop()))
     this.standin.dispose()
-    await this.agent.destroy()
   }
 
   private async startEntry (failureDomain: string, name: string): Promise<void> {
--- /dev/null
+++ b/test/programs/plannedStop.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict'
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createInterface } from 'node:readline'
+import { after, describe, it } from 'node:test'
+import { fileURLToPath } from 'node:url'
+import { delay } from '../../src/base/delay.js'
+import { checkSiteText } from '../../src/contracts/siteText.js'
+import { OperatorClient } from '../../src/operator/operatorClient.js'
+import { createSiteStandin } from '../../src/programs/wiring.js'
+import type { SiteStandin } from '../../src/standins/siteStandin.js'
+import { PersistentCallers } from '../fakes/persistentCallers.js'
+
+const ENTRY_PROGRAM = fileURLToPath(new URL('../../src/programs/entry.js', import.meta.url))
+const SITE = fileURLToPath(new URL('../../../examples/small/site.jsonc', import.meta.url))
+const SERVICE_PATH = '/services/order-confirmation/orders'
+const OPERATOR_TOKEN = 'planned-stop-operator-token'
+const CALLERS = 100
+const SERVED_BEFORE_STOP = 300
+const POLL_MILLISECONDS = 20
+
+const directory = mkdtempSync(join(tmpdir(), 'vanillaturn-test-'))
+after(() => rmSync(directory, { recursive: true }))
+
+async function startStandin (source: string): Promise<SiteStandin> {
+  const checked = checkSiteText('site.jsonc', source)
+  assert.ok(checked.kind === 'valid')
+  const standin = createSiteStandin(checked.text, {
+    host: '127.0.0.1', port: 0, listLagMilliseconds: 100, retainedRecords: 100_000, appendsPerSecond: 400, appendMilliseconds: 4, serviceMilliseconds: 20, seed: 1, logLevel: 'warn'
+  }, () => {})
+  await standin.start()
+  return standin
+}
+
+/** Starts the compiled entry instance; resolves with the port that it listens on for callers. */
+async function startEntry (platformAddress: string): Promise<{ process: ChildProcess, port: number }> {
+  const settings = join(directory, 'entry.jsonc')
+  writeFileSync(settings, JSON.stringify({
+    instance: 'gent-a-1', failureDomain: 'gent-a', region: 'be-vl', callers: { port: 0 }, links: { port: 0 }, platformAddress, linkKeys: ['planned-stop-link-key'], operatorTokens: [OPERATOR_TOKEN]
+  }))
+  const child = spawn(process.execPath, [ENTRY_PROGRAM, settings], { stdio: ['ignore', 'pipe', 'inherit'] })
+  for await (const line of createInterface({ input: child.stdout })) {
+    const port = /"message":"listening","address":"127\.0\.0\.1:(\d+)"/.exec(line)?.[1]
+    if (port === undefined) continue
+    child.stdout.resume()
+    return { process: child, port: Number(port) }
+  }
+  throw new Error('the entry instance ended before it listened')
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await delay(POLL_MILLISECONDS)
+}
+
+describe('planned stop of the compiled entry instance', () => {
+  /** Guards against a stop that resets connections with requests on them: SIGTERM while all callers keep their connections busy. */
+  it('answers every request on kept connections, and ends with status 0', { timeout: 60_000 }, async () => {
+    const source = readFileSync(SITE, 'utf8')
+    const standin = await startStandin(source)
+    const entry = await startEntry(standin.platform.address)
+    const callers = new PersistentCallers(entry.port, SERVICE_PATH)
+    try {
+      standin.list({ kind: 'entry', name: 'gent-a-1', failureDomain: 'gent-a', address: 'ws://127.0.0.1:1', callerAddress: `http://127.0.0.1:${entry.port}`, state: 'live' })
+      const operator = new OperatorClient(standin.platform.address, [`http://127.0.0.1:${entry.port}`], OPERATOR_TOKEN)
+      assert.equal((await operator.publish(source, 0, 'test')).kind, 'accepted')
+      await operator.close()
+      callers.start(CALLERS)
+      await until(() => (callers.counts.answers['200'] ?? 0) >= SERVED_BEFORE_STOP)
+      const ended = once(entry.process, 'exit')
+      entry.process.kill('SIGTERM')
+      const [status] = await ended
+      await callers.stop()
+      const { brokenKept, brokenFresh, errors, refusalsWithoutRetryAfter } = callers.counts
+      assert.deepEqual({ brokenKept, brokenFresh, errors, refusalsWithoutRetryAfter }, { brokenKept: 0, brokenFresh: 0, errors: {}, refusalsWithoutRetryAfter: 0 })
+      assert.equal(status, 0)
+    } finally {
+      await callers.stop()
+      entry.process.kill('SIGKILL')
+      standin.dispose()
+    }
+  })
+})
