Ask again about a worker that has refused a ticket

Callers would see: a job, above all a wide gang, that never starts again after the log was slow.

Cause: a start whose ticket had ended on the way was refused, and the ticket was dropped, but the worker still counted as asked about. Neither named nor to be asked, it was lost to the step; once all were, nothing could place the step.

Evidence: found by reading.

Change: with the ticket the mark that the worker was asked about goes, so that the next question names it again.

--- a/src/cluster/jobBook.ts
+++ b/src/cluster/jobBook.ts
@@ -49,6 +49,12 @@
   notBefore: number
 }
 
+/** Drops a ticket that a worker has refused. The worker may be asked about again: what it may run does not change. */
+export function forgetTicket (step: Step, worker: string): void {
+  step.eligibility.tickets.delete(worker)
+  step.eligibility.asked.delete(worker)
+}
+
 export class Step {
   readonly tasks: Task[]
   readonly eligibility: StepEligibility = { tickets: new Map(), asked: new Set(), asking: false, notBefore: 0 }
--- a/test/cluster/actingScheduler.test.ts
+++ b/test/cluster/actingScheduler.test.ts
@@ -5,6 +5,7 @@
 import { Random } from '../../src/base/random.js'
 import { ActingScheduler } from '../../src/cluster/actingScheduler.js'
 import { ClusterMetrics } from '../../src/cluster/clusterMetrics.js'
+import type { EligibilityLine } from '../../src/cluster/eligibilityDesk.js'
 import { TOPICS } from '../../src/cluster/recordLog.js'
 import { cancelKey } from '../../src/cluster/submissions.js'
 import type { ClusterConfiguration } from '../../src/contracts/clusterConfiguration.js'
@@ -20,13 +21,20 @@
   revision: 1,
   queues: [
     { name: 'queue', host: 'host', routePrefix: '/q/', pool: 'pool', priority: 0, attempts: 3, stretch: 2, targetMilliseconds: 500 },
-    { name: 'batch', host: 'host', routePrefix: '/b/', pool: 'pool', priority: 1, attempts: 3, stretch: 2, targetMilliseconds: 500 }
+    { name: 'batch', host: 'host', routePrefix: '/b/', pool: 'pool', priority: 1, attempts: 3, stretch: 2, targetMilliseconds: 500 },
+    { name: 'asked', host: 'host', routePrefix: '/a/', pool: 'pool', priority: 0, attempts: 3, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 1, perWorkerMilliseconds: 0, ticketMilliseconds: 2000 } }
   ],
   maximumBodyBytes: 100_000
 }
 
 const JOB = '00000000000000aa'
 
+/** A service that names all workers that it is asked about. */
+const ALL_ELIGIBLE: EligibilityLine = {
+  instance: 'own',
+  ask: async (_step, workers) => ({ kind: 'eligible', workers: workers.map(worker => ({ worker, ticket: 'ticket' })), validMilliseconds: 2000 })
+}
+
 interface Site {
   readonly clock: ReturnType<typeof FakeTimers.install>
   readonly log: FakeRecordLog
@@ -42,7 +50,7 @@
   const acting: ActingScheduler[] = []
   const act = (term: number): ActingScheduler => {
     const scheduler = new ActingScheduler(site.log, site.port, {
-      term, bounds: BOUNDS, renewedAt: () => site.renewedAt === 0 ? performance.now() : site.renewedAt, lines: () => [], onDeposed: () => { site.deposed += 1 }
+      term, bounds: BOUNDS, renewedAt: () => site.renewedAt === 0 ? performance.now() : site.renewedAt, lines: () => [ALL_ELIGIBLE], onDeposed: () => { site.deposed += 1 }
     }, new ClusterMetrics(), new Logger('test', 'error', () => {}), new Random(1), () => performance.now())
     acting.push(scheduler)
     scheduler.takeOver(CONFIGURATION, [...site.port.workers.values()].map(worker => worker.entry))
@@ -109,6 +117,18 @@
     }))
   }
 
+  /** A log that is slow lets tickets end before the orders go out; a worker that was never asked about again would be lost to the step. */
+  it('asks again about a worker that has refused a ticket', async () => await withSite(async (site, act) => {
+    const worker = site.port.add(new FakeWorker('w1', 1, () => 100))
+    const scheduler = act(1)
+    worker.fault = 'ticket'
+    submit(site.log, JOB, [step()], { queue: 'asked' })
+    await site.clock.tickAsync(500)
+    worker.fault = 'none'
+    await site.clock.tickAsync(2000)
+    assert.equal(scheduler.stateOf(JOB), 'completed')
+  }))
+
   /** A stop that an unhealthy worker refuses has not been carried out: the start before it may still come. */
   it('repeats a stop that was refused as unhealthy', async () => await withSite(async (site, act) => {
     const first = site.port.add(new FakeWorker('w1', 1, () => 5000))
--- a/test/fakes/fakeClusterWorkers.ts
+++ b/test/fakes/fakeClusterWorkers.ts
@@ -1,7 +1,7 @@
 import { WorkerPort, type EndKind, type EndReport, type LookOrder, type LookOutcome, type OrderOutcome, type StartOrder, type WorkerAddress, type WorkerEntry } from '../../src/cluster/workerPort.js'
 
-/** What a fake worker does with the next orders: answers, carries out without an answer, drops, or refuses as unhealthy. */
-export type OrderFault = 'none' | 'answerLost' | 'notDelivered' | 'late' | 'unhealthy'
+/** What a fake worker does with the next orders: answers, carries out without an answer, drops, or refuses as unhealthy or for want of a valid ticket. */
+export type OrderFault = 'none' | 'answerLost' | 'notDelivered' | 'late' | 'unhealthy' | 'ticket'
 
 /** Longest lease that a worker grants, in milliseconds on its clock. */
 const LONGEST_LEASE_MILLISECONDS = 6000
@@ -110,7 +110,7 @@
 
   private async withFault (carryOut: () => OrderOutcome): Promise<OrderOutcome> {
     if (!this.isReachable || this.fault === 'notDelivered') return await afterMilliseconds(400, { kind: 'unknown', reason: 'timed out' })
-    if (this.fault === 'unhealthy') return { kind: 'refused', reason: 'unhealthy' }
+    if (this.fault === 'unhealthy' || this.fault === 'ticket') return { kind: 'refused', reason: this.fault }
     if (this.fault === 'late') {
       setTimeout(carryOut, LATE_MILLISECONDS)
       return await afterMilliseconds(400, { kind: 'unknown', reason: 'timed out' })
