Do not let steps that no worker can run keep others from being asked about

Callers would see: batch jobs that wait for ever, behind some that can run nowhere at present, with room free.

Cause: tickets are asked for ahead of room for the first twelve steps of batch work. A step that no known worker can carry (a label or size that none has, or a gang that its named workers cannot hold together) has nothing to ask about but counted among the twelve. Twelve of them at the head of the order ended the questions for all that comes later, overdue urgent work included.

Evidence: found by reading; the tests fail without the change.

Change: a step that can be placed on none of the workers that are known does not count. What a gang could hold is reckoned without the room kept for urgent work, because it may use that room when it fits nowhere otherwise.

--- a/src/cluster/eligibilityDesk.ts
+++ b/src/cluster/eligibilityDesk.ts
@@ -2,6 +2,7 @@
 import type { ClusterScheduler } from './clusterScheduler.js'
 import type { Step } from './jobBook.js'
 import { couldCarryTasks, sortByUrgency } from './placementPass.js'
+import { UrgentHeadroom } from './urgentHeadroom.js'
 import type { EligibilityOutcome } from './workerPort.js'
 import type { WorkerState } from './workerState.js'
 
@@ -19,6 +20,8 @@
 const RETRY_PAUSE_MILLISECONDS = 150
 /** Steps of non-urgent work, in their order, that are asked about ahead of room. */
 const ASKED_AHEAD = 12
+/** For what the workers could carry if no room were kept for urgent work, as none is for steps that fit nowhere otherwise. */
+const NO_HEADROOM = new UrgentHeadroom()
 
 /** One place from which questions are asked; the service handles one of its questions at a time. */
 export interface EligibilityLine {
@@ -79,16 +82,17 @@
     for (const step of steps) {
       const policy = this.scheduler.policyOf(step.job)
       if (policy.eligibility === undefined) continue
+      const workers = this.workersToAsk(step, policy, now)
+      if (workers === undefined) continue
       if (policy.priority > 0) ahead += 1
       if (ahead > ASKED_AHEAD) return
-      if (step.eligibility.asking || now < step.eligibility.notBefore) continue
-      const workers = this.workersToAsk(step, policy, now)
-      if (workers.length === 0) continue
+      if (workers.length === 0 || step.eligibility.asking || now < step.eligibility.notBefore) continue
       yield { step, workers, expectedMilliseconds: policy.eligibility.decisionMilliseconds + workers.length * policy.eligibility.perWorkerMilliseconds }
     }
   }
 
-  private workersToAsk (step: Step, policy: QueuePolicy, now: number): string[] {
+  /** Workers that are to be asked about now; undefined if the step can be placed on none of those that are known, so that it uses no room that others wait for. */
+  private workersToAsk (step: Step, policy: QueuePolicy, now: number): string[] | undefined {
     const { tickets, asked } = step.eligibility
     const isSuitable = (worker: WorkerState | undefined): worker is WorkerState => worker !== undefined && worker.entry.pool === policy.pool && worker.isUsable(now) && worker.couldCarry(step.specification)
     const named = [...tickets.keys()].map(identity => this.scheduler.workers.get(identity)).filter(isSuitable)
@@ -96,6 +100,7 @@
     if (!couldCarryTasks(named, step, step.waitingCount, this.scheduler.headroom)) {
       const unasked = [...this.scheduler.workers.values()].filter(worker => !asked.has(worker.identity)).filter(isSuitable)
       if (unasked.length > 0) return identities([...unasked, ...named])
+      if (!couldCarryTasks(named, step, step.specification.gang ? step.waitingCount : 1, NO_HEADROOM)) return undefined
     }
     const stale = named.filter(worker => (tickets.get(worker.identity)?.validUntil ?? 0) - REFRESH_MARGIN_MILLISECONDS <= now)
     if (step.specification.gang) return stale.length > 0 && (step.reservation !== undefined || stale.some(worker => worker.fits(step.specification))) ? identities(named) : []
--- a/test/cluster/eligibilityDesk.test.ts
+++ b/test/cluster/eligibilityDesk.test.ts
@@ -56,6 +56,40 @@
     assert.deepEqual(asked, [['w1'], ['w1', 'w2']])
   })
 
+  /** Jobs that no worker can run may wait for ever: the jobs behind them must not. */
+  const UNPLACEABLE: ReadonlyArray<{ readonly name: string, readonly step: object }> = [
+    { name: 'gangs that the named workers cannot carry together', step: { count: 2, gang: true } },
+    { name: 'tasks that are larger than any worker', step: { count: 1, processorsThousandths: 2000 } },
+    { name: 'tasks with a label that no worker has', step: { count: 1, requiredLabel: 'none' } }
+  ]
+  for (const { name, step } of UNPLACEABLE) {
+    it(`asks about a step behind many ${name}`, async () => {
+      const scheduler = createScheduler()
+      addWorkers(scheduler, ['w1'])
+      const add = (identity: string, specification: object): void => {
+        scheduler.addJob(identity, { queue: 'queue', pool: 'pool', job: stepJobSchema.parse({ specification: '', steps: [{ processorsThousandths: 1000, ...specification }] }), acceptedAt: Date.now() }, 0)
+      }
+      for (let job = 0; job < 40; job += 1) add(`unplaceable${job}`, step)
+      add('placeable', { count: 1 })
+      const asked = new Set<string>()
+      let now = 0
+      const desk = new EligibilityDesk(scheduler, () => [{
+        instance: 'own',
+        ask: async (name, workers) => {
+          asked.add(name)
+          return { kind: 'eligible', workers: workers.map(worker => ({ worker, ticket: 'ticket' })), validMilliseconds: 2500 }
+        }
+      }], () => {}, () => now)
+      for (let question = 0; question < 100 && !asked.has('placeable.0.0'); question += 1) {
+        desk.pump()
+        await Promise.resolve()
+        await Promise.resolve()
+        now += 200
+      }
+      assert.ok(asked.has('placeable.0.0'))
+    })
+  }
+
   for (const { name, step, later, named, questions } of CASES) {
     it(name, async () => {
       const scheduler = createScheduler()
