--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -213,6 +213,22 @@
     assert.deepEqual(seen, [0, 7, 0, 0, 8])
   })
 
+  /** A worker that has been replaced at its address is noticed by the answer to the next look at it. */
+  it('does not hold a look up behind one that waits at another worker of the same address', async () => {
+    const waiting: Array<() => void> = []
+    answer = (request, body, response) => {
+      if (request.headers['vanillaturn-target-instance'] === 'i-2') waiting.push(() => json(200, { clockMs: 50, born: 5, running: [], ended: [] })(request, body, response))
+      else json(421, {})(request, body, response)
+    }
+    const client = new PlatformWorkerClient(http)
+    const look = { term: 7, acknowledgedEnd: 0, isInSequence: true, waitMilliseconds: 0 }
+    const present = client.look({ identity: 'i-2', address }, { ...look, waitMilliseconds: 20_000 })
+    while (waiting.length === 0) await new Promise(resolve => setImmediate(resolve))
+    assert.deepEqual(await client.look({ identity: 'i-1', address }, look), { kind: 'replaced' })
+    waiting[0]?.()
+    assert.equal((await present).kind, 'report')
+  })
+
   it('sends nothing over a new connection where the present one is required and is closed before the call has gone out', async () => {
     let calls = 0
     answer = (_request, _body, response) => {
