--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -99,6 +99,18 @@
     const outcome = await new PlatformLogClient(address, http).snapshot('keyed.t', 0)
     assert.deepEqual(outcome, { kind: 'snapshot', end: 6, records: [{ key: 'a', value: Buffer.from('a'), offset: 1 }, { key: 'b', value: Buffer.from('b'), offset: 5 }] })
   })
+
+  /** What a snapshot lacks counts as not recorded, and would be run again. */
+  const PAGES: ReadonlyArray<{ readonly name: string, readonly body: string }> = [
+    { name: 'is cut short', body: '{"items":[{"key":"b","val' },
+    { name: 'holds no items', body: '{}' }
+  ]
+  for (const { name, body } of PAGES) {
+    it(`does not take a page that ${name} for the end of a snapshot`, async () => {
+      answer = (request, _body, response) => response.end(String(request.url).includes('after=a') ? body : JSON.stringify({ items: [{ key: 'a', value: '', offset: 1 }], more: true, end: 6 }))
+      assert.equal((await new PlatformLogClient(address, http).snapshot('keyed.t', 0)).kind, 'unavailable')
+    })
+  }
 })
 
 describe('PlatformLogClient on a slow link', () => {
