Let callers that connect anew be accepted before listening ends

Cause: listening ended in the first turn of the event loop without a new connection. A caller whose answer was on its way connected anew just then, and a connection that the kernel establishes between the poll and the close is reset. Answers announced the end only after listening had ended.

What was changed: new requests are held back as before, and listening ends after 20 ms without a new connection (at most 200 ms later), so that callers that connect anew are accepted and held back too. Answers announce the end from the beginning of the stop. A connection established in the instant of the close can still be reset; nothing of it has been read.

Evidence: the new case of httpServer.test.ts fails on the former code. `npm run bench:stop` can now use a new connection for each request.

--- a/bench/plannedStop.ts
+++ b/bench/plannedStop.ts
@@ -14,6 +14,7 @@
 const SERVICE_PATH = '/services/order-confirmation/orders'
 const CALLERS = Number(process.argv[2] ?? 200)
 const RUNS = Number(process.argv[3] ?? 3)
+const KEEPS_CONNECTIONS = process.argv[4] !== 'fresh'
 const START_MILLISECONDS = 2000
 const READY_MILLISECONDS = 5000
 const LOAD_MILLISECONDS = 1500
@@ -33,7 +34,7 @@
     await delay(START_MILLISECONDS)
     execFileSync(process.execPath, [`${PROGRAMS}vanillaturn.js`, 'publish', `${SITE}/site.jsonc`, '--base', '0', '--settings', `${SITE}/vanillaturn.jsonc`])
     await delay(READY_MILLISECONDS)
-    const callers = new PersistentCallers(STOPPED_PORT, SERVICE_PATH)
+    const callers = new PersistentCallers(STOPPED_PORT, SERVICE_PATH, KEEPS_CONNECTIONS)
     callers.start(CALLERS)
     await delay(LOAD_MILLISECONDS)
     const stopped = entries[0] as ChildProcess
@@ -51,5 +52,5 @@
 }
 
 mkdirSync('run', { recursive: true })
-process.stdout.write(`${CALLERS} callers, ${RUNS} runs\n`)
+process.stdout.write(`${CALLERS} callers on ${KEEPS_CONNECTIONS ? 'kept' : 'fresh'} connections, ${RUNS} runs\n`)
 for (let run = 0; run < RUNS; run += 1) process.stdout.write(JSON.stringify(await measure()) + '\n')
--- a/src/links/httpServer.ts
+++ b/src/links/httpServer.ts
@@ -5,6 +5,10 @@
 import { DisposableObject, toDisposable } from '../base/disposable.js'
 import { HttpConnection, LINGER_MILLISECONDS } from './httpConnection.js'
 
+/** Time without a new connection after which listening ends, in milliseconds; callers that connect anew after an answer do so sooner. */
+const QUIET_MILLISECONDS = 20
+/** Longest wait for such a time, in milliseconds. */
+const SETTLE_MILLISECONDS = 200
 /** Longest time in which connections that wait to be accepted are taken before listening ends, in milliseconds. */
 const BACKLOG_MILLISECONDS = 2000
 
@@ -59,23 +63,22 @@
   }
 
   /**
-   * Accepts the connections that the kernel has established, which would be reset, and stops listening. From then on the last
-   * answer of each connection closes it. Requests that arrive meanwhile are handled once `drain` is called: one connection is
-   * accepted in a turn of the event loop, so that turns should be short, and callers should not connect anew.
-   * `deadline` is the one of the drain.
+   * Accepts the connections that the kernel has established, which would be reset, and stops listening. The last answer of
+   * each connection closes it. Requests that arrive meanwhile are handled once `drain` is called, so that turns of the event
+   * loop are short and each caller connects anew once at most. `deadline` is the one of the drain.
    */
   async stopListening (deadline: number): Promise<void> {
     if (!this.server.listening || this.isHolding) return
     this.isHolding = true
-    const latest = Math.min(deadline - LINGER_MILLISECONDS, performance.now() + BACKLOG_MILLISECONDS)
+    this.closeAfterAnswers()
+    const startedAt = performance.now()
+    const latest = Math.min(deadline - LINGER_MILLISECONDS, startedAt + BACKLOG_MILLISECONDS)
+    await this.untilNoneAccepted(Math.min(latest, startedAt + SETTLE_MILLISECONDS), async () => { await delay(QUIET_MILLISECONDS) })
+    // One connection is accepted in a turn of the event loop.
     await nextTurn()
-    for (let accepted = -1; accepted !== this.acceptedConnections && performance.now() < latest;) {
-      accepted = this.acceptedConnections
-      await nextTurn()
-    }
+    await this.untilNoneAccepted(latest, async () => { await nextTurn() })
     // The method of node:http would also destroy idle connections, with requests that have arrived on them.
     SocketServer.prototype.close.call(this.server)
-    this.closeAfterAnswers()
   }
 
   /**
@@ -99,6 +102,14 @@
     return cutOff
   }
 
+  /** Resolves after a pause in which no connection was accepted, or at `latest`. */
+  private async untilNoneAccepted (latest: number, pause: () => Promise<void>): Promise<void> {
+    for (let accepted = -1; accepted !== this.acceptedConnections && performance.now() < latest;) {
+      accepted = this.acceptedConnections
+      await pause()
+    }
+  }
+
   private async untilEnded (time: number): Promise<void> {
     const remaining = time - performance.now()
     if (this.connections.size > 0 && remaining > 0) await delay(remaining, this.ended.signal)
--- a/test/fakes/persistentCallers.ts
+++ b/test/fakes/persistentCallers.ts
@@ -26,7 +26,8 @@
   private isStopped = false
   private readonly running: Array<Promise<void>> = []
 
-  constructor (private readonly port: number, private readonly path: string) {}
+  /** With `keepsConnections` false, each request goes out on a connection of its own. */
+  constructor (private readonly port: number, private readonly path: string, private readonly keepsConnections = true) {}
 
   start (count: number): void {
     for (let index = 0; index < count; index += 1) this.running.push(this.run())
@@ -39,7 +40,7 @@
   }
 
   private async run (): Promise<void> {
-    const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+    const agent = new Agent({ keepAlive: this.keepsConnections, maxSockets: 1 })
     while (!this.isStopped) {
       if (!await this.exchange(agent)) await delay(RECONNECT_PAUSE_MILLISECONDS)
     }
--- a/test/links/httpServer.test.ts
+++ b/test/links/httpServer.test.ts
@@ -177,6 +177,31 @@
       assert.equal(await drained, 0)
     }
   },
+  {
+    name: 'a caller that connects anew after an answer that was on its way when listening began to end',
+    run: async fixture => {
+      const clock = new PausedClock()
+      try {
+        const first = fixture.connect()
+        first.write(GET.replace('host: h', 'host: h\r\nconnection: close'))
+        await fixture.received(1)
+        const drained = fixture.drain()
+        await clock.settle()
+        fixture.answerAll()
+        await endsAfter(first, [200])
+        const second = fixture.connect()
+        second.write(GET)
+        await untilTrue(() => second.socket.bytesWritten > 0)
+        while (fixture.server.isListening) await clock.advance(10, 10)
+        await fixture.received(1)
+        fixture.answerAll()
+        await endsAfter(second, [200])
+        assert.equal(await drained, 0)
+      } finally {
+        clock.uninstall()
+      }
+    }
+  },
   {
     name: 'a request whose answer had begun, and the one after it',
     run: async fixture => {
@@ -250,12 +275,13 @@
   {
     name: 'a connection that stays idle is ended after the keep-alive time',
     run: async fixture => {
+      const callers = [await fixture.connectKept(), fixture.connect()]
+      await untilTrue(() => callers.every(caller => !caller.socket.connecting))
+      await fixture.server.stopListening(performance.now() + STOP_BOUND_MILLISECONDS)
       const clock = new PausedClock()
       try {
-        const callers = [await fixture.connectKept(), fixture.connect()]
-        await untilTrue(() => callers.every(caller => !caller.socket.connecting))
         const drained = fixture.drain()
-        await untilTrue(() => !fixture.server.isListening)
+        await clock.settle()
         await clock.advance(KEEP_ALIVE_MILLISECONDS - 1, KEEP_ALIVE_MILLISECONDS)
         assert.deepEqual(callers.map(caller => caller.ended), ['no', 'no'])
         await clock.advance(1, 1)
--- a/test/programs/plannedStop.test.ts
+++ b/test/programs/plannedStop.test.ts
@@ -23,7 +23,11 @@
 const POLL_MILLISECONDS = 20
 
 const directory = mkdtempSync(join(tmpdir(), 'vanillaturn-test-'))
-after(() => rmSync(directory, { recursive: true }))
+const children: ChildProcess[] = []
+after(() => {
+  for (const child of children) child.kill('SIGKILL')
+  rmSync(directory, { recursive: true })
+})
 
 async function startStandin (source: string): Promise<SiteStandin> {
   const checked = checkSiteText('site.jsonc', source)
@@ -42,6 +46,7 @@
     instance: 'gent-a-1', failureDomain: 'gent-a', region: 'be-vl', callers: { port: 0 }, links: { port: 0 }, platformAddress, linkKeys: ['planned-stop-link-key'], operatorTokens: [OPERATOR_TOKEN]
   }))
   const child = spawn(process.execPath, [ENTRY_PROGRAM, settings], { stdio: ['ignore', 'pipe', 'inherit'] })
+  children.push(child)
   for await (const line of createInterface({ input: child.stdout })) {
     const port = /"message":"listening","address":"127\.0\.0\.1:(\d+)"/.exec(line)?.[1]
     if (port === undefined) continue
@@ -78,7 +83,6 @@
       assert.equal(status, 0)
     } finally {
       await callers.stop()
-      entry.process.kill('SIGKILL')
       standin.dispose()
     }
   })
