--- /dev/null
+++ b/test/platform/callerServer.test.ts
@@ -0,0 +1,149 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { CallerServer, type CallerServices } from '../../platform/callerServer.js'
+import { ClusterMetrics } from '../../src/cluster/clusterMetrics.js'
+import type { SubmitAnswer } from '../../src/cluster/jobFront.js'
+import { RawCaller, untilTrue } from '../fakes/rawCaller.js'
+
+const GRACE_MILLISECONDS = 20_000
+const BODY = JSON.stringify({ spec: 's', steps: [{ count: 1, millicpus: 1000, memMb: 100, estMs: 100 }] })
+const HEAD = `host: h\r\ncontent-type: application/json\r\ncontent-length: ${BODY.length}\r\n\r\n`
+const GET = 'GET /q/ HTTP/1.1\r\nhost: h\r\n\r\n'
+
+function post (identity: string): string {
+  return `POST /q/${identity} HTTP/1.1\r\n${HEAD}${BODY}`
+}
+
+/** A caller server over a front that stores a job when the test says so. */
+class Fixture {
+  readonly stored: Array<() => void> = []
+  readonly callers: RawCaller[] = []
+  readonly server: CallerServer
+  port = 0
+
+  constructor () {
+    const services: CallerServices = {
+      configuration: {
+        revision: 1,
+        queues: [{ name: 'queue', host: 'h', routePrefix: '/q/', pool: 'pool', priority: 0, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 1, perWorkerMilliseconds: 0, ticketMilliseconds: 2000 } }],
+        maximumBodyBytes: 10_000
+      },
+      front: {
+        submit: async () => await new Promise<SubmitAnswer>(resolve => { this.stored.push(() => resolve({ kind: 'accepted' })) }),
+        state: async () => 'pending',
+        cancel: async () => 'cancelled',
+        waiting: async () => 3
+      }
+    }
+    this.server = new CallerServer(services, new ClusterMetrics(), () => performance.now())
+  }
+
+  async connectKept (): Promise<RawCaller> {
+    const caller = new RawCaller(this.port)
+    this.callers.push(caller)
+    caller.write(GET)
+    await untilTrue(() => caller.text.includes('"waiting":3'))
+    caller.text = ''
+    return caller
+  }
+
+  prepareStop (): number {
+    const latest = performance.now() + GRACE_MILLISECONDS
+    this.server.prepareStop(latest)
+    return latest
+  }
+
+  storeAll (): void {
+    for (const store of this.stored.splice(0)) store()
+  }
+}
+
+async function endsAfter (caller: RawCaller, statuses: readonly number[]): Promise<void> {
+  await untilTrue(() => caller.ended !== 'no')
+  assert.deepEqual({ statuses: caller.statuses, closings: caller.closings, ended: caller.ended }, { statuses, closings: 1, ended: 'orderly' })
+}
+
+/** Each case guards against a planned stop that breaks a channel after its process has read a request. */
+const CASES: ReadonlyArray<{ readonly name: string, readonly run: (fixture: Fixture) => Promise<void> }> = [
+  {
+    name: 'a job that is being stored',
+    run: async fixture => {
+      const caller = await fixture.connectKept()
+      caller.write(post('00000000000000aa'))
+      await untilTrue(() => fixture.stored.length === 1)
+      const drained = fixture.server.drain(fixture.prepareStop())
+      fixture.storeAll()
+      await endsAfter(caller, [200])
+      assert.equal(await drained, 0)
+    }
+  },
+  {
+    name: 'pipelined jobs that are being stored',
+    run: async fixture => {
+      const caller = await fixture.connectKept()
+      caller.write(post('00000000000000aa') + post('00000000000000ab'))
+      await untilTrue(() => fixture.stored.length === 2)
+      const drained = fixture.server.drain(fixture.prepareStop())
+      fixture.storeAll()
+      await endsAfter(caller, [200, 200])
+      assert.equal(await drained, 0)
+    }
+  },
+  {
+    name: 'a request that arrives on an idle connection as the stop begins',
+    run: async fixture => {
+      const caller = await fixture.connectKept()
+      caller.write(GET)
+      fixture.prepareStop()
+      await endsAfter(caller, [200])
+    }
+  },
+  {
+    name: 'a request on a connection that is idle while the balancer still sends callers',
+    run: async fixture => {
+      const caller = await fixture.connectKept()
+      fixture.prepareStop()
+      for (let turns = 0; turns < 20; turns += 1) await new Promise(resolve => setImmediate(resolve))
+      caller.write(GET)
+      await endsAfter(caller, [200])
+    }
+  },
+  {
+    name: 'requests on connections that have not been accepted when listening ends',
+    run: async fixture => {
+      const latest = fixture.prepareStop()
+      const callers = Array.from({ length: 30 }, () => new RawCaller(fixture.port))
+      fixture.callers.push(...callers)
+      for (const caller of callers) caller.write(GET)
+      const drained = fixture.server.drain(latest)
+      for (const caller of callers) await endsAfter(caller, [200])
+      assert.equal(await drained, 0)
+    }
+  },
+  {
+    name: 'a job whose body does not arrive before the stop must end is refused, and stored nowhere',
+    run: async fixture => {
+      const caller = await fixture.connectKept()
+      fixture.server.prepareStop(performance.now() + 50)
+      caller.write(post('00000000000000aa').slice(0, -2))
+      await endsAfter(caller, [503])
+      assert.match(caller.text, /\r\nretry-after: 1\r\n/)
+      assert.equal(fixture.stored.length, 0)
+    }
+  }
+]
+
+describe('CallerServer of the platform during a planned stop', () => {
+  for (const { name, run } of CASES) {
+    it(`answers ${name}`, { timeout: 20_000 }, async () => {
+      const fixture = new Fixture()
+      fixture.port = await fixture.server.listen({ host: '127.0.0.1', port: 0 })
+      try {
+        await run(fixture)
+      } finally {
+        for (const caller of fixture.callers) caller.socket.destroy()
+        fixture.server.dispose()
+      }
+    })
+  }
+})
--- /dev/null
+++ b/test/platform/plannedStop.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict'
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer, type AddressInfo, type Server } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createInterface } from 'node:readline'
+import { after, describe, it } from 'node:test'
+import { fileURLToPath } from 'node:url'
+import { delay } from '../../src/base/delay.js'
+import { PersistentCallers } from '../fakes/persistentCallers.js'
+
+const PROGRAM = fileURLToPath(new URL('../../platform/main.js', import.meta.url))
+const HOST = '127.0.0.1'
+/** Loopback address of this process alone, since the settings name ports that other processes could take. */
+const OWN_HOST = `127.${64 + (process.pid >> 16 & 63)}.${process.pid >> 8 & 255}.${process.pid & 255}`
+const CALLERS = 50
+const ANSWERS_BEFORE_STOP = 500
+const GRACE_SECONDS = 6
+const POLL_MILLISECONDS = 20
+
+const directory = mkdtempSync(join(tmpdir(), 'vanillaturn-test-'))
+const children: ChildProcess[] = []
+after(() => {
+  for (const child of children) child.kill('SIGKILL')
+  rmSync(directory, { recursive: true })
+})
+
+async function listen (port: number): Promise<Server | undefined> {
+  const server = createServer()
+  return await new Promise(resolve => {
+    server.once('error', () => resolve(undefined))
+    server.listen(port, OWN_HOST, () => resolve(server))
+  })
+}
+
+/** First of two free ports that follow each other. */
+async function findPortRange (): Promise<number> {
+  while (true) {
+    const first = await listen(0) as Server
+    const { port } = first.address() as AddressInfo
+    const second = port < 65_535 ? await listen(port + 1) : undefined
+    first.close()
+    second?.close()
+    if (second !== undefined) return port
+  }
+}
+
+/** Starts the compiled instance without a log to follow; resolves with the port that it listens on for callers. */
+async function startInstance (): Promise<{ process: ChildProcess, port: number }> {
+  const ports = await findPortRange()
+  const settings = join(directory, 'local.toml')
+  writeFileSync(settings, `
+node = "one"
+ip = "${OWN_HOST}"
+zone = "a"
+portRange = [${ports}, ${ports + 1}]
+[listen]
+front = "${HOST}:0"
+ready = "${HOST}:0"
+[limits]
+cpuShare = 1
+cores = 1
+[bounds]
+holdMaxMs = 6000
+graceS = ${GRACE_SECONDS}
+status_s = 120
+[platform]
+addr = "${HOST}:1"
+`)
+  const child = spawn(process.execPath, [PROGRAM], { stdio: ['ignore', 'pipe', 'inherit'], env: { ...process.env, VANILLATURN_BOOT: settings } })
+  children.push(child)
+  for await (const line of createInterface({ input: child.stdout })) {
+    const port = /"message":"listening","address":"127\.0\.0\.1:(\d+)"/.exec(line)?.[1]
+    if (port === undefined) continue
+    child.stdout.resume()
+    return { process: child, port: Number(port) }
+  }
+  throw new Error('the instance ended before it listened')
+}
+
+describe('planned stop of the compiled instance for the platform', () => {
+  /** Guards against a stop that resets connections: SIGTERM while all callers keep their connections busy, and connect anew when one ends. */
+  it('answers every request on kept connections, and ends within the grace period with status 0', { timeout: 60_000 }, async () => {
+    const instance = await startInstance()
+    const callers = new PersistentCallers(instance.port, '/q/00000000000000aa')
+    try {
+      callers.start(CALLERS)
+      while ((callers.counts.answers['503'] ?? 0) < ANSWERS_BEFORE_STOP) await delay(POLL_MILLISECONDS)
+      const ended = once(instance.process, 'exit')
+      instance.process.kill('SIGTERM')
+      const [status] = await ended
+      await callers.stop()
+      const { brokenKept, brokenFresh, errors } = callers.counts
+      assert.deepEqual({ brokenKept, brokenFresh, errors }, { brokenKept: 0, brokenFresh: 0, errors: {} })
+      assert.equal(status, 0)
+    } finally {
+      await callers.stop()
+    }
+  })
+})
