--- /dev/null
+++ b/test/soak/callers.ts
@@ -0,0 +1,129 @@
+import { delay } from '../../src/base/delay.js'
+import { Random } from '../../src/base/random.js'
+import { HttpCaller, type HttpOutcome } from '../../src/links/httpCaller.js'
+import { decodeJob } from '../../platform/jobFormat.js'
+import type { SentRequest } from './soakChecks.js'
+import { QUEUES, type SoakJob, type SoakSite } from './soakSite.js'
+
+const TIME_LIMIT_MILLISECONDS = 3000
+/** Mean pause of a caller between two acts, in milliseconds. */
+const PAUSE_MILLISECONDS = 400
+const RETRY_MILLISECONDS = 300
+/** Longest wait before an accepted job is sent once more, in milliseconds. */
+const LATE_REPEAT_MILLISECONDS = 4000
+const FINAL_STATES: ReadonlySet<string> = new Set(['completed', 'canceled', 'failed'])
+
+const task = { millicpus: 1000, memMb: 10, estMs: 800 }
+/** Shapes of jobs: steps in a row, gangs, more tasks than a worker has room for. */
+const SHAPES: ReadonlyArray<readonly object[]> = [
+  [{ ...task, count: 1 }],
+  [{ ...task, count: 3 }],
+  [{ ...task, count: 2 }, { ...task, count: 2, after: [0] }],
+  [{ ...task, count: 1 }, { ...task, count: 1, after: [0] }, { ...task, count: 1, after: [1] }],
+  [{ ...task, count: 3, gang: true }],
+  [{ ...task, count: 2, gang: true }, { ...task, count: 1, after: [0] }],
+  [{ ...task, count: 9 }]
+]
+
+/** One caller with kept connections. It stays with an instance until that one fails it. */
+export class Caller {
+  private readonly http = new HttpCaller(1)
+  private instance: number
+
+  constructor (private readonly site: SoakSite, private readonly random: Random) {
+    this.instance = random.integerBelow(site.instances.length)
+  }
+
+  /** Acts until the signal aborts. */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await delay(this.random.exponential(PAUSE_MILLISECONDS), signal)
+      const dice = this.random.fraction()
+      const job = this.site.jobs.length === 0 ? undefined : this.random.pick(this.site.jobs)
+      if (job === undefined || dice < 0.4) await this.submitNew(signal)
+      else if (dice < 0.75) await this.askState(job)
+      else if (dice < 0.82) await this.cancel(job)
+      else await this.askWaiting(this.random.pick(QUEUES))
+    }
+  }
+
+  /** Repeats submissions of unknown outcome, and asks for states until they are final. Returns the last states that were shown. */
+  async settle (jobs: readonly SoakJob[], signal: AbortSignal): Promise<Map<SoakJob, string>> {
+    const states = new Map<SoakJob, string>()
+    let open = jobs.filter(job => job.mayRun)
+    while (open.length > 0 && !signal.aborted) {
+      for (const job of open) {
+        if (job.acceptedAt === undefined) await this.submit(job)
+        else states.set(job, await this.askState(job) ?? states.get(job) ?? 'unknown')
+      }
+      open = open.filter(job => !FINAL_STATES.has(states.get(job) ?? ''))
+      this.changeInstance()
+      await delay(RETRY_MILLISECONDS, signal)
+    }
+    return states
+  }
+
+  dispose (): void {
+    this.http.dispose()
+  }
+
+  private async submitNew (signal: AbortSignal): Promise<void> {
+    const identity = [...Array(16)].map(() => this.random.integerBelow(16).toString(16)).join('')
+    const body = JSON.stringify({ spec: 'text', steps: this.random.pick(SHAPES) })
+    const decoded = decodeJob(body)
+    if (decoded.kind === 'invalid') throw new Error(decoded.reason)
+    const job: SoakJob = { identity, body, job: decoded.job, queue: this.random.pick(QUEUES), isCancelled: false, acceptedAt: undefined, mayRun: false, cancelledAt: undefined }
+    this.site.jobs.push(job)
+    do {
+      await this.submit(job)
+      if (job.acceptedAt === undefined) await delay(RETRY_MILLISECONDS, signal)
+    } while (job.acceptedAt === undefined && !signal.aborted && (job.mayRun || this.random.fraction() < 0.7))
+    if (job.acceptedAt === undefined || this.random.fraction() > 0.1) return
+    await delay(this.random.integerBelow(LATE_REPEAT_MILLISECONDS), signal)
+    await this.submit(job)
+  }
+
+  private async submit (job: SoakJob): Promise<void> {
+    const { outcome } = await this.call('POST', `/${job.queue}/${job.identity}`, job.body)
+    if (outcome.kind === 'notSent') return
+    if (outcome.kind === 'unknown' || outcome.status === 502 || outcome.status === 504) job.mayRun = true
+    else if (outcome.status === 200) {
+      job.mayRun = true
+      job.acceptedAt ??= performance.now()
+    } else if (outcome.status !== 429 && outcome.status !== 503) this.site.checks.note(`Unexpected: status ${outcome.status} for the submission of ${job.identity}`)
+  }
+
+  private async askState (job: SoakJob): Promise<string | undefined> {
+    const { outcome, request } = await this.call('GET', `/${job.queue}/${job.identity}`)
+    if (outcome.kind !== 'answer') return undefined
+    const state = outcome.status === 200 ? JSON.parse(outcome.body.toString()).state : undefined
+    this.site.checks.onState(job, request, outcome.status, state)
+    return state
+  }
+
+  private async cancel (job: SoakJob): Promise<void> {
+    job.isCancelled = true
+    const { outcome } = await this.call('DELETE', `/${job.queue}/${job.identity}`)
+    if (outcome.kind === 'answer' && outcome.status === 200) job.cancelledAt ??= performance.now()
+  }
+
+  private async askWaiting (queue: string): Promise<void> {
+    const { outcome, request } = await this.call('GET', `/${queue}/`)
+    if (outcome.kind === 'answer' && outcome.status === 200) this.site.checks.onWaiting(queue, request, JSON.parse(outcome.body.toString()).waiting)
+  }
+
+  private async call (method: 'GET' | 'POST' | 'DELETE', path: string, body?: string): Promise<{ outcome: HttpOutcome, request: SentRequest }> {
+    const instance = this.site.instances[this.instance] as SentRequest['instance']
+    const request = { instance, life: instance.life, what: `${method} ${path}`, sentAt: performance.now() }
+    const headers = { host: 'jobs.example', 'vanillaturn-deadline-ms': String(TIME_LIMIT_MILLISECONDS) }
+    const outcome = await this.http.call(instance.callersAddress, { method, path, body, headers, timeoutMilliseconds: TIME_LIMIT_MILLISECONDS })
+    if (outcome.kind === 'answer' && request.life !== undefined && request.life === instance.life) request.life.hasAnswered = true
+    if (outcome.kind === 'unknown' && outcome.reason !== 'timed out') this.site.checks.onBroken(request)
+    if (outcome.kind !== 'answer' || outcome.status >= 500) this.changeInstance()
+    return { outcome, request }
+  }
+
+  private changeInstance (): void {
+    this.instance = this.random.integerBelow(this.site.instances.length)
+  }
+}
