--- a/test/fuzz/clusterFaults.ts
+++ b/test/fuzz/clusterFaults.ts
@@ -103,6 +103,13 @@
       task.step.waitingCount += 1
     })
   },
+  {
+    name: 'ends are acknowledged to whatever process answers at the address of their worker',
+    checks: ['RunsOnce', 'NoJobLost'],
+    seed: 1,
+    runs: 279,
+    plant: replace(WorkersOverPaths, 'isStillConnected', () => true)
+  },
   {
     name: 'all that a worker has been told to forget is sent to whatever process answers at its address',
     checks: ['RunsOnce', 'NoJobLost'],
