Do not end the process over a worker without an address

A successor restores runs on workers that the registry has dropped; such a worker has no address until the registry lists it again.

Choosing the connection is now guarded as well: an address that cannot be parsed is a call that was not sent. The test fails before.

--- a/src/links/httpCaller.ts
+++ b/src/links/httpCaller.ts
@@ -51,10 +51,17 @@
     }))
   }
 
-  /** Calls `address` (host:port). */
+  /** Calls `address` (host:port). An address that cannot be parsed is an outcome, too. */
   async call (address: string, call: HttpCall): Promise<HttpOutcome> {
     if (call.signal?.aborted === true) return { kind: 'notSent', reason: 'aborted' }
-    const connections = this.connectionsTo(address, call.channel)
+    try {
+      return await this.callOver(this.connectionsTo(address, call.channel), call)
+    } catch (error) {
+      return { kind: 'notSent', reason: describeError(error) }
+    }
+  }
+
+  private async callOver (connections: Connections, call: HttpCall): Promise<HttpOutcome> {
     const { pool, closedCount } = connections
     if (call.requiresOpenConnection === true && connections.closedCountAtAnswer !== closedCount) return { kind: 'notSent', reason: 'the connection is closed' }
     const controller = new AbortController()
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -184,6 +184,13 @@
     })
   }
 
+  /** A worker that only the progress of a former scheduler names has no address; a rejection would end the process. */
+  it('does not reach a worker without an address', async () => {
+    const unlisted = { identity: 'i-1', address: '' }
+    const outcome = await new PlatformWorkerClient(http).look(unlisted, { term: 7, acknowledgedEnd: 0, isInSequence: true, waitMilliseconds: 0 })
+    assert.equal(outcome.kind, 'failed')
+  })
+
   it('encodes a start in whole milliseconds and names the intended process', async () => {
     let seen: unknown
     answer = (request, body, response) => {
