--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,5 +1,5 @@
 import { cac } from 'cac'
-import { CASES, type SoakCase } from './cases.js'
+import { CASES, REGRESSIONS, type SoakCase } from './cases.js'
 import { soak } from './soak.js'
 
 const SHOWN_PROBLEMS = 5
@@ -28,8 +28,10 @@
   .option('--seconds <seconds>', 'time in which faults begin, for each run', { default: 20 })
   .option('--parallel <number>', 'runs at a time', { default: 1 })
   .option('--cases', 'the runs of the tests instead')
-  .action(async ({ seed, runs, seconds, parallel, cases }: { seed: number, runs: number, seconds: number, parallel: number, cases?: boolean }) => {
-    const chosen = cases === true ? CASES : Array.from({ length: runs }, (_, index) => ({ seed: seed + index, seconds }))
+  .option('--regressions', 'all seeds that failed instead')
+  .action(async ({ seed, runs, seconds, parallel, cases, regressions }: { seed: number, runs: number, seconds: number, parallel: number, cases?: boolean, regressions?: boolean }) => {
+    const seeds = Array.from({ length: runs }, (_, index) => ({ seed: seed + index, seconds }))
+    const chosen = cases === true ? CASES : regressions === true ? REGRESSIONS : seeds
     const failed = await run(chosen, parallel)
     console.log(failed.length === 0 ? `${chosen.length} runs passed` : `${failed.length} of ${chosen.length} runs failed, seeds ${failed.join(', ')}`)
     process.exit(failed.length === 0 ? 0 : 1)
