Tests: time limits that a very slow machine keeps

Traced: embeddedSite.test beside 16 busy processes on its one core fails the same way (8 requests ended as mayHaveRun in 29.8 s): the example's deadline of 3 s ends requests. With deadlines of 60 s it passes under the same load (33.7 s), as it did with 6 busy processes before (10.4 s).

--- a/test/programs/embeddedSite.test.ts
+++ b/test/programs/embeddedSite.test.ts
@@ -18,6 +18,10 @@
   jobs: [{ atMilliseconds: 0, submission: { name: 'cutting-plan', team: 'orders', kind: 'gang', urgency: 'normal', tasks: 6, resources: { processorsThousandths: 4000, memoryBytes: 16e9 }, runMilliseconds: 300 } }]
 })
 
+/** Time limits of the services, in milliseconds; those of the example end requests on a machine that is very slow. */
+const DEADLINE_MILLISECONDS = 60_000
+const MAXIMUM_RUN_MILLISECONDS = 30_000
+
 /** Events that the story of one request and of one gang must have, in this order. */
 const REQUEST_STORY = ['requestAccepted', 'requestDispatched', 'executorStarted', 'executorEnded', 'requestAnswered', 'callerAnswered']
 const GANG_STORY = ['jobSubmitted', 'taskStarting', 'taskStarted', 'taskEnded', 'jobEnded']
@@ -29,6 +33,8 @@
 describe('EmbeddedSite', () => {
   it('tells one request and one gang from acceptance to end, in causal order over at least three processes', async () => {
     const source = readFileSync(fileURLToPath(new URL('../../../examples/small/site.jsonc', import.meta.url)), 'utf8')
+      .replace(/("deadlineMilliseconds": )\d+/g, `$1${DEADLINE_MILLISECONDS}`)
+      .replace(/("maximumRunMilliseconds": )\d+/g, `$1${MAXIMUM_RUN_MILLISECONDS}`)
     const checked = checkSiteText('site.jsonc', source)
     assert.ok(checked.kind === 'valid')
     const lines: string[] = []
