--- a/test/platform/plannedStop.test.ts
+++ b/test/platform/plannedStop.test.ts
@@ -61,6 +61,7 @@
 ready = "${HOST}:0"
 [limits]
 cpuShare = 1
+linkMbps = 1000
 cores = 1
 [bounds]
 holdMaxMs = 6000
