--- a/test/soak/cases.ts
+++ b/test/soak/cases.ts
@@ -13,7 +13,7 @@
   { seed: 223, seconds: 20, cause: 'a process that was ending accepted connections that it did not read any more' },
   { seed: 113, seconds: 20, cause: 'a worker that restarted without a pause got the acknowledgement of an end of its former process, and listed its own ends no more' },
   { seed: 103, seconds: 20, cause: 'starts after acknowledged ends, while workers restarted without a pause as in the run before; not traced' },
-  { seed: 352, seconds: 20, cause: 'starts after acknowledged ends, after workers had restarted while the scheduler was frozen; not closed' },
+  { seed: 352, seconds: 20, cause: 'starts after acknowledged ends: a worker had restarted while the scheduler was frozen, and took the acknowledgement for its own ends' },
   { seed: 104, seconds: 20, cause: 'SIGHUP ended a process that had not installed its handlers yet' }
 ]
 
