Tests and bench: one silent observer of the scheduler

The object with an empty method for each announcement stood in three tests and one bench, so that each new announcement had to be added in four places.

--- a/bench/capacityCluster.ts
+++ b/bench/capacityCluster.ts
@@ -4,6 +4,7 @@
 import { progressOf } from '../src/cluster/jobBook.js'
 import { decodeRecord, encodeRecord, type ProgressRecord, type SubmissionRecord } from '../src/contracts/clusterRecords.js'
 import { stepJobSchema } from '../src/contracts/stepJob.js'
+import { SILENT_OBSERVER } from '../test/fakes/silentObserver.js'
 import { medianMilliseconds, printRow, printTitle } from './measure.js'
 
 const WORKER_COUNTS = [33, 245, 900] as const
@@ -20,13 +21,12 @@
 /** Part of the room that is taken before the placements that are measured. */
 const FILLED_SHARE = 0.8
 
-const OBSERVER = { onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidMissRun () {}, onDidIgnoreEnd () {} }
 const QUEUE = { name: 'queue', host: 'host', routePrefix: '/', pool: 'pool', priority: 1, attempts: 2, stretch: 4, targetMilliseconds: 3000 }
 
 const URGENT_QUEUE = { ...QUEUE, name: 'urgent', priority: 0 }
 
 function createScheduler (workerCount: number): ClusterScheduler {
-  const scheduler = new ClusterScheduler(OBSERVER)
+  const scheduler = new ClusterScheduler(SILENT_OBSERVER)
   scheduler.configure({ revision: 1, queues: [QUEUE], maximumBodyBytes: 1000 })
   for (let index = 0; index < workerCount; index += 1) {
     const identity = `worker-${index}`
--- a/test/cluster/clusterScheduler.test.ts
+++ b/test/cluster/clusterScheduler.test.ts
@@ -5,6 +5,7 @@
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
 import type { EndReport } from '../../src/cluster/workerPort.js'
 import { FakeWorker } from '../fakes/fakeClusterWorkers.js'
+import { SILENT_OBSERVER } from '../fakes/silentObserver.js'
 
 const JOB = '00000000000000aa'
 const POLICY: Omit<QueuePolicy, 'pool'> = { priority: 0, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 100, perWorkerMilliseconds: 1, ticketMilliseconds: 60_000 } }
@@ -15,7 +16,7 @@
 }
 
 function createScheduler (): ClusterScheduler {
-  const scheduler = new ClusterScheduler({ onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidMissRun () {}, onDidIgnoreEnd () {} })
+  const scheduler = new ClusterScheduler(SILENT_OBSERVER)
   scheduler.upsertWorker(new FakeWorker('w1', 1, () => 0).entry)
   report(scheduler, [])
   return scheduler
--- a/test/cluster/eligibilityDesk.test.ts
+++ b/test/cluster/eligibilityDesk.test.ts
@@ -4,11 +4,12 @@
 import { EligibilityDesk } from '../../src/cluster/eligibilityDesk.js'
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
 import { FakeWorker } from '../fakes/fakeClusterWorkers.js'
+import { SILENT_OBSERVER } from '../fakes/silentObserver.js'
 
 const QUEUE = { name: 'queue', host: 'host', routePrefix: '/q/', pool: 'pool', priority: 1, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 100, perWorkerMilliseconds: 1, ticketMilliseconds: 2500 } }
 
 function createScheduler (): ClusterScheduler {
-  const scheduler = new ClusterScheduler({ onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidMissRun () {}, onDidIgnoreEnd () {} })
+  const scheduler = new ClusterScheduler(SILENT_OBSERVER)
   scheduler.configure({ revision: 1, queues: [QUEUE], maximumBodyBytes: 1000 })
   return scheduler
 }
--- a/test/cluster/placementPass.test.ts
+++ b/test/cluster/placementPass.test.ts
@@ -3,6 +3,7 @@
 import { ClusterScheduler } from '../../src/cluster/clusterScheduler.js'
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
 import { FakeWorker } from '../fakes/fakeClusterWorkers.js'
+import { SILENT_OBSERVER } from '../fakes/silentObserver.js'
 
 const QUEUES = [
   { name: 'urgent', host: 'host', routePrefix: '/u/', pool: 'pool', priority: 0, attempts: 2, stretch: 1.5, targetMilliseconds: 250 },
@@ -12,7 +13,7 @@
 interface WorkerCase { readonly name: string, readonly room: number, readonly speed: number }
 
 function createSite (workers: readonly WorkerCase[]): ClusterScheduler {
-  const scheduler = new ClusterScheduler({ onDidFinish () {}, onDidEndRun () {}, onDidQuarantine () {}, onDidFindStrayRun () {}, onDidMissRun () {}, onDidIgnoreEnd () {} })
+  const scheduler = new ClusterScheduler(SILENT_OBSERVER)
   scheduler.configure({ revision: 1, queues: QUEUES, maximumBodyBytes: 1000 })
   for (const { name, room, speed } of workers) {
     scheduler.upsertWorker(new FakeWorker(name, room, () => 0).entry).speed = speed
--- /dev/null
+++ b/test/fakes/silentObserver.ts
@@ -0,0 +1,11 @@
+import type { SchedulerObserver } from '../../src/cluster/clusterScheduler.js'
+
+/** For decisions whose announcements are of no interest. */
+export const SILENT_OBSERVER: SchedulerObserver = {
+  onDidFinish () {},
+  onDidEndRun () {},
+  onDidQuarantine () {},
+  onDidFindStrayRun () {},
+  onDidMissRun () {},
+  onDidIgnoreEnd () {}
+}
