--- a/test/fakes/fakeCluster.ts
+++ b/test/fakes/fakeCluster.ts
@@ -43,7 +43,7 @@
 const GANG_RUN_MILLISECONDS = 1000
 const GANG_WAIT_MILLISECONDS = 3000
 /** Rate of a worker's clock that runs slow. */
-const SLOW_CLOCK_RATE = 0.98
+export const SLOW_CLOCK_RATE = 0.98
 
 /** A path between a scheduler and a worker or the log: calls do not arrive, are carried out without an answer, or both late. */
 export type PathFault = 'none' | 'cut' | 'answerLost' | 'late' | 'slow'
--- a/test/soak/soakSite.ts
+++ b/test/soak/soakSite.ts
@@ -3,26 +3,24 @@
 import { TOPICS, type StoredRecord } from '../../src/cluster/recordLog.js'
 import { decodeRecord, encodeRecord, type LeadershipRecord } from '../../src/contracts/clusterRecords.js'
 import { HttpCaller } from '../../src/links/httpCaller.js'
-import { ATTEMPTS, GangMembers, type ClusterView, type SubmittedStepJob } from '../fakes/fakeCluster.js'
+import { ATTEMPTS, GangMembers, SLOW_CLOCK_RATE, type ClusterView, type SubmittedStepJob } from '../fakes/fakeCluster.js'
 import { FakeWorker } from '../fakes/fakeClusterWorkers.js'
 import { FakeRecordLog } from '../fakes/fakeRecordLog.js'
 import { CONFIGURATION_KEY, OPERATOR_TOPIC, WORKER_TOPIC } from '../../platform/registry.js'
 import { FaultyPath, type PathFault } from './faultyPath.js'
 import { InstanceProcess, type InstanceObserver } from './instanceProcess.js'
 import { LogStandin } from './logStandin.js'
-import { SoakChecks } from './soakChecks.js'
+import { SoakChecks, STABLE_WINDOW_MILLISECONDS } from './soakChecks.js'
 import { WorkerStandin } from './workerStandin.js'
 
 /** Processor shares of the instances, in cores; the role goes to large ones. */
 const PROCESSOR_SHARES = [1, 0.5, 0.25]
 const ROOM_OF_WORKER = 3
-const SLOW_CLOCK_RATE = 0.98
 const HEARTBEAT_MILLISECONDS = 1500
 /** Time of an append and of an answer of the log, in milliseconds. */
 export const APPEND_MILLISECONDS = 4
 const ANSWER_MILLISECONDS = 1
 const READY_POLL_MILLISECONDS = 50
-const STABLE_WINDOW_MILLISECONDS = 3000
 /** Period in which the machine's slowness is watched, and the lateness from which it counts as slowed, in milliseconds. */
 const WATCH_MILLISECONDS = 50
 const SLOW_LATENESS_MILLISECONDS = 100
