--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -210,6 +210,45 @@
     })
   })
 
+  /** An exception while a report is decoded would end the process of the active scheduler. A run that is missing from a report would count as absent, so that no part of a malformed report is used. */
+  const REPORT = { clockMs: 50, born: 5, running: [['a.0.0.1', 2, 'saved', 41]], ended: [[8, 'a.0.0.2', 1, 'done', '']] }
+  const MALFORMED_REPORTS: ReadonlyArray<{ readonly name: string, readonly body: unknown }> = [
+    { name: 'no object', body: null },
+    { name: 'no clock', body: { ...REPORT, clockMs: undefined } },
+    { name: 'a clock that is no number', body: { ...REPORT, clockMs: 'late' } },
+    { name: 'a start time that is no number', body: { ...REPORT, born: [] } },
+    { name: 'runs that are no list', body: { ...REPORT, running: {} } },
+    { name: 'a run that is null', body: { ...REPORT, running: [...REPORT.running, null] } },
+    { name: 'a run that is no row', body: { ...REPORT, running: [...REPORT.running, 7] } },
+    { name: 'a run without a number', body: { ...REPORT, running: [['a.0.0.1']] } },
+    { name: 'a run whose progress is no number', body: { ...REPORT, running: [['a.0.0.1', 2, '', 'half']] } },
+    { name: 'ends that are no list', body: { ...REPORT, ended: null } },
+    { name: 'an end that is null', body: { ...REPORT, ended: [null] } },
+    { name: 'an end whose task is no string', body: { ...REPORT, ended: [[8, {}, 1, 'done', '']] } },
+    { name: 'an end whose number is a string', body: { ...REPORT, ended: [['8', 'a.0.0.2', 1, 'done', '']] } }
+  ]
+  for (const { name, body } of MALFORMED_REPORTS) {
+    it(`returns a failure for a report with ${name}`, async () => {
+      respond = json(200, body as object)
+      const outcome = await new PlatformWorkerClient(http).poll(worker(), { term: 7, acknowledgedEnd: 0, isInSequence: false, waitMilliseconds: 0 })
+      assert.deepEqual(outcome, { kind: 'failed', reason: 'malformed report' })
+    })
+  }
+
+  /** The same for the eligibility service. */
+  const MALFORMED_ANSWERS: ReadonlyArray<{ readonly name: string, readonly body: unknown }> = [
+    { name: 'no list', body: { good: 3, validMs: 100 } },
+    { name: 'a row that is null', body: { good: [null], validMs: 100 } },
+    { name: 'a ticket that is no string', body: { good: [['i-1', 5]], validMs: 100 } },
+    { name: 'no validity', body: { good: [['i-1', 't']] } }
+  ]
+  for (const { name, body } of MALFORMED_ANSWERS) {
+    it(`returns a failure for an answer of the eligibility service with ${name}`, async () => {
+      respond = json(200, body as object)
+      assert.deepEqual(await new PlatformEligibilityClient(address, http).query('a.0.0', ['i-1'], 1000), { kind: 'failed', reason: 'malformed response' })
+    })
+  }
+
   /** Another process under the same identity would apply the acknowledgement to an end of its own and never report that end. */
   it('acknowledges ends only over the connection that reported them', async () => {
     const seen: unknown[] = []
