Keep serving tasks within their targets, and move runs away from workers that leave

Targets, filler work and the number of tasks that may be unavailable were decoded and not used. A run on a draining worker was left to end with it; its task then waited until the lease had expired.

Change: - serving/pacingController.ts, interferenceModel.ts: learns how much filler work of one image raises the tail latency of serving tasks of another, slows the most disturbing runs down, pauses all before that counts as harm, releases them step by step, and moves work only when pacing does not help; availability.ts bounds such moves. - serving/drainPlanner.ts: tasks that last leave a draining worker as soon as they can start elsewhere, others if they would not end in time; eligible workers are requested ahead. - long-running steps are placed after urgent work and before the rest, however old their job is; a step that has waited for 1.5 s may use the headroom for urgent work if it lasts or if less than half of the capacity is in use. - filler work goes where processors are idle; before, it was packed onto the fullest worker. - runReconciler.ts: the comparison of reports with assumed runs, moved out of clusterScheduler.ts unchanged.

--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -13,6 +13,8 @@
 import { JobRetention } from './jobRetention.js'
 import type { PlannedRun } from './placementPass.js'
 import { ProgressWriter } from './progressWriter.js'
+import type { PaceChange } from './serving/pacingController.js'
+import type { PendingPace } from './serving/servingSupervisor.js'
 import { TOPICS, type KeyedRecord, type RecordLog, type StoredRecord } from './recordLog.js'
 import { isCancelKey, jobOfCancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
 import { TopicFollower } from './topicFollower.js'
@@ -148,7 +150,7 @@
 
   /** Adds or updates a worker from its registry entry. */
   setWorker (entry: WorkerEntry): void {
-    const worker = this.scheduler.upsertWorker(entry)
+    const worker = this.scheduler.upsertWorker(entry, this.now())
     this.sessions.get(entry.identity)?.setAddress(entry.address)
     if (this.isActive) this.sessions.open(worker)
     this.requestRound()
@@ -208,6 +210,24 @@
     this.logger.warn('end of a run that the task has no more', { worker: worker.identity, task: task.name, count: end.run, code: end.kind, reason: `the task is ${task.phase} with run ${task.run} on ${task.worker === '' ? 'no worker' : task.worker}` })
   }
 
+  onDidEnterService (worker: WorkerState, task: Task): void {
+    this.logger.info('task is in service', { task: task.name, count: task.run, worker: worker.identity, durationMilliseconds: Math.round(this.now() - task.startedAt) })
+  }
+
+  onDidChangePace (worker: WorkerState, { task, percent, reason }: PaceChange): void {
+    this.logger.info('pace of a run changed', { task: task.name, count: task.run, worker: worker.identity, code: `${percent} percent`, reason })
+  }
+
+  onDidCrossTarget (worker: WorkerState, task: Task, isOver: boolean): void {
+    this.metrics.targetCrossed(isOver)
+    this.logger.info(isOver ? 'task is over its latency target' : 'task is within its latency target again', { task: task.name, count: task.run, worker: worker.identity, durationMilliseconds: task.reportedLoad, objectiveMilliseconds: task.step.specification.targetMilliseconds })
+  }
+
+  onWillMoveRun (worker: WorkerState, task: Task, reason: string): void {
+    this.metrics.runMoved()
+    this.logger.info('run is stopped to be moved to another worker', { task: task.name, count: task.run, worker: worker.identity, reason: `${reason}; the run is at ${task.percent} percent` })
+  }
+
   private areSubmissionsFresh (): boolean {
     return this.submissionsAge() < MAXIMUM_SUBMISSIONS_AGE_MILLISECONDS
   }
@@ -280,6 +300,7 @@
     const now = this.now()
     this.scheduler.observeLoad()
     this.scheduler.openDueOccurrences(now, Date.now())
+    this.scheduler.moveDepartingRuns(now)
     for (const task of this.scheduler.stopStalledRuns(now)) this.logger.warn('run makes no progress; it is stopped', { task: task.name, worker: task.worker, count: task.run, reason: `${task.percent} percent` })
     this.requestRound()
   }
@@ -326,6 +347,7 @@
   private planRound (now: number): PlannedRun[] {
     const planned = [...this.unsentRuns.splice(0), ...this.scheduler.place(now)]
     this.sendStops(this.scheduler.takeStops())
+    for (const pace of this.scheduler.takePaces()) this.sendPace(pace)
     this.eligibilityRequester.sendRequests()
     return planned
   }
@@ -387,6 +409,13 @@
     for (const { worker, task, run } of stops) this.sessions.get(worker)?.stop(task, run)
   }
 
+  /** Sends the pace of a run. A pace that is not confirmed is sent again after the next report of the worker. */
+  private async sendPace ({ task, run, worker, percent }: PendingPace): Promise<void> {
+    const isConfirmed = await this.sessions.get(worker)?.pace(task.name, run, percent) === true
+    this.metrics.paceCommandCompleted(isConfirmed)
+    if (isConfirmed && task.run === run && task.worker === worker) task.confirmedPacePercent = percent
+  }
+
   private async startRun ({ task, run, worker, ticket }: PlannedRun): Promise<void> {
     const session = this.sessions.get(worker.identity)
     if (session === undefined || !this.scheduler.beginStart(task, run, this.now())) return
--- a/src/cluster/clusterMetrics.ts
+++ b/src/cluster/clusterMetrics.ts
@@ -14,6 +14,9 @@
   private readonly startsTotal = this.counter('starts_total', 'Start orders', ['outcome'])
   private readonly runEndsTotal = this.counter('run_ends_total', 'Ends of runs', ['kind'])
   private readonly jobsFinishedTotal = this.counter('jobs_finished_total', 'Jobs that reached a final state', ['state'])
+  private readonly paceCommandsTotal = this.counter('pace_commands_total', 'Commands that set the pace of a run', ['outcome'])
+  private readonly targetCrossingsTotal = this.counter('target_crossings_total', 'Times that the tail latency of a serving task crossed its target', ['direction'])
+  private readonly movedRunsTotal = this.counter('moved_runs_total', 'Runs that were stopped to be moved to another worker', [])
   private readonly takeoversTotal = this.counter('takeovers_total', 'Times that this instance took the scheduler role over', [])
   private readonly durations = new Map<string, Histogram>()
 
@@ -36,6 +39,18 @@
     this.observe('start', milliseconds)
   }
 
+  paceCommandCompleted (isConfirmed: boolean): void {
+    this.paceCommandsTotal.inc({ outcome: isConfirmed ? 'confirmed' : 'unconfirmed' })
+  }
+
+  targetCrossed (isOver: boolean): void {
+    this.targetCrossingsTotal.inc({ direction: isOver ? 'over' : 'within' })
+  }
+
+  runMoved (): void {
+    this.movedRunsTotal.inc()
+  }
+
   runEnded (kind: string): void {
     this.runEndsTotal.inc({ kind })
   }
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -2,22 +2,24 @@
 import type { ProgressRecord, SubmissionRecord } from '../contracts/clusterRecords.js'
 import { Job, Occurrence, restoreProgress, type Step, type Task } from './job.js'
 import { estimateObjective, LATE_FACTOR } from './objective.js'
-import { PlacementPass, URGENT_PRIORITY, type PlannedRun } from './placementPass.js'
-import type { EndReport, WorkerEntry, WorkerReport } from './workerPort.js'
+import { PlacementPass, URGENT_PRIORITY, type PlacementContext, type PlannedRun } from './placementPass.js'
+import { RunReconciler } from './runReconciler.js'
+import { isInService } from './serving/availability.js'
+import { ServingSupervisor, type PendingPace, type ServingObserver } from './serving/servingSupervisor.js'
 import { UrgentHeadroom } from './urgentHeadroom.js'
+import type { EndReport, WorkerEntry, WorkerReport } from './workerPort.js'
 import { WorkerState } from './workerState.js'
 
 /** Time without progress after which a run counts as stalled; a slow task of 16 s still advances by one percent in a fifth of it. */
 const STALLED_RUN_TIMEOUT_MILLISECONDS = 3500
-
-/** Time after which the stop command for an orphaned run is repeated; longer than a worker takes to stop a run. */
-const ORPHAN_STOP_RETRY_MILLISECONDS = 1500
+/** The same for filler work, which makes progress only while its worker has idle processors. */
+const STALLED_FILLER_TIMEOUT_MILLISECONDS = 10_000
 
 /** Upper bound on the assumed age of a job when its age is known only from the acceptance time. */
 const MAXIMUM_ASSUMED_AGE_MILLISECONDS = 60_000
 
 /** Receives the events of the scheduler. */
-export interface SchedulerObserver {
+export interface SchedulerObserver extends ServingObserver {
   onDidFinishJob (job: Job): void
   onDidEndRun (task: Task, worker: WorkerState, kind: EndReport['kind'], durationMilliseconds: number): void
   onDidQuarantine (worker: WorkerState): void
@@ -26,6 +28,8 @@
   onDidLoseRun (worker: WorkerState, task: Task): void
   /** A worker has reported the end of a run that is no longer the current run of its task. */
   onDidIgnoreRunEnd (worker: WorkerState, end: EndReport, task: Task): void
+  /** A long-running task does its work now. */
+  onDidEnterService (worker: WorkerState, task: Task): void
 }
 
 /** Information about a job in addition to its submission. */
@@ -61,8 +65,29 @@
   private pendingStops: PendingStop[] = []
   private configuration: ClusterConfiguration | undefined
   private readonly queues = new Map<string, Queue>()
-
-  constructor (private readonly observer: SchedulerObserver) {}
+  private readonly reconciler: RunReconciler
+  private readonly serving: ServingSupervisor
+
+  constructor (private readonly observer: SchedulerObserver) {
+    this.reconciler = new RunReconciler({
+      findTask: taskName => this.findTask(taskName),
+      onRunning: (task, now) => this.onRunning(task, now),
+      onEnded: (task, worker, end, now) => this.onEnded(task, worker, end, now),
+      onLost: (task, worker) => {
+        this.observer.onDidLoseRun(worker, task)
+        this.abandonRun(task)
+      },
+      onIgnoredEnd: (worker, end, task) => this.observer.onDidIgnoreRunEnd(worker, end, task),
+      onOrphanedRun: (worker, task, run) => {
+        this.observer.onDidFindOrphanedRun(worker, task, run)
+        this.pendingStops.push({ worker: worker.identity, task, run })
+      }
+    })
+    this.serving = new ServingSupervisor(this.workers, {
+      stopRun: task => this.stopRun(task),
+      isPlaceable: (task, now) => new PlacementPass([], this.placementContext, now).isPlaceable(task.step)
+    }, observer)
+  }
 
   /** Applies a configuration unless it is older than the current one. */
   configure (configuration: ClusterConfiguration): void {
@@ -78,14 +103,9 @@
   }
 
   /** Adds a worker or updates its entry. Returns its state. */
-  upsertWorker (entry: WorkerEntry): WorkerState {
-    const existing = this.workers.get(entry.identity)
-    if (existing !== undefined) {
-      existing.entry = entry
-      existing.isListed = true
-      return existing
-    }
-    const worker = new WorkerState(entry)
+  upsertWorker (entry: WorkerEntry, now: number): WorkerState {
+    const worker = this.workers.get(entry.identity) ?? new WorkerState(entry)
+    worker.update(entry, now)
     this.workers.set(entry.identity, worker)
     return worker
   }
@@ -165,9 +185,10 @@
 
   /** Places waiting tasks and allocates capacity for their runs. Each run must be recorded before its start command is sent. */
   place (now: number): PlannedRun[] {
-    const pass = new PlacementPass([...this.readySteps], this.workers, step => this.policyOf(step.job), this.headroom, now)
+    const pass = new PlacementPass([...this.readySteps], this.placementContext, now)
     const planned = pass.run()
     for (const { task } of planned) this.onPlaced(task, now)
+    for (const step of this.readySteps) step.waitingSince ??= now
     return planned
   }
 
@@ -203,34 +224,33 @@
   onReport (identity: string, report: WorkerReport, sentAt: number, now: number): void {
     const worker = this.workers.get(identity)
     if (worker === undefined) return
-    // A delayed report of a former process: a later poll has already reached the current process.
-    if (report.processStartedAt !== worker.processStartedAt && sentAt < worker.processSeenAt) return
-    const isFirst = !worker.hasReported
-    if (report.processStartedAt !== worker.processStartedAt) {
-      if (!isFirst) this.onWorkerRestarted(worker)
-      worker.processStartedAt = report.processStartedAt
-    }
-    worker.processSeenAt = Math.max(worker.processSeenAt, sentAt)
-    worker.hasReported = true
-    worker.isUnresponsive = false
-    for (const end of [...report.ended].sort((left, right) => left.number - right.number)) {
-      if (end.number <= worker.processedEnd) continue
-      worker.processedEnd = end.number
-      this.onEnd(worker, end, now)
-    }
-    const listed = new Set<string>()
-    worker.hasOrphanedRuns = false
-    for (const running of report.running) {
-      listed.add(running.task)
-      this.onRunReported(worker, running.task, running.run, running.checkpoint, running.percent, now)
-    }
-    if (!worker.hasOrphanedRuns) worker.orphanStopTimes.clear()
-    for (const task of [...worker.runs.values()]) {
-      if (listed.has(task.name)) continue
-      if (!this.isRunAbsent(task, isFirst, sentAt)) continue
-      this.observer.onDidLoseRun(worker, task)
-      this.abandonRun(task)
+    const inService = [...worker.runs.values()].filter(isInService)
+    if (!this.reconciler.applyReport(worker, report, sentAt, now)) return
+    for (const task of worker.runs.values()) {
+      if (task.step.specification.longRunning && isInService(task) && !inService.includes(task)) this.observer.onDidEnterService(worker, task)
     }
+    this.serving.onReport(worker, now)
+  }
+
+  /** Moves runs away from workers that are about to exit; must be called about every 100 ms. */
+  moveDepartingRuns (now: number): void {
+    this.serving.onTick(this.workers.values(), now)
+  }
+
+  /** Returns the steps that need eligible workers although none of their tasks is waiting: a run is to be moved to another worker. */
+  get departingSteps (): Set<Step> {
+    return new Set([...this.serving.departingRuns].map(task => task.step))
+  }
+
+  /** Returns and clears the pace commands that are to be sent. */
+  takePaces (): PendingPace[] {
+    return this.serving.takePaces()
+  }
+
+  /** Returns the longest wait of the next poll of a worker, in milliseconds; undefined for the usual one. */
+  pollWaitMilliseconds (identity: string): number | undefined {
+    const worker = this.workers.get(identity)
+    return worker === undefined ? undefined : this.serving.pollWaitMilliseconds(worker)
   }
 
   /** Marks a worker as unresponsive after a failed poll. */
@@ -253,9 +273,7 @@
     for (const worker of this.workers.values()) {
       if (worker.isUnresponsive) continue
       for (const task of worker.runs.values()) {
-        if (task.phase !== 'running' || task.step.specification.longRunning) continue
-        // A gang member that has finished waits for the others at 100 percent.
-        if (task.percent < 100 && now - task.progressedAt > STALLED_RUN_TIMEOUT_MILLISECONDS) stalled.push(task)
+        if (task.phase === 'running' && isStalled(task, now)) stalled.push(task)
       }
     }
     for (const task of stalled) this.stopRun(task)
@@ -281,13 +299,6 @@
     return this.jobs.get(identity)?.isFinal === true && this.jobs.delete(identity)
   }
 
-  /** Resets the end counters, because a new process numbers its ends from 1. Keeps the runs: some may have been started on the new process before its first report, and that report shows which exist. */
-  private onWorkerRestarted (worker: WorkerState): void {
-    worker.processedEnd = 0
-    worker.recordedEnd = 0
-    worker.acknowledgedEnd = 0
-  }
-
   private openDueOccurrencesOfJob (job: Job, now: number, unixMilliseconds: number): void {
     const { occurrences, firstDueMilliseconds, intervalMilliseconds } = job.submission.job
     for (let index = job.occurrences.size; index < job.occurrenceCount; index += 1) {
@@ -307,6 +318,10 @@
     }
   }
 
+  private get placementContext (): PlacementContext {
+    return { workers: this.workers, policyOf: step => this.policyOf(step.job), headroom: this.headroom, pacing: this.serving.pacing }
+  }
+
   private adoptRestoredRun (task: Task): void {
     if (task.phase !== 'uncertain') return
     // A worker that the registry no longer lists may still run the task until its lease expires.
@@ -326,7 +341,10 @@
   private onPlaced (task: Task, now: number): void {
     const step = task.step
     step.waitingCount -= 1
-    if (step.waitingCount === 0) this.readySteps.delete(step)
+    if (step.waitingCount === 0) {
+      this.readySteps.delete(step)
+      step.waitingSince = undefined
+    }
     task.progressedAt = now
     task.stopConfirmedAt = Infinity
     this.unrecordedJobs.add(step.job)
@@ -336,6 +354,7 @@
     task.phase = 'running'
     task.progressedAt = now
     task.percent = 0
+    this.serving.onRunning(task)
     this.markStarted(task.step.job)
   }
 
@@ -349,63 +368,12 @@
     this.unrecordedJobs.add(job)
   }
 
-  private onRunReported (worker: WorkerState, taskName: string, run: number, checkpoint: string, percent: number, now: number): void {
-    const task = worker.runs.get(taskName)
-    if (task === undefined || task.run !== run) {
-      if (!this.isDoneRun(taskName, run)) this.stopOrphanedRun(worker, taskName, run, now)
-      return
-    }
-    if (checkpoint !== '') task.checkpoint = checkpoint
-    if (task.phase === 'starting' || task.phase === 'uncertain') this.onRunning(task, now)
-    if (percent === task.percent) return
-    task.percent = percent
-    task.progressedAt = now
-  }
-
-  /** Requests the stop of a run that belongs to no task. The worker lists the run until it has stopped. */
-  private stopOrphanedRun (worker: WorkerState, taskName: string, run: number, now: number): void {
-    worker.hasOrphanedRuns = true
-    const key = `${taskName}/${run}`
-    const requestedAt = worker.orphanStopTimes.get(key)
-    if (requestedAt !== undefined && now - requestedAt < ORPHAN_STOP_RETRY_MILLISECONDS) return
-    worker.orphanStopTimes.set(key, now)
-    this.observer.onDidFindOrphanedRun(worker, taskName, run)
-    this.pendingStops.push({ worker: worker.identity, task: taskName, run })
-  }
-
-  /** Returns true if a task was completed by this run, as shown earlier by the end of another gang member or by a later report. */
-  private isDoneRun (taskName: string, run: number): boolean {
-    const task = this.findTask(taskName)
-    return task !== undefined && task.phase === 'done' && task.run === run
-  }
-
-  /** Returns the task with this name unless it is done or its job is final. */
-  private findUnfinishedTask (taskName: string): Task | undefined {
-    const task = this.findTask(taskName)
-    return task === undefined || task.step.job.isFinal || task.phase === 'done' ? undefined : task
-  }
-
   private findTask (taskName: string): Task | undefined {
     const [identity, occurrence, step, index] = taskName.split('.')
     return this.jobs.get(identity ?? '')?.occurrences.get(Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)]
   }
 
-  /** Returns true if a run that a report does not list can no longer start. */
-  private isRunAbsent (task: Task, isFirstReport: boolean, sentAt: number): boolean {
-    if (task.phase === 'placed') return false
-    if (isFirstReport && task.phase === 'uncertain') return true
-    if (task.phase === 'running') return task.progressedAt < sentAt && task.startedAt < sentAt
-    return task.stopConfirmedAt <= sentAt
-  }
-
-  private onEnd (worker: WorkerState, end: EndReport, now: number): void {
-    const task = worker.runs.get(end.task)
-    if (task === undefined || task.run !== end.run) {
-      const unfinished = this.findUnfinishedTask(end.task)
-      if (unfinished !== undefined) this.observer.onDidIgnoreRunEnd(worker, end, unfinished)
-      return
-    }
-    if (end.checkpoint !== '') task.checkpoint = end.checkpoint
+  private onEnded (task: Task, worker: WorkerState, end: EndReport, now: number): void {
     this.observer.onDidEndRun(task, worker, end.kind, now - task.startedAt)
     const job = task.step.job
     this.markStarted(job)
@@ -499,3 +467,10 @@
     if (step.readyAt !== undefined) this.readySteps.add(step)
   }
 }
+
+/** Returns true if a run makes no progress although it could. Gang members that have finished wait for the others at 100 percent. */
+function isStalled (task: Task, now: number): boolean {
+  const { longRunning, filler } = task.step.specification
+  if (longRunning || task.percent >= 100 || task.pacePercent < 100) return false
+  return now - task.progressedAt > (filler ? STALLED_FILLER_TIMEOUT_MILLISECONDS : STALLED_RUN_TIMEOUT_MILLISECONDS)
+}
--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -77,7 +77,7 @@
 
   private * selectRequests (): Generator<EligibilityRequest> {
     const now = this.now()
-    const steps = [...this.scheduler.readySteps]
+    const steps = [...new Set([...this.scheduler.readySteps, ...this.scheduler.departingSteps])]
     sortByPlacementOrder(steps, now)
     let prefetched = 0
     for (const step of steps) {
@@ -95,13 +95,15 @@
   /** Returns the workers to request for a step now; undefined if the step can be placed on none of the known workers, so that it does not count as prefetched. */
   private selectWorkers (step: Step, policy: QueuePolicy, now: number): string[] | undefined {
     const { tickets, requestedWorkers } = step.eligibility
+    // A step of which a run is to be moved may have no waiting task yet.
+    const needed = Math.max(1, step.waitingCount)
     const isSuitable = (worker: WorkerState | undefined): worker is WorkerState => worker !== undefined && worker.entry.pool === policy.pool && worker.isUsable(now) && worker.fitsWhenEmpty(step.specification)
     const named = [...tickets.keys()].map(identity => this.scheduler.workers.get(identity)).filter(isSuitable)
     // Further workers may have reported since the first request, in particular after a takeover.
-    if (!tasksFitWhenEmpty(named, step, step.waitingCount, this.scheduler.headroom)) {
+    if (!tasksFitWhenEmpty(named, step, needed, this.scheduler.headroom)) {
       const unrequested = [...this.scheduler.workers.values()].filter(worker => !requestedWorkers.has(worker.identity)).filter(isSuitable)
       if (unrequested.length > 0) return selectIdentities([...unrequested, ...named])
-      if (!tasksFitWhenEmpty(named, step, step.specification.gang ? step.waitingCount : 1, NO_HEADROOM)) return undefined
+      if (!tasksFitWhenEmpty(named, step, step.specification.gang ? needed : 1, NO_HEADROOM)) return undefined
     }
     const stale = named.filter(worker => (tickets.get(worker.identity)?.validUntil ?? 0) - REFRESH_MARGIN_MILLISECONDS <= now)
     if (step.specification.gang) return stale.length > 0 && (step.reservation !== undefined || stale.some(worker => worker.fits(step.specification))) ? selectIdentities(named) : []
--- a/src/cluster/job.ts
+++ b/src/cluster/job.ts
@@ -25,6 +25,16 @@
   startedAt = 0
   /** Time at which the worker confirmed a stop; the response to a poll sent later shows whether the run still exists. */
   stopConfirmedAt = Infinity
+  /** Load of the run in the latest report of its worker, see `RunningReport.load`; undefined before that. */
+  reportedLoad: number | undefined
+  /** Share of its speed at which the run is to work, in percent. */
+  pacePercent = 100
+  /** Pace that the worker has confirmed; undefined if it is not known. */
+  confirmedPacePercent: number | undefined = 100
+  /** Worker that the task was last moved away from; empty if there is none. */
+  movedFrom = ''
+  /** Whether a pace command may have been sent for the run. */
+  hasBeenPaced = false
 
   constructor (readonly step: Step, readonly index: number) {}
 
@@ -36,6 +46,18 @@
   get hasRun (): boolean {
     return this.phase !== 'waiting' && this.phase !== 'done'
   }
+
+  /** Starts a new run with the state `placed`. */
+  beginRun (run: number, worker: string): void {
+    this.run = run
+    this.worker = worker
+    this.phase = 'placed'
+    this.percent = 0
+    this.reportedLoad = undefined
+    this.pacePercent = 100
+    this.confirmedPacePercent = 100
+    this.hasBeenPaced = false
+  }
 }
 
 /** Tickets that prove which workers may run a step, and the state of the requests for them. */
@@ -64,6 +86,8 @@
   /** Last run of a gang that was counted as failed. Several members of one run may fail, which counts once. */
   lastFailedRun = 0
   waitingCount: number
+  /** Time since which waiting tasks have found no worker, in milliseconds of the monotonic clock; undefined while all find one. */
+  waitingSince: number | undefined
   /** Time at which all dependencies were done, in milliseconds of the monotonic clock; undefined before that. */
   readyAt: number | undefined
 
@@ -192,6 +216,9 @@
     if (worker === '') continue
     task.worker = worker
     task.phase = 'uncertain'
+    // The former scheduler may have slowed the run down.
+    task.confirmedPacePercent = undefined
+    task.hasBeenPaced = true
     step.waitingCount -= 1
   }
 }
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -1,5 +1,6 @@
 import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
-import type { Job, Step, Task } from './job.js'
+import type { Step, Task } from './job.js'
+import { hasTarget, type PacingController } from './serving/pacingController.js'
 import { FAST_WORKER_SPEED, type UrgentHeadroom } from './urgentHeadroom.js'
 import { processorsOf, type WorkerState } from './workerState.js'
 
@@ -14,9 +15,30 @@
 const URGENT_SPEED_WEIGHT = 2
 const BATCH_SPEED_WEIGHT = 0
 
+/** Wait after which a step may use the headroom for urgent work, in milliseconds, if it lasts or much of the capacity is idle. */
+const MAXIMUM_WAIT_FOR_HEADROOM_MILLISECONDS = 1500
+/** Share of the capacity in use below which the headroom does not delay other work for long. */
+const IDLE_SITE_SHARE = 0.5
+
 /** Time from the placement of a task until it runs: recording the placement and sending the start command. */
 const START_OVERHEAD_MILLISECONDS = 40
 
+/** Predicted tail latency of a serving task, as a share of its target, from which filler work is placed elsewhere if it can be. */
+const DISTURBING_SHARE = 0.9
+/** Penalty for each serving task that already runs on a worker: serving tasks disturb each other. */
+const SERVING_NEIGHBOUR_PENALTY = 0.5
+
+/** Penalty for the worker that a task was moved away from. */
+const MOVED_FROM_PENALTY = 1
+
+/** What placement depends on besides the steps. */
+export interface PlacementContext {
+  readonly workers: ReadonlyMap<string, WorkerState>
+  readonly policyOf: (step: Step) => QueuePolicy
+  readonly headroom: UrgentHeadroom
+  readonly pacing: PacingController
+}
+
 /** A run that must be recorded before its start command is sent. */
 export interface PlannedRun {
   readonly task: Task
@@ -32,16 +54,22 @@
   private reservationCount = 0
   /** Largest number of free processors of a single worker at the start of the pass, for urgent and for other work, in thousandths. */
   private maximumFreeProcessors = { urgent: 0, other: 0 }
+  /** Whether less than `IDLE_SITE_SHARE` of the capacity is in use. */
+  private isSiteIdle = false
   /** Whether a step may use the headroom for urgent work, because it could never be placed otherwise. */
   private readonly ignoresHeadroomByStep = new Map<Step, boolean>()
 
-  constructor (
-    private readonly steps: Step[],
-    private readonly workers: ReadonlyMap<string, WorkerState>,
-    private readonly policyOf: (step: Step) => QueuePolicy,
-    private readonly headroom: UrgentHeadroom,
-    private readonly now: number
-  ) {}
+  private readonly workers: ReadonlyMap<string, WorkerState>
+  private readonly policyOf: (step: Step) => QueuePolicy
+  private readonly headroom: UrgentHeadroom
+  private readonly pacing: PacingController
+
+  constructor (private readonly steps: Step[], context: PlacementContext, private readonly now: number) {
+    this.workers = context.workers
+    this.policyOf = context.policyOf
+    this.headroom = context.headroom
+    this.pacing = context.pacing
+  }
 
   run (): PlannedRun[] {
     sortByPlacementOrder(this.steps, this.now)
@@ -53,12 +81,22 @@
     return this.planned
   }
 
+  /** Returns true if a further task of the step could be placed now. */
+  isPlaceable (step: Step): boolean {
+    return this.candidates(step).length > 0
+  }
+
   private measureFreeProcessors (): void {
+    let total = 0
+    let used = 0
     for (const worker of this.workers.values()) {
       if (!worker.isUsable(this.now)) continue
+      total += worker.entry.processorsThousandths
+      used += worker.usedProcessors
       this.maximumFreeProcessors.urgent = Math.max(this.maximumFreeProcessors.urgent, worker.freeProcessors)
       this.maximumFreeProcessors.other = Math.max(this.maximumFreeProcessors.other, worker.freeProcessors - this.headroom.reservedOn(worker))
     }
+    this.isSiteIdle = used < IDLE_SITE_SHARE * total
   }
 
   /** Returns true if no worker has free capacity for a task of the step. Avoids the search when the site is full and many steps wait. */
@@ -75,7 +113,7 @@
     const perWorker = countPerWorker(step)
     for (const task of step.tasks) {
       if (task.phase !== 'waiting') continue
-      const worker = this.chooseWorker(step, candidates, perWorker)
+      const worker = this.chooseWorker(task, candidates, perWorker)
       if (worker === undefined) return
       perWorker.set(worker.identity, (perWorker.get(worker.identity) ?? 0) + 1)
       this.assign(task, task.run + 1, worker)
@@ -153,13 +191,18 @@
   }
 
   private headroomFor (step: Step, worker: WorkerState): number {
-    if (step.job.isUrgent) return 0
+    if (step.job.isUrgent || step.specification.filler) return 0
     const reserved = this.headroom.reservedOn(worker)
     return reserved === 0 || this.ignoresHeadroom(step) ? 0 : reserved
   }
 
-  /** Returns true if, beside the headroom for urgent work, a task of the step fits on no eligible worker, or its gang does not fit on all of them together. */
+  /**
+   * Returns true if, beside the headroom for urgent work, a task of the step fits on no eligible worker, or its gang does not fit on all
+   * of them together, or if the step has waited for long although capacity is idle. Tasks that last do not wait for long on a full site either.
+   */
   private ignoresHeadroom (step: Step): boolean {
+    const hasWaited = step.waitingSince !== undefined && this.now - step.waitingSince >= MAXIMUM_WAIT_FOR_HEADROOM_MILLISECONDS
+    if (hasWaited && (this.isSiteIdle || step.specification.longRunning)) return true
     const cached = this.ignoresHeadroomByStep.get(step)
     if (cached !== undefined) return cached
     const needed = step.specification.gang ? step.tasks.length : 1
@@ -199,17 +242,15 @@
     return ticket !== undefined && ticket.validUntil - TICKET_MARGIN_MILLISECONDS > this.now ? ticket.ticket : undefined
   }
 
-  private chooseWorker (step: Step, candidates: readonly WorkerState[], perWorker: ReadonlyMap<string, number>): WorkerState | undefined {
+  private chooseWorker (task: Task, candidates: readonly WorkerState[], perWorker: ReadonlyMap<string, number>): WorkerState | undefined {
+    const { step, movedFrom } = task
     const specification = step.specification
-    const speedWeight = step.job.isUrgent ? URGENT_SPEED_WEIGHT : BATCH_SPEED_WEIGHT
     let best: WorkerState | undefined
     let bestScore = Infinity
     for (const worker of candidates) {
       if (!worker.fits(specification, this.headroomFor(step, worker))) continue
       if (specification.maximumPerWorker > 0 && (perWorker.get(worker.identity) ?? 0) >= specification.maximumPerWorker) continue
-      const remainingShare = (worker.freeProcessors - processorsOf(specification)) / Math.max(1, worker.entry.processorsThousandths)
-      const rackPenalty = specification.dataRack !== '' && !worker.entry.labels.includes(specification.dataRack) ? 1 : 0
-      const score = remainingShare - speedWeight * worker.speed + rackPenalty
+      const score = this.scoreOf(step, worker) + (worker.identity === movedFrom ? MOVED_FROM_PENALTY : 0)
       if (score >= bestScore) continue
       best = worker
       bestScore = score
@@ -217,29 +258,60 @@
     return best
   }
 
+  /** Rates a worker for a task of the step; the lowest score is the best. */
+  private scoreOf (step: Step, worker: WorkerState): number {
+    const specification = step.specification
+    const processors = Math.max(1, worker.entry.processorsThousandths)
+    const rackPenalty = specification.dataRack !== '' && !worker.entry.labels.includes(specification.dataRack) ? 1 : 0
+    if (specification.filler) return rackPenalty - (worker.freeProcessors - worker.fillerProcessors) / processors + this.disturbancePenalty(step, worker)
+    const remainingShare = (worker.freeProcessors - processorsOf(specification)) / processors
+    const speedWeight = step.job.isUrgent ? URGENT_SPEED_WEIGHT : BATCH_SPEED_WEIGHT
+    return remainingShare - speedWeight * worker.speed + rackPenalty + this.interferencePenalty(step, worker)
+  }
+
+  /** Returns the penalty for filler work on a worker whose serving tasks it would disturb. */
+  private disturbancePenalty (step: Step, worker: WorkerState): number {
+    const [task] = step.tasks
+    if (task === undefined) return 0
+    if (this.pacing.avoidsFillers(worker, this.now)) return 2
+    return this.pacing.predictWorstShare(worker, task) > DISTURBING_SHARE ? 1 : 0
+  }
+
+  /** Returns the penalty for a serving task on a worker whose other work would disturb it. */
+  private interferencePenalty (step: Step, worker: WorkerState): number {
+    const [task] = step.tasks
+    if (task === undefined || !hasTarget(task)) return 0
+    let neighbours = 0
+    for (const other of worker.runs.values()) {
+      if (hasTarget(other)) neighbours += 1
+    }
+    return SERVING_NEIGHBOUR_PENALTY * neighbours + this.pacing.predictDisturbance(worker, task)
+  }
+
   private assign (task: Task, run: number, worker: WorkerState): void {
     const ticket = this.ticketOf(task.step, worker) ?? ''
-    task.run = run
-    task.worker = worker.identity
-    task.phase = 'placed'
+    task.beginRun(run, worker.identity)
+    if (task.step.specification.filler) task.pacePercent = this.pacing.initialPaceOn(worker, this.now)
     worker.allocate(task)
     this.planned.push({ task, run, worker, ticket })
   }
 }
 
 /** Classes of work in placement order. */
-const enum PlacementClass { UrgentInTime, UrgentLate, InTime, Late, Overdue }
+const enum PlacementClass { UrgentInTime, UrgentLate, Serving, InTime, Late, Overdue }
 
 /**
  * Sorts steps by placement class, and by objective within a class. Late urgent work precedes all non-urgent work while it still
- * earns a benefit, because it is small and has already waited. Overdue work comes last.
+ * earns a benefit, because it is small and has already waited. Long-running work is missed in each second in which it does not
+ * run, however old its job is. Overdue work comes last.
  */
 export function sortByPlacementOrder (steps: Step[], now: number): void {
-  const classes = new Map(steps.map(step => [step, placementClassOf(step.job, now)]))
+  const classes = new Map(steps.map(step => [step, placementClassOf(step, now)]))
   steps.sort((left, right) => (classes.get(left) as PlacementClass) - (classes.get(right) as PlacementClass) || left.job.objectiveAt - right.job.objectiveAt || left.index - right.index)
 }
 
-function placementClassOf (job: Job, now: number): PlacementClass {
+function placementClassOf ({ job, specification }: Step, now: number): PlacementClass {
+  if (specification.longRunning && !specification.filler) return PlacementClass.Serving
   if (now > job.lateUntil) return PlacementClass.Overdue
   if (now > job.objectiveAt) return job.isUrgent ? PlacementClass.UrgentLate : PlacementClass.Late
   return job.isUrgent ? PlacementClass.UrgentInTime : PlacementClass.InTime
--- a/src/cluster/workerPort.ts
+++ b/src/cluster/workerPort.ts
@@ -9,6 +9,8 @@
   readonly memoryMegabytes: number
   readonly accelerators: number
   readonly labels: readonly string[]
+  /** Minimum time until a draining worker exits, in milliseconds from the writing of the entry; undefined if unknown. */
+  readonly drainRemainingMilliseconds?: number
   /** Start of the worker's process as Unix time in milliseconds, 0 if unknown. Distinguishes a restart under the same identity. */
   readonly processStartedAt: number
 }
@@ -20,6 +22,11 @@
   readonly checkpoint: string
   /** Progress in percent; for a long-running task, 100 means that it is in service. */
   readonly percent: number
+  /**
+   * Load over the last half second, a rough figure: for a long-running task the tail latency in milliseconds, for others the
+   * processors in use in thousandths. Undefined if the worker does not report it.
+   */
+  readonly load?: number
 }
 
 /**
@@ -103,6 +110,8 @@
   abstract poll (worker: WorkerAddress, request: PollRequest, signal?: AbortSignal): Promise<PollOutcome>
   abstract start (worker: WorkerAddress, command: StartCommand): Promise<CommandOutcome>
   abstract stop (worker: WorkerAddress, task: string, run: number, term: number): Promise<CommandOutcome>
+  /** Sets the share of its speed at which a run works, in percent; 100 at its start. */
+  abstract pace (worker: WorkerAddress, task: string, run: number, percent: number, term: number): Promise<CommandOutcome>
 }
 
 /** A worker that may run a step, with the ticket that proves it. */
--- a/src/cluster/workerSession.ts
+++ b/src/cluster/workerSession.ts
@@ -33,6 +33,8 @@
   getEndToAcknowledge (): number
   /** Returns whether the worker must be polled: something may run there, or ends are to be acknowledged. */
   needsPolling (): boolean
+  /** Returns the longest wait of the next poll, in milliseconds; undefined for the usual one. */
+  getPollWait (): number | undefined
 }
 
 export interface WorkerSessionOptions {
@@ -123,6 +125,13 @@
     }
   }
 
+  /** Sends the pace of a run once. Resolves with whether the worker has confirmed it. */
+  async pace (task: string, run: number, percent: number): Promise<boolean> {
+    const outcome = await this.port.pace(this.worker, task, run, percent, this.options.term)
+    this.onCommandOutcome(outcome)
+    return outcome.kind === 'done'
+  }
+
   /** Polls once, without waiting for an end or behind a long poll. */
   async pollOnce (): Promise<boolean> {
     return await this.poll(0, false)
@@ -134,7 +143,7 @@
       if (!isFirst && !this.observer.needsPolling()) await this.waitUntilWoken()
       if (this.isDisposed) return
       const sentAt = this.now()
-      const succeeded = await this.poll(isFirst ? 0 : POLL_WAIT_MILLISECONDS, true)
+      const succeeded = await this.poll(isFirst ? 0 : this.observer.getPollWait() ?? POLL_WAIT_MILLISECONDS, true)
       if (this.isDisposed) return
       if (succeeded) isFirst = false
       if (!succeeded) this.checkLeaseExpiry()
--- a/src/cluster/workerSessions.ts
+++ b/src/cluster/workerSessions.ts
@@ -60,7 +60,8 @@
         onStopConfirmed: (task, run) => this.scheduler.onStopConfirmed(identity, task, run, this.now()),
         hasUnrecordedEnds: () => this.hasUnrecordedEnds(identity),
         getEndToAcknowledge: () => this.scheduler.workers.get(identity)?.endToAcknowledge ?? 0,
-        needsPolling: () => this.needsPolling(identity)
+        needsPolling: () => this.needsPolling(identity),
+        getPollWait: () => this.scheduler.pollWaitMilliseconds(identity)
       },
       { term, leaseMilliseconds, formerLeasesEndAt: this.startedAt + LEASE_RENEWAL_WITHOUT_LOG_MILLISECONDS + leaseMilliseconds / (1 - MAXIMUM_CLOCK_DRIFT) },
       () => this.now() - renewedAt() < LEASE_RENEWAL_WITHOUT_LOG_MILLISECONDS,
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -19,6 +19,8 @@
   usedAccelerators = 0
   /** Processors used by urgent work, in thousandths; included in `usedProcessors`. */
   urgentProcessors = 0
+  /** Processors that filler work would use if enough were idle, in thousandths; not included in `usedProcessors`. */
+  fillerProcessors = 0
   /** Tasks that may be running on the worker, by name. */
   readonly runs = new Map<string, Task>()
   /** The worker has reported under the current term, so its runs are known. */
@@ -31,6 +33,8 @@
   readonly orphanStopTimes = new Map<string, number>()
   /** The registry lists the worker. */
   isListed = true
+  /** Earliest time at which the worker exits at the end of its drain, in milliseconds of the monotonic clock; Infinity if it is not known. */
+  drainEndsAt = Infinity
   /** Speed relative to the estimates of the tasks. */
   speed = 1
   quarantinedUntil = 0
@@ -53,6 +57,14 @@
     return this.entry.identity
   }
 
+  /** Applies a newer registry entry. */
+  update (entry: WorkerEntry, now: number): void {
+    this.entry = entry
+    this.isListed = true
+    if (entry.state !== 'draining') this.drainEndsAt = Infinity
+    else if (entry.drainRemainingMilliseconds !== undefined) this.drainEndsAt = Math.min(this.drainEndsAt, now + entry.drainRemainingMilliseconds)
+  }
+
   /** True if ends have been processed whose effect is not in the log yet. */
   get hasUnrecordedEnds (): boolean {
     return this.processedEnd > this.recordedEnd
@@ -122,6 +134,7 @@
   private addUsage (task: Task, sign: 1 | -1): void {
     const step = task.step.specification
     if (task.step.job.isUrgent) this.urgentProcessors += sign * processorsOf(step)
+    if (step.filler) this.fillerProcessors += sign * step.processorsThousandths
     this.usedProcessors += sign * processorsOf(step)
     this.usedMemory += sign * step.memoryMegabytes
     this.usedAccelerators += sign * step.accelerators
