Bound the wait for runs of lost workers after a change of scheduler

Cause: a successor that cannot reach a worker assumed that the former scheduler may have renewed its lease for 10 s after the takeover, whatever the length of a lease, and counted the lease from there: 20.2 s where leases last 10 s.

Change: leases are renewed without the log for as long as is needed to survive an outage of 10 s together with the lease, at least 2 s: 4 s instead of 10 s with leases of 6 s, 2 s with leases of 10 s. The wait after a takeover shrinks by the same time.

--- a/src/cluster/workerSessions.ts
+++ b/src/cluster/workerSessions.ts
@@ -6,8 +6,18 @@
 import { MAXIMUM_CLOCK_DRIFT, WorkerSession } from './workerSession.js'
 import type { WorkerState } from './workerState.js'
 
-/** Leases of workers are renewed only if the role was renewed in the log within this time, in milliseconds; longer than the known outages of the log. */
-export const LEASE_RENEWAL_WITHOUT_LOG_MILLISECONDS = 10_000
+/** Outage of the log during which runs go on, in milliseconds; longer than the known outages. */
+const TOLERATED_LOG_OUTAGE_MILLISECONDS = 10_000
+/** Shortest time after the last renewal of the role for which leases are renewed, in milliseconds; several renewals of the role. */
+const MINIMUM_RENEWAL_WITHOUT_LOG_MILLISECONDS = 2000
+
+/**
+ * Returns the time after the last renewal of the role in the log for which leases of workers are renewed, in milliseconds. A successor
+ * that cannot reach a worker waits for this time and a lease, so that the time is no longer than the tolerated outage requires.
+ */
+export function leaseRenewalWithoutLog (leaseMilliseconds: number): number {
+  return Math.max(MINIMUM_RENEWAL_WITHOUT_LOG_MILLISECONDS, TOLERATED_LOG_OUTAGE_MILLISECONDS - leaseMilliseconds)
+}
 
 export interface WorkerSessionsOptions {
   readonly term: number
@@ -63,8 +73,8 @@
         needsPolling: () => this.needsPolling(identity),
         getPollWait: () => this.scheduler.pollWaitMilliseconds(identity)
       },
-      { term, leaseMilliseconds, formerLeasesEndAt: this.startedAt + LEASE_RENEWAL_WITHOUT_LOG_MILLISECONDS + leaseMilliseconds / (1 - MAXIMUM_CLOCK_DRIFT) },
-      () => this.now() - renewedAt() < LEASE_RENEWAL_WITHOUT_LOG_MILLISECONDS,
+      { term, leaseMilliseconds, formerLeasesEndAt: this.startedAt + leaseRenewalWithoutLog(leaseMilliseconds) + leaseMilliseconds / (1 - MAXIMUM_CLOCK_DRIFT) },
+      () => this.now() - renewedAt() < leaseRenewalWithoutLog(leaseMilliseconds),
       this.now
     )
     this.sessions.set(identity, session)
--- a/test/cluster/activeScheduler.test.ts
+++ b/test/cluster/activeScheduler.test.ts
@@ -8,6 +8,7 @@
 import type { EligibilityChannel } from '../../src/cluster/eligibilityRequester.js'
 import { TOPICS } from '../../src/cluster/recordLog.js'
 import { cancelKey } from '../../src/cluster/submissions.js'
+import { leaseRenewalWithoutLog } from '../../src/cluster/workerSessions.js'
 import type { ClusterConfiguration } from '../../src/contracts/clusterConfiguration.js'
 import { encodeRecord } from '../../src/contracts/clusterRecords.js'
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
@@ -173,6 +174,31 @@
     }))
   }
 
+  /**
+   * A run on a worker that was lost before a takeover: the former scheduler may have renewed the lease until its own permission ended.
+   * The wait is no longer than the outage of the log that runs survive requires.
+   */
+  it('starts the run of a lost worker again no later than 12 s after a takeover', async () => await withSite(async (site, start) => {
+    const workers = ['w1', 'w2'].map(identity => site.port.add(new FakeClusterWorker(identity, 1, () => 2000)))
+    const former = start(1)
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(500)
+    const lost = workers.find(worker => worker.running.size === 1)
+    assert.ok(lost)
+    former.dispose()
+    lost.isReachable = false
+    start(2)
+    await site.clock.tickAsync(12_000)
+    assert.deepEqual(workers.filter(worker => worker !== lost).flatMap(worker => worker.started), [`${JOB}.0.0.0/2`])
+  }))
+
+  /** Runs go on while the log is away for as long as the known outages, whatever the length of a lease. */
+  for (const leaseMilliseconds of [2000, 6000, 10_000]) {
+    it(`renews leases of ${leaseMilliseconds} ms long enough without the log`, () => {
+      assert.ok(leaseRenewalWithoutLog(leaseMilliseconds) + leaseMilliseconds >= 10_000)
+    })
+  }
+
   /** A placement is recorded before the start command is sent, so the record does not prove a start. Guards against jobs that still wait and are not counted. */
   interface RestoredJob {
     readonly name: string
