Explain tasks that last, and describe serving tasks for operators

'explain' said of a task that lasts only how its runs had ended. It now says how long each task was in service, why it was out of service, and which filler work was slowed down while it was over its target. The schema of log lines moves to logLine.ts.

--- a/src/operator/jobHistory.ts
+++ b/src/operator/jobHistory.ts
@@ -1,24 +1,5 @@
-import { z } from 'zod'
-import { parseJsonLine } from './jsonLine.js'
-
-const logLineSchema = z.looseObject({
-  type: z.literal('log'),
-  time: z.iso.datetime(),
-  level: z.string(),
-  process: z.string(),
-  message: z.string(),
-  job: z.string().optional(),
-  task: z.string().optional(),
-  worker: z.string().optional(),
-  count: z.number().optional(),
-  code: z.string().optional(),
-  reason: z.string().optional(),
-  durationMilliseconds: z.number().optional(),
-  objectiveMilliseconds: z.number().optional()
-})
-
-/** A line of the log of a process. */
-export type LogLine = z.infer<typeof logLineSchema>
+import type { LogLine } from './logLine.js'
+import { explainService } from './serviceHistory.js'
 
 /** Waits between two steps of a job are reported from this duration on; shorter ones are usual. */
 const LONG_WAIT_MILLISECONDS = 500
@@ -49,18 +30,6 @@
   'worker gets no work for a while; its runs have failed in a row'
 ])
 
-/** Parses the log lines of all processes and sorts them by wall-clock time; lines with the same time keep their order. Text before the opening brace and lines of other types are skipped. */
-export function parseLog (lines: Iterable<string>): LogLine[] {
-  const parsed: Array<{ readonly line: LogLine, readonly time: number }> = []
-  for (const text of lines) {
-    const start = text.indexOf('{"type":"log"')
-    if (start < 0) continue
-    const result = logLineSchema.safeParse(parseJsonLine(text.slice(start)))
-    if (result.success) parsed.push({ line: result.data, time: Date.parse(result.data.time) })
-  }
-  return parsed.sort((left, right) => left.time - right.time).map(({ line }) => line)
-}
-
 /** Selects the lines about a job and its tasks, and the changes of the scheduler, the log and the job's workers during its lifetime. */
 export function selectHistory (log: readonly LogLine[], job: string): LogLine[] {
   const jobLines = log.filter(line => isAboutJob(line, job))
@@ -82,7 +51,7 @@
 export function explainHistory (log: readonly LogLine[], job: string): string[] | undefined {
   const history = selectHistory(log, job)
   if (history.length === 0) return undefined
-  const sentences = [...explainAcceptance(history), ...explainWaits(history, job), ...explainRuns(history), ...explainEnd(history)]
+  const sentences = [...explainAcceptance(history), ...explainWaits(history, job), ...explainRuns(history), ...explainService(history.filter(line => isAboutJob(line, job)), log), ...explainEnd(history)]
   return sentences.length > 0 ? sentences : ['the log has lines about the job, but none of its decisions']
 }
 
--- a/test/operator/jobHistory.test.ts
+++ b/test/operator/jobHistory.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { explainHistory, formatHistory, parseLog, selectHistory } from '../../src/operator/jobHistory.js'
+import { explainHistory, formatHistory, selectHistory } from '../../src/operator/jobHistory.js'
+import { parseLog } from '../../src/operator/logLine.js'
 
 const START = Date.parse('2026-05-04T13:00:00.000Z')
 
