Log and count why runs are lost, restarts of workers and changes of their capacity

Cause: a worker that was lost left one line, the same for expired leases and for another process at its address; a restart under the same identity and a change of the room left none, and no metric counted runs without an end.

Change: WorkerSession says why nothing can run on a worker; each lost run is logged with that cause and counted in lost_runs_total; a new process under an identity and a changed capacity are logged. explain names lost runs. No decision changes.

--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -7,7 +7,7 @@
 import type { ClusterBounds } from '../contracts/clusterSettings.js'
 import type { JobState } from '../contracts/stepJob.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
-import { ClusterScheduler, type PendingStop, type SchedulerObserver } from './clusterScheduler.js'
+import { ClusterScheduler, type PendingStop, type RunLossCause, type SchedulerObserver } from './clusterScheduler.js'
 import { EligibilityRequester, type EligibilityRequestResult, type EligibilityChannel } from './eligibilityRequester.js'
 import { discardTicket, toProgressRecord, type Job, type Task } from './job.js'
 import { JobRetention } from './jobRetention.js'
@@ -202,8 +202,19 @@
     this.logger.warn('worker has an orphaned run; the run is stopped', { worker: worker.identity, task, count: run })
   }
 
-  onDidLoseRun (worker: WorkerState, task: Task): void {
-    this.logger.info('run is not on its worker; its task waits again', { task: task.name, count: task.run, worker: worker.identity, reason: `the run was ${task.phase}` })
+  onDidLoseRun (worker: WorkerState, task: Task, cause: RunLossCause): void {
+    this.metrics.runLost(cause)
+    const message = cause === 'notListed' ? 'run is not on its worker; its task waits again' : 'run is lost with its worker; its task waits again'
+    this.logger.info(message, { task: task.name, count: task.run, worker: worker.identity, code: cause, reason: `the run was ${task.phase}` })
+  }
+
+  onDidRestartWorker (worker: WorkerState, formerStartedAt: number): void {
+    this.logger.warn('worker runs a new process', { worker: worker.identity, count: worker.runs.size, reason: `the former process started at ${formerStartedAt}, this one at ${worker.processStartedAt}` })
+  }
+
+  onDidResizeWorker (worker: WorkerState, former: WorkerEntry): void {
+    const { entry } = worker
+    this.logger.info('capacity of a worker changed', { worker: worker.identity, count: worker.runs.size, reason: `${describeCapacity(former)} before, ${describeCapacity(entry)} now; ${worker.usedProcessors}/${worker.usedMemory}/${worker.usedAccelerators} in use` })
   }
 
   onDidIgnoreRunEnd (worker: WorkerState, end: EndReport, task: Task): void {
@@ -449,3 +460,8 @@
     if (task.phase === 'uncertain' && task.run === run) await session.stop(task.name, run)
   }
 }
+
+/** Formats the processors in thousandths, the memory in megabytes and the accelerators of a worker. */
+function describeCapacity ({ processorsThousandths, memoryMegabytes, accelerators }: WorkerEntry): string {
+  return `${processorsThousandths}/${memoryMegabytes}/${accelerators}`
+}
--- a/src/cluster/clusterMetrics.ts
+++ b/src/cluster/clusterMetrics.ts
@@ -13,6 +13,7 @@
   private readonly looksTotal = this.counter('looks_total', 'Looks at workers', ['outcome'])
   private readonly startsTotal = this.counter('starts_total', 'Start orders', ['outcome'])
   private readonly runEndsTotal = this.counter('run_ends_total', 'Ends of runs', ['kind'])
+  private readonly lostRunsTotal = this.counter('lost_runs_total', 'Runs that no longer exist although their worker has reported no end of them', ['cause'])
   private readonly jobsFinishedTotal = this.counter('jobs_finished_total', 'Jobs that reached a final state', ['state'])
   private readonly paceCommandsTotal = this.counter('pace_commands_total', 'Commands that set the pace of a run', ['outcome'])
   private readonly targetCrossingsTotal = this.counter('target_crossings_total', 'Times that the tail latency of a serving task crossed its target', ['direction'])
@@ -55,6 +56,10 @@
     this.runEndsTotal.inc({ kind })
   }
 
+  runLost (cause: string): void {
+    this.lostRunsTotal.inc({ cause })
+  }
+
   jobFinished (state: string): void {
     this.jobsFinishedTotal.inc({ state })
   }
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -8,6 +8,7 @@
 import { ServingSupervisor, type PendingPace, type ServingObserver } from './serving/servingSupervisor.js'
 import { UrgentHeadroom } from './urgentHeadroom.js'
 import type { EndReport, WorkerEntry, WorkerReport } from './workerPort.js'
+import type { WorkerLossCause } from './workerSession.js'
 import { WorkerState } from './workerState.js'
 
 /** Time without progress after which a run counts as stalled; a slow task of 16 s still advances by one percent in a fifth of it. */
@@ -18,14 +19,24 @@
 /** Upper bound on the assumed age of a job when its age is known only from the acceptance time. */
 const MAXIMUM_ASSUMED_AGE_MILLISECONDS = 60_000
 
+/**
+ * Why a run no longer exists although its worker has reported no end of it: the worker does not list it, the worker reports a new
+ * process, or nothing can run on the worker any more.
+ */
+export type RunLossCause = 'notListed' | 'processRestarted' | WorkerLossCause
+
 /** Receives the events of the scheduler. */
 export interface SchedulerObserver extends ServingObserver {
   onDidFinishJob (job: Job): void
   onDidEndRun (task: Task, worker: WorkerState, kind: EndReport['kind'], durationMilliseconds: number): void
   onDidQuarantine (worker: WorkerState): void
   onDidFindOrphanedRun (worker: WorkerState, task: string, run: number): void
-  /** A worker does not list a run that was placed there, and the run can no longer start. */
-  onDidLoseRun (worker: WorkerState, task: Task): void
+  /** A run that was placed on a worker has no end and can no longer start; its task waits again. */
+  onDidLoseRun (worker: WorkerState, task: Task, cause: RunLossCause): void
+  /** A worker runs a new process under its identity. `formerStartedAt`: start of the former one as Unix time in milliseconds. */
+  onDidRestartWorker (worker: WorkerState, formerStartedAt: number): void
+  /** The registry states another capacity of a worker than before. */
+  onDidResizeWorker (worker: WorkerState, former: WorkerEntry): void
   /** A worker has reported the end of a run that is no longer the current run of its task. */
   onDidIgnoreRunEnd (worker: WorkerState, end: EndReport, task: Task): void
   /** A long-running task does its work now. */
@@ -73,10 +84,8 @@
       findTask: taskName => this.findTask(taskName),
       onRunning: (task, now) => this.onRunning(task, now),
       onEnded: (task, worker, end, now) => this.onEnded(task, worker, end, now),
-      onLost: (task, worker) => {
-        this.observer.onDidLoseRun(worker, task)
-        this.abandonRun(task)
-      },
+      onLost: (task, worker, hasRestarted) => this.onRunLost(task, worker, hasRestarted ? 'processRestarted' : 'notListed'),
+      onWorkerRestarted: (worker, formerStartedAt) => this.observer.onDidRestartWorker(worker, formerStartedAt),
       onIgnoredEnd: (worker, end, task) => this.observer.onDidIgnoreRunEnd(worker, end, task),
       onOrphanedRun: (worker, task, run) => {
         this.observer.onDidFindOrphanedRun(worker, task, run)
@@ -105,8 +114,10 @@
   /** Adds a worker or updates its entry. Returns its state. */
   upsertWorker (entry: WorkerEntry, now: number): WorkerState {
     const worker = this.workers.get(entry.identity) ?? new WorkerState(entry)
+    const former = worker.entry
     worker.update(entry, now)
     this.workers.set(entry.identity, worker)
+    if (!isSameCapacity(former, entry)) this.observer.onDidResizeWorker(worker, former)
     return worker
   }
 
@@ -260,10 +271,10 @@
   }
 
   /** Abandons the runs of a worker whose process has exited or whose leases have all expired. */
-  onWorkerLost (identity: string): void {
+  onWorkerLost (identity: string, cause: WorkerLossCause): void {
     const worker = this.workers.get(identity)
     if (worker === undefined) return
-    for (const task of [...worker.runs.values()]) this.abandonRun(task)
+    for (const task of [...worker.runs.values()]) this.onRunLost(task, worker, cause)
     if (!worker.isListed) this.workers.delete(identity)
   }
 
@@ -368,6 +379,11 @@
     this.unrecordedJobs.add(job)
   }
 
+  private onRunLost (task: Task, worker: WorkerState, cause: RunLossCause): void {
+    this.observer.onDidLoseRun(worker, task, cause)
+    this.abandonRun(task)
+  }
+
   private findTask (taskName: string): Task | undefined {
     const [identity, occurrence, step, index] = taskName.split('.')
     return this.jobs.get(identity ?? '')?.occurrences.get(Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)]
@@ -468,6 +484,10 @@
   }
 }
 
+function isSameCapacity (left: WorkerEntry, right: WorkerEntry): boolean {
+  return left.processorsThousandths === right.processorsThousandths && left.memoryMegabytes === right.memoryMegabytes && left.accelerators === right.accelerators
+}
+
 /** Returns true if a run makes no progress although it could. Gang members that have finished wait for the others at 100 percent. */
 function isStalled (task: Task, now: number): boolean {
   const { longRunning, filler } = task.step.specification
--- a/src/cluster/runReconciler.ts
+++ b/src/cluster/runReconciler.ts
@@ -13,8 +13,10 @@
   onRunning (task: Task, now: number): void
   /** A run has ended. */
   onEnded (task: Task, worker: WorkerState, end: EndReport, now: number): void
-  /** A worker does not list a run that was placed there, and the run can no longer start. */
-  onLost (task: Task, worker: WorkerState): void
+  /** A worker does not list a run that was placed there, and the run can no longer start. `hasRestarted`: another process of the worker was to run it. */
+  onLost (task: Task, worker: WorkerState, hasRestarted: boolean): void
+  /** A worker reports a new process under its identity. */
+  onWorkerRestarted (worker: WorkerState, formerStartedAt: number): void
   /** A worker has reported the end of a run that is no longer the current run of its unfinished task. */
   onIgnoredEnd (worker: WorkerState, end: EndReport, task: Task): void
   /** The worker lists a run that belongs to no task. */
@@ -30,10 +32,9 @@
     // A delayed report of a former process: a later poll has already reached the current process.
     if (report.processStartedAt !== worker.processStartedAt && sentAt < worker.processSeenAt) return false
     const isFirst = !worker.hasReported
-    if (report.processStartedAt !== worker.processStartedAt) {
-      if (!isFirst) this.onWorkerRestarted(worker)
-      worker.processStartedAt = report.processStartedAt
-    }
+    const hasRestarted = !isFirst && report.processStartedAt !== worker.processStartedAt
+    if (hasRestarted) this.onWorkerRestarted(worker, report.processStartedAt)
+    worker.processStartedAt = report.processStartedAt
     worker.processSeenAt = Math.max(worker.processSeenAt, sentAt)
     worker.hasReported = true
     worker.isUnresponsive = false
@@ -45,16 +46,19 @@
     this.applyRunning(worker, report.running, now)
     const listed = new Set(report.running.map(({ task }) => task))
     for (const task of [...worker.runs.values()]) {
-      if (!listed.has(task.name) && this.isRunAbsent(task, isFirst, sentAt)) this.actions.onLost(task, worker)
+      if (!listed.has(task.name) && this.isRunAbsent(task, isFirst, sentAt)) this.actions.onLost(task, worker, hasRestarted)
     }
     return true
   }
 
   /** Resets the end counters, because a new process numbers its ends from 1. Keeps the runs: some may have been started on the new process before its first report, and that report shows which exist. */
-  private onWorkerRestarted (worker: WorkerState): void {
+  private onWorkerRestarted (worker: WorkerState, startedAt: number): void {
+    const formerStartedAt = worker.processStartedAt
+    worker.processStartedAt = startedAt
     worker.processedEnd = 0
     worker.recordedEnd = 0
     worker.acknowledgedEnd = 0
+    this.actions.onWorkerRestarted(worker, formerStartedAt)
   }
 
   private applyEnd (worker: WorkerState, end: EndReport, now: number): void {
--- a/src/cluster/workerSession.ts
+++ b/src/cluster/workerSession.ts
@@ -16,13 +16,16 @@
 /** Margin after the computed end of a lease before it counts as expired, in milliseconds. */
 const LEASE_EXPIRY_MARGIN_MILLISECONDS = 150
 
+/** Why nothing can run on a worker any more: all its leases have expired, or another process responds at its address. */
+export type WorkerLossCause = 'leasesExpired' | 'processReplaced'
+
 /** Receives the events of a session and provides the state that it depends on. */
 export interface WorkerSessionObserver {
   /** Called with each report. `acknowledgedEnd` is the number of the last end that the poll acknowledged. */
   onReport (report: WorkerReport, sentAt: number, acknowledgedEnd: number): void
   onPollFailed (reason: string): void
   /** Called once nothing can run on the worker any more. */
-  onWorkerLost (): void
+  onWorkerLost (cause: WorkerLossCause): void
   /** Called when the worker has accepted a greater term. */
   onFenced (): void
   /** Called when a stop was confirmed; a poll sent from now on shows whether the run has ended. */
@@ -188,7 +191,7 @@
         this.observer.onFenced()
         return
       case 'replaced':
-        this.markWorkerLost()
+        this.markWorkerLost('processReplaced')
         return
       case 'failed':
         this.observer.onPollFailed(outcome.reason)
@@ -224,18 +227,18 @@
 
   private checkLeaseExpiry (): void {
     if (this.isWorkerLost || this.now() < this.leasesEndAt) return
-    this.markWorkerLost()
+    this.markWorkerLost('leasesExpired')
   }
 
-  private markWorkerLost (): void {
+  private markWorkerLost (cause: WorkerLossCause): void {
     if (this.isWorkerLost) return
     this.isWorkerLost = true
-    this.observer.onWorkerLost()
+    this.observer.onWorkerLost(cause)
   }
 
   private onCommandOutcome (outcome: CommandOutcome): void {
     if (this.isDisposed) return
     if (outcome.kind === 'fenced') this.observer.onFenced()
-    if (outcome.kind === 'replaced') this.markWorkerLost()
+    if (outcome.kind === 'replaced') this.markWorkerLost('processReplaced')
   }
 }
--- a/src/cluster/workerSessions.ts
+++ b/src/cluster/workerSessions.ts
@@ -3,7 +3,7 @@
 import type { ClusterMetrics } from './clusterMetrics.js'
 import type { ClusterScheduler } from './clusterScheduler.js'
 import type { WorkerPort, WorkerReport } from './workerPort.js'
-import { MAXIMUM_CLOCK_DRIFT, WorkerSession } from './workerSession.js'
+import { MAXIMUM_CLOCK_DRIFT, WorkerSession, type WorkerLossCause } from './workerSession.js'
 import type { WorkerState } from './workerState.js'
 
 /** Outage of the log during which runs go on, in milliseconds; longer than the known outages. */
@@ -65,7 +65,7 @@
       {
         onReport: (report, sentAt, acknowledgedEnd) => this.onReport(identity, report, sentAt, acknowledgedEnd),
         onPollFailed: reason => this.onPollFailed(identity, reason),
-        onWorkerLost: () => this.onWorkerLost(identity),
+        onWorkerLost: cause => this.onWorkerLost(identity, cause),
         onFenced: () => this.onFenced(identity),
         onStopConfirmed: (task, run) => this.scheduler.onStopConfirmed(identity, task, run, this.now()),
         hasUnrecordedEnds: () => this.hasUnrecordedEnds(identity),
@@ -116,12 +116,12 @@
     this.scheduler.onPollFailed(identity)
   }
 
-  private onWorkerLost (identity: string): void {
+  private onWorkerLost (identity: string, cause: WorkerLossCause): void {
     const worker = this.scheduler.workers.get(identity)
     if (worker === undefined) return
-    this.logger.info('nothing can run on a worker any more', { worker: identity, count: worker.runs.size })
+    this.logger.info('nothing can run on a worker any more', { worker: identity, count: worker.runs.size, code: cause })
     this.scheduler.onPollFailed(identity)
-    this.scheduler.onWorkerLost(identity)
+    this.scheduler.onWorkerLost(identity, cause)
     this.closeIfUnknown(identity)
     this.options.onDidChange()
   }
--- a/src/operator/jobHistory.ts
+++ b/src/operator/jobHistory.ts
@@ -19,13 +19,16 @@
   'submissions can be read again'
 ])
 const ELIGIBILITY_MESSAGE = 'eligible workers are known'
+const LOST_RUN_MESSAGE = 'run is lost with its worker; its task waits again'
 /** Messages that mark the steps in the life cycle of a job. */
-const STEP_MESSAGES: ReadonlySet<string> = new Set(['job accepted', ELIGIBILITY_MESSAGE, 'run ordered', 'run ended', 'job finished'])
+const STEP_MESSAGES: ReadonlySet<string> = new Set(['job accepted', ELIGIBILITY_MESSAGE, 'run ordered', 'run ended', LOST_RUN_MESSAGE, 'job finished'])
 /** Messages about a worker, which explain the outcome of its runs. */
 const WORKER_MESSAGES: ReadonlySet<string> = new Set([
   'worker does not answer',
   'worker answers again',
   'nothing can run on a worker any more',
+  'worker runs a new process',
+  'capacity of a worker changed',
   'worker no longer listed',
   'worker gets no work for a while; its runs have failed in a row'
 ])
@@ -87,7 +90,7 @@
       sentences.push(`waited ${formatSeconds(waited)} s after '${previous.message}' for '${line.message}'; ${describeConcurrentChanges(contextLines, previous, line)}`)
     }
     if (line.message === 'run ordered') running += 1
-    if (line.message === 'run ended') running = Math.max(0, running - 1)
+    if (line.message === 'run ended' || line.message === LOST_RUN_MESSAGE) running = Math.max(0, running - 1)
     previous = line
   }
   return sentences
@@ -116,6 +119,7 @@
   for (const line of history) {
     if (line.message === 'start was not confirmed') sentences.push(`the start of run ${line.count} of ${line.task} on ${line.worker} was not confirmed: ${line.code}${line.reason === undefined ? '' : `, ${line.reason}`}`)
     if (line.message === 'run is not on its worker; its task waits again') sentences.push(`run ${line.count} of ${line.task} was not on ${line.worker}: ${line.reason}`)
+    if (line.message === LOST_RUN_MESSAGE) sentences.push(`run ${line.count} of ${line.task} was lost with ${line.worker}: ${line.code}`)
     if (line.message === 'run makes no progress; it is stopped') sentences.push(`run ${line.count} of ${line.task} on ${line.worker} made no progress and was stopped`)
   }
   return sentences
--- a/test/fakes/silentObserver.ts
+++ b/test/fakes/silentObserver.ts
@@ -7,6 +7,8 @@
   onDidQuarantine () {},
   onDidFindOrphanedRun () {},
   onDidLoseRun () {},
+  onDidRestartWorker () {},
+  onDidResizeWorker () {},
   onDidIgnoreRunEnd () {},
   onDidEnterService () {},
   onDidChangePace () {},
--- a/test/fuzz/clusterFaults.ts
+++ b/test/fuzz/clusterFaults.ts
@@ -90,9 +90,9 @@
     checks: ['RunsOnce', 'WithinRoom'],
     seed: 1,
     runs: 25,
-    injectFault: replaceMethod(RunReconciler, 'onWorkerRestarted', (original, self, worker) => {
-      original(worker)
-      for (const task of [...(worker as WorkerState).runs.values()]) (self as unknown as { actions: RunReconcilerActions }).actions.onLost(task, worker as WorkerState)
+    injectFault: replaceMethod(RunReconciler, 'onWorkerRestarted', (original, self, worker, startedAt) => {
+      original(worker, startedAt)
+      for (const task of [...(worker as WorkerState).runs.values()]) (self as unknown as { actions: RunReconcilerActions }).actions.onLost(task, worker as WorkerState, true)
     })
   },
   {
--- a/test/operator/jobHistory.test.ts
+++ b/test/operator/jobHistory.test.ts
@@ -54,6 +54,24 @@
         'completed after 1401 ms, in time (objective 2000 ms)'
       ]
     },
+    {
+      name: 'a run that was lost because its worker crashed',
+      lines: [
+        ACCEPTED,
+        line(20, 'run ordered', STARTED),
+        line(300, 'worker does not answer', { worker: 'w1', reason: 'other side closed', count: 1 }),
+        line(4400, 'nothing can run on a worker any more', { worker: 'w1', code: 'processReplaced', count: 1 }),
+        line(4401, 'run is lost with its worker; its task waits again', { ...STARTED, code: 'processReplaced', reason: 'the run was running' }),
+        line(4420, 'run ordered', { ...STARTED, worker: 'w2', count: 2 }),
+        line(5400, 'run ended', { ...STARTED, worker: 'w2', count: 2, code: 'done', durationMilliseconds: 980 }),
+        line(5401, 'job finished', { job: 'aa', code: 'completed', durationMilliseconds: 5401, objectiveMilliseconds: 2000 })
+      ],
+      sentences: [
+        'accepted by entry-1, stored in 12 ms',
+        'run 1 of aa.0.0.0 was lost with w1: processReplaced',
+        'completed after 5401 ms, late (objective 2000 ms)'
+      ]
+    },
     {
       name: 'a run that was recorded but never started because its scheduler stopped',
       lines: [
