--- a/bench/capacityCluster.ts
+++ b/bench/capacityCluster.ts
@@ -29,7 +29,7 @@
   scheduler.configure({ revision: 1, queues: [QUEUE], maximumBodyBytes: 1000 })
   for (let index = 0; index < workerCount; index += 1) {
     const identity = `worker-${index}`
-    scheduler.upsertWorker({ identity, pool: 'pool', address: 'worker:1', failureDomain: 'a', state: 'ready', processorsThousandths: WORKER_PROCESSORS_THOUSANDTHS, memoryMegabytes: 64_000, accelerators: 0, labels: ['a', `r${index >> 3}`], processStartedAt: 1 }, 0)
+    scheduler.upsertWorker({ identity, pool: 'pool', address: 'worker:1', failureDomain: 'a', state: 'ready', processorsThousandths: WORKER_PROCESSORS_THOUSANDTHS, memoryMegabytes: 64_000, accelerators: 0, labels: ['a', `r${index >> 3}`], machine: `m-${index}`, processStartedAt: 1 }, 0)
     scheduler.onReport(identity, { clockMilliseconds: 1, processStartedAt: 1, running: [], ended: [] }, 0, 0)
   }
   return scheduler
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -342,7 +342,7 @@
 
   private addUnlistedWorker (task: Task): WorkerState {
     const worker = new WorkerState({
-      identity: task.worker, pool: task.step.job.submission.pool, address: '', failureDomain: '', state: 'draining', processorsThousandths: 0, memoryMegabytes: 0, accelerators: 0, labels: [], processStartedAt: 0
+      identity: task.worker, pool: task.step.job.submission.pool, address: '', failureDomain: '', state: 'draining', processorsThousandths: 0, memoryMegabytes: 0, accelerators: 0, labels: [], machine: '', processStartedAt: 0
     })
     worker.isListed = false
     this.workers.set(task.worker, worker)
--- a/src/cluster/workerPort.ts
+++ b/src/cluster/workerPort.ts
@@ -9,6 +9,8 @@
   readonly memoryMegabytes: number
   readonly accelerators: number
   readonly labels: readonly string[]
+  /** Machine on which the worker runs; a later worker on the same machine replaces it. Empty if the entry does not state it. */
+  readonly machine: string
   /** Minimum time until a draining worker exits, in milliseconds from the writing of the entry; undefined if unknown. */
   readonly drainRemainingMilliseconds?: number
   /** Start of the worker's process as Unix time in milliseconds, 0 if unknown. Distinguishes a restart under the same identity. */
--- a/test/fakes/fakeCluster.ts
+++ b/test/fakes/fakeCluster.ts
@@ -29,6 +29,9 @@
   maximumBodyBytes: 100_000
 }
 
+/** Period of the heartbeats of workers, and time after which the registry drops a silent one, in milliseconds. */
+const HEARTBEAT_MILLISECONDS = 1500
+const REGISTRY_EXPIRY_MILLISECONDS = 3 * HEARTBEAT_MILLISECONDS
 /** Step by which the clock advances, in milliseconds. */
 const STEP_MILLISECONDS = 10
 /** Timeouts of calls in milliseconds, the same as those of the real clients. */
@@ -105,7 +108,7 @@
   /** Start time of the worker process to which the polling connection is open, by worker. */
   private readonly connectedTo = new Map<string, number>()
 
-  constructor (private readonly workers: ReadonlyMap<string, FakeClusterWorker>, private readonly pathTo: (worker: string) => Path) {
+  constructor (private readonly workers: ReadonlyMap<string, FakeClusterWorker>, private readonly pathTo: (worker: string) => Path, private readonly isReplaced: (worker: string) => boolean = () => false) {
     super()
   }
 
@@ -138,6 +141,7 @@
     const targetProcessStartedAt = worker?.processStartedAt
     return await this.pathTo(identity).call(async () => {
       const current = this.workers.get(identity)
+      if (this.isReplaced(identity)) return { kind: 'replaced' } as T
       // A call is lost if the worker process to which it was sent exits before it arrives.
       if (current === undefined || current.processStartedAt !== targetProcessStartedAt) return timeoutResult
       return await execute(current)
@@ -192,6 +196,12 @@
     this.observer.onDidAcknowledgeEnd(worker, end)
   }
 
+  onDidCrash (worker: FakeClusterWorker): void {
+    const broken = [...worker.running.values()].flatMap(({ task, run }) => this.membersOf(task).map(member => ({ member, run })))
+    this.observer.onDidCrash?.(worker)
+    this.timers.after(0, () => { for (const { member, run } of broken) this.endAll([member], run, 'broken') })
+  }
+
   private areAllRunning (members: readonly string[], run: number): boolean {
     for (const worker of this.view.workers.values()) worker.expire()
     return members.every(member => [...this.view.workers.values()].some(worker => worker.running.get(member)?.run === run))
@@ -219,11 +229,61 @@
   isSuperseded: boolean
 }
 
+/** How a worker crashes and comes back. */
+export interface CrashOptions {
+  /** Identity of the worker once it is back. */
+  readonly identity: 'same' | 'new'
+  /** Whether connections are refused meanwhile, or calls get no response. */
+  readonly outage: 'refused' | 'silent'
+  readonly downMilliseconds: number
+}
+
+/** Tasks of a job that crash each worker that starts them. */
+export interface TaskCrashes extends CrashOptions {
+  /** Indexes of the tasks, in every step. */
+  readonly tasks: readonly number[]
+  /** Time from the start of a run to the crash. */
+  readonly afterMilliseconds: number
+}
+
+/** Crashes workers that start a task which is to crash them. Forwards all events to another observer. */
+export class CrashSimulator implements FakeClusterWorkerObserver {
+  constructor (private readonly cluster: FakeCluster, private readonly observer: FakeClusterWorkerObserver) {}
+
+  onDidStart (worker: FakeClusterWorker, task: string, run: number): void {
+    this.observer.onDidStart(worker, task, run)
+    const crashes = crashesOf(this.cluster, task)
+    if (crashes === undefined) return
+    this.cluster.clock.after(crashes.afterMilliseconds, () => { if (worker.running.get(task)?.run === run) this.cluster.crashWorker(worker, crashes) })
+  }
+
+  onDidEnd (worker: FakeClusterWorker, end: EndReport): void {
+    this.observer.onDidEnd(worker, end)
+  }
+
+  onDidAcknowledgeEnd (worker: FakeClusterWorker, end: EndReport): void {
+    this.observer.onDidAcknowledgeEnd(worker, end)
+  }
+
+  onDidCrash (worker: FakeClusterWorker): void {
+    this.observer.onDidCrash?.(worker)
+  }
+}
+
+/** Returns the crashes that a task causes; undefined if it causes none. */
+export function crashesOf (view: ClusterView, task: string): TaskCrashes | undefined {
+  const [identity, , , index] = task.split('.')
+  const crashes = view.jobs.find(job => job.identity === identity)?.crashes
+  return crashes?.tasks.includes(Number(index)) === true ? crashes : undefined
+}
+
 /** A submitted job with its steps. */
 export interface SubmittedStepJob {
   readonly identity: string
   readonly job: StepJob
   isCancelled: boolean
+  /** Crashes that the job's tasks cause; undefined if they cause none. */
+  readonly crashes?: TaskCrashes
 }
 
 /** Workers, a log and successive schedulers on a paused clock. */
@@ -237,12 +297,16 @@
   /** Time of the last fault or change other than of the load, in milliseconds of the monotonic clock. */
   disturbedAt = 0
   private readonly gangSimulator: GangSimulator
+  private readonly crashSimulator: CrashSimulator
   private readonly random: Random
   private workerCount = 0
+  /** Identities of workers whose machine runs a later worker. */
+  private readonly replacedWorkers = new Set<string>()
 
   constructor (seed: number, private readonly observer: FakeClusterWorkerObserver & { onStep (cluster: FakeCluster): void }, private readonly stateRetentionMilliseconds = STATE_RETENTION_MILLISECONDS) {
     this.random = new Random(seed)
     this.gangSimulator = new GangSimulator(this.clock, this, observer)
+    this.crashSimulator = new CrashSimulator(this, this.gangSimulator)
   }
 
   /** Schedulers whose process runs and that have not detected that they were superseded. */
@@ -250,23 +314,57 @@
     return this.schedulers.filter(scheduler => !scheduler.process.isCrashed && !scheduler.isSuperseded)
   }
 
-  addWorker (): FakeClusterWorker {
+  /** Adds a worker; on the machine of another one if that one has crashed. */
+  addWorker (machine?: string): FakeClusterWorker {
     this.workerCount += 1
     const worker = new FakeClusterWorker(`w${this.workerCount}`, 2, task => this.durationOf(task))
     worker.describeRun = (_, run) => this.sharedLoad.describeRun(worker, run)
     worker.clockRate = this.workerCount % 2 === 0 ? SLOW_CLOCK_RATE : 1
-    worker.observer = this.gangSimulator
+    if (machine !== undefined) worker.machine = machine
+    worker.observer = this.crashSimulator
     this.workers.set(worker.identity, worker)
-    for (const { process, activeScheduler } of this.runningSchedulers) process.deliver(() => activeScheduler.setWorker(worker.entry))
+    this.publishEntry(worker)
     return worker
   }
 
+  /** Writes a worker's current registry entry, which the schedulers receive at once. */
+  publishEntry (worker: FakeClusterWorker): void {
+    for (const { process, activeScheduler } of this.runningSchedulers) process.deliver(() => activeScheduler.setWorker(worker.entry))
+  }
+
+  /** Changes the capacity of a worker, which its registry entry shows from its next heartbeat on. */
+  resizeWorker (worker: FakeClusterWorker, capacity: number): void {
+    worker.resize(capacity)
+    this.clock.after(HEARTBEAT_MILLISECONDS, () => { if (this.workers.has(worker.identity)) this.publishEntry(worker) })
+  }
+
+  /**
+   * Crashes a worker. Its machine is back after a while: with the same identity, or with a new one at the address of the old one, whose
+   * registry entry expires.
+   */
+  crashWorker (worker: FakeClusterWorker, { identity, outage, downMilliseconds }: CrashOptions): void {
+    if (worker.outage !== 'none') return
+    worker.crash(outage)
+    if (identity === 'same') {
+      this.clock.after(downMilliseconds, () => {
+        worker.outage = 'none'
+        if (this.workers.has(worker.identity)) this.publishEntry(worker)
+      })
+      return
+    }
+    this.clock.after(downMilliseconds, () => {
+      this.replacedWorkers.add(worker.identity)
+      this.addWorker(worker.machine)
+    })
+    this.clock.after(REGISTRY_EXPIRY_MILLISECONDS, () => this.removeWorker(worker))
+  }
+
   /** Lets a worker drain; its process exits once the stated time has passed. */
   drainWorker (worker: FakeClusterWorker, milliseconds: number): void {
     if (worker.state === 'draining') return
     worker.state = 'draining'
     worker.drainRemainingMilliseconds = milliseconds
-    for (const { process, activeScheduler } of this.runningSchedulers) process.deliver(() => activeScheduler.setWorker(worker.entry))
+    this.publishEntry(worker)
     this.clock.after(milliseconds, () => this.removeWorker(worker))
   }
 
@@ -294,7 +392,7 @@
     log.fault = logFault
     const scheduler: StartedScheduler = { process, term, log, pathTo, renewedAt: now, supersededAt: Infinity, isSuperseded: false, activeScheduler: undefined as never }
     process.run(() => {
-      const activeScheduler = new ActiveScheduler(new LogOverPath(this.log, log), new WorkersOverPaths(this.workers, pathTo), {
+      const activeScheduler = new ActiveScheduler(new LogOverPath(this.log, log), new WorkersOverPaths(this.workers, pathTo, worker => this.replacedWorkers.has(worker)), {
         term,
         bounds: { ...BOUNDS, stateRetentionMilliseconds: this.stateRetentionMilliseconds },
         renewedAt: () => scheduler.renewedAt,
@@ -318,12 +416,14 @@
   }
 
   /** Submits a job, which counts as accepted once the log has stored it. */
-  submit (queue: 'urgent' | 'batch', steps: readonly object[]): void {
+  submit (queue: 'urgent' | 'batch', steps: readonly object[], crashes?: TaskCrashes): SubmittedStepJob {
     const identity = `j${this.jobs.length}`
     const job = stepJobSchema.parse({ specification: 'text', steps })
     const record = { key: identity, value: encodeRecord({ queue, pool: 'pool', job, acceptedAt: Date.now() }) }
-    this.jobs.push({ identity, job, isCancelled: false })
+    const submitted: SubmittedStepJob = { identity, job, isCancelled: false, crashes }
+    this.jobs.push(submitted)
     this.clock.after(0, () => { this.log.append(TOPICS.submissions, this.random.integerBelow(SUBMISSION_PARTITIONS), [record]) })
+    return submitted
   }
 
   cancel (job: SubmittedStepJob): void {
--- a/test/fakes/fakeClusterWorkers.ts
+++ b/test/fakes/fakeClusterWorkers.ts
@@ -6,6 +6,9 @@
  */
 export type CommandFault = 'none' | 'answerLost' | 'notDelivered' | 'late' | 'unhealthy' | 'ticket'
 
+/** Time from a reduction of a worker's capacity until starts beyond it are violations, in milliseconds. */
+export const RESIZE_GRACE_MILLISECONDS = 4500
+
 /** Longest lease that a worker accepts, in milliseconds on its clock. */
 const LONGEST_LEASE_MILLISECONDS = 6000
 
@@ -15,6 +18,8 @@
   onDidEnd (worker: FakeClusterWorker, end: EndReport): void
   /** The scheduler has acknowledged an end, so that the worker no longer reports it. */
   onDidAcknowledgeEnd (worker: FakeClusterWorker, end: EndReport): void
+  /** The worker's process crashes; its runs have no ends. */
+  onDidCrash? (worker: FakeClusterWorker): void
 }
 
 export interface FakeRun {
@@ -59,6 +64,12 @@
   /** Time for which a run continues after a stop command. */
   stopMilliseconds = 0
   isReachable = true
+  /** Whether the worker's process has crashed and not started again: connections are refused, or calls get no response. */
+  outage: 'none' | 'refused' | 'silent' = 'none'
+  /** Machine that the worker is one life of. */
+  machine: string
+  private capacityInForce: number
+  private formerCapacities: Array<{ readonly capacity: number, readonly until: number }> = []
   fault: CommandFault = 'none'
   /** Kind of the end of a run that was not stopped. */
   endKind: EndKind = 'done'
@@ -78,7 +89,27 @@
   private readonly waiters = new Set<() => void>()
 
   /** `durationMilliseconds` returns the run time of a task; a run of `Infinity` ends only through `endIfRunning`. */
-  constructor (readonly identity: string, readonly capacity: number, private readonly durationMilliseconds: (task: string) => number) {}
+  constructor (readonly identity: string, capacity: number, private readonly durationMilliseconds: (task: string) => number) {
+    this.machine = `machine-${identity}`
+    this.capacityInForce = capacity
+  }
+
+  get capacity (): number {
+    return this.capacityInForce
+  }
+
+  /** Largest number of runs that a start may lead to: a reduced capacity binds only after a grace period. */
+  get bindingCapacity (): number {
+    const now = performance.now()
+    const former = this.formerCapacities.filter(({ until }) => now < until + RESIZE_GRACE_MILLISECONDS)
+    return Math.max(this.capacityInForce, ...former.map(({ capacity }) => capacity))
+  }
+
+  /** Changes the capacity while the worker runs. */
+  resize (capacity: number): void {
+    this.formerCapacities.push({ capacity: this.capacityInForce, until: performance.now() })
+    this.capacityInForce = capacity
+  }
 
   /** The worker's own monotonic clock, in milliseconds. */
   get clock (): number {
@@ -86,7 +117,7 @@
   }
 
   get entry (): WorkerEntry {
-    return { identity: this.identity, pool: 'pool', address: `${this.identity}:1`, failureDomain: 'a', state: this.state, processorsThousandths: this.capacity * 1000, memoryMegabytes: 1_000_000, accelerators: 0, labels: ['kind', 'rack'], drainRemainingMilliseconds: this.drainRemainingMilliseconds, processStartedAt: this.processStartedAt }
+    return { identity: this.identity, pool: 'pool', address: `${this.identity}:1`, failureDomain: 'a', state: this.state, processorsThousandths: this.capacity * 1000, memoryMegabytes: 1_000_000, accelerators: 0, labels: ['kind', 'rack'], machine: this.machine, drainRemainingMilliseconds: this.drainRemainingMilliseconds, processStartedAt: this.processStartedAt }
   }
 
   /** Simulates a restart of the worker's process under the same identity. */
@@ -102,8 +133,17 @@
     this.processStartedAt += 1
   }
 
+  /** Ends the process of the worker without ends of its runs. */
+  crash (outage: 'refused' | 'silent'): void {
+    this.observer?.onDidCrash?.(this)
+    this.outage = outage
+    this.restart()
+    for (const wake of [...this.waiters]) wake()
+  }
+
   async poll (request: PollRequest): Promise<PollOutcome> {
     this.pollCount += 1
+    if (this.outage !== 'none') return await this.afterOutage({ kind: 'failed', reason: 'connection refused' })
     if (!this.isReachable) return await afterMilliseconds(request.waitMilliseconds + 600, { kind: 'failed', reason: 'timed out' })
     if (request.term < this.term) return { kind: 'fenced' }
     this.term = request.term
@@ -111,6 +151,7 @@
     if (request.leaseUntil !== undefined) this.extendLease(request.leaseUntil)
     this.acknowledge(request.acknowledgedEnd)
     if (request.waitMilliseconds > 0 && this.unacknowledged().length === 0) await this.waitForEnd(request.waitMilliseconds)
+    if (this.outage !== 'none') return await this.afterOutage({ kind: 'failed', reason: 'connection closed' })
     this.expire()
     return {
       kind: 'report',
@@ -139,7 +180,12 @@
     return await this.executeWithFault(() => this.executePace(task, run, percent, term))
   }
 
+  private async afterOutage<T> (outcome: T): Promise<T> {
+    return this.outage === 'silent' ? await new Promise<T>(() => {}) : outcome
+  }
+
   private async executeWithFault (execute: () => CommandOutcome): Promise<CommandOutcome> {
+    if (this.outage !== 'none') return await this.afterOutage({ kind: 'notSent', reason: 'connection refused' })
     if (!this.isReachable || this.fault === 'notDelivered') return await afterMilliseconds(400, { kind: 'unknown', reason: 'timed out' })
     if (this.fault === 'unhealthy' || this.fault === 'ticket') return { kind: 'refused', reason: this.fault }
     if (this.fault === 'late') {
@@ -160,7 +206,7 @@
     if (command.run <= (this.stoppedRuns.get(command.task) ?? 0)) return { kind: 'refused', reason: 'old' }
     if (this.running.get(command.task)?.run === command.run) return { kind: 'done' }
     this.observer?.onDidStart(this, command.task, command.run)
-    if (this.usedCapacity >= this.capacity) this.overcommitted.push(`${command.task}/${command.run}`)
+    if (this.usedCapacity >= this.bindingCapacity) this.overcommitted.push(`${command.task}/${command.run}`)
     this.started.push(`${command.task}/${command.run}`)
     const now = performance.now()
     const run = { task: command.task, run: command.run, startedAt: now, durationMilliseconds: this.durationMilliseconds(command.task), pacePercent: 100, workedMilliseconds: 0, workedUntil: now }
--- a/test/fuzz/clusterOracle.ts
+++ b/test/fuzz/clusterOracle.ts
@@ -1,7 +1,11 @@
 import type { EndReport } from '../../src/cluster/workerPort.js'
-import { MAXIMUM_ATTEMPTS, type ClusterView, type FakeCluster, type SubmittedStepJob } from '../fakes/fakeCluster.js'
+import { crashesOf, MAXIMUM_ATTEMPTS, type ClusterView, type FakeCluster, type SubmittedStepJob } from '../fakes/fakeCluster.js'
 import type { FakeClusterWorker, FakeClusterWorkerObserver } from '../fakes/fakeClusterWorkers.js'
 
+/** Number of workers that may crash under a task before its starts are limited, and the first start after that which is a violation. */
+const CRASHES_WITHOUT_LIMIT = 3
+const FORBIDDEN_START_AFTER_CRASHES = 3
+
 /** End of a run, as recorded by its worker. */
 interface RecordedEnd {
   readonly worker: string
@@ -24,6 +28,9 @@
   private readonly reportedCompleted = new Set<string>()
   /** Jobs of which a task has started. */
   private readonly startedJobs = new Set<string>()
+  /** Workers that have crashed under a task, by task, and the starts of a task that crashes workers after three have crashed under it. */
+  private readonly crashesUnder = new Map<string, number>()
+  private readonly startsAfterCrashes = new Map<string, number>()
   private view: ClusterView | undefined
 
   /** Records the violation of an invariant. */
@@ -49,7 +56,7 @@
       const duplicate = other.running.get(task)
       if (duplicate !== undefined) this.addProblem(`RunsOnce: ${start} was started while run ${duplicate.run} was on ${other.identity}`)
     }
-    if (!this.isFiller(task) && worker.usedCapacity >= worker.capacity) this.addProblem(`WithinRoom: ${start} was started in addition to ${worker.usedCapacity} others`)
+    if (!this.isFiller(task) && worker.usedCapacity >= worker.bindingCapacity) this.addProblem(`WithinRoom: ${start} was started in addition to ${worker.usedCapacity} others`)
     for (const end of this.completedRuns.get(task) ?? []) {
       if (end.isAcknowledged) this.addProblem(`RunsOnce: ${start} was started after the end of run ${end.run} was acknowledged`)
       end.startedAfter ??= start
@@ -57,6 +64,24 @@
     if (this.reportedCompleted.has(jobOf(task))) this.addProblem(`RunsOnce: ${start} was started after its job had been reported as completed`)
     if ((this.failedRuns.get(task) ?? 0) >= MAXIMUM_ATTEMPTS) this.addProblem(`WithinAttempts: ${start} was started after ${MAXIMUM_ATTEMPTS} failed runs`)
     this.checkStepOrder(task, start)
+    this.checkCrashBudget(task, start)
+  }
+
+  onDidCrash (worker: FakeClusterWorker): void {
+    for (const task of worker.running.keys()) this.crashesUnder.set(task, this.countCrashes(task) + 1)
+  }
+
+  /** Returns the number of workers that have crashed under a task. */
+  countCrashes (task: string): number {
+    return this.crashesUnder.get(task) ?? 0
+  }
+
+  /** A task that crashes its workers may be started twice more after three of them have crashed under it. */
+  private checkCrashBudget (task: string, start: string): void {
+    if (this.view === undefined || crashesOf(this.view, task) === undefined || this.countCrashes(task) < CRASHES_WITHOUT_LIMIT) return
+    const starts = (this.startsAfterCrashes.get(task) ?? 0) + 1
+    this.startsAfterCrashes.set(task, starts)
+    if (starts >= FORBIDDEN_START_AFTER_CRASHES) this.addProblem(`WithinCrashBudget: ${start} was started after ${this.countCrashes(task)} workers had crashed under the task`)
   }
 
   onDidEnd (worker: FakeClusterWorker, end: EndReport): void {
@@ -99,7 +124,7 @@
 
   /** Returns the final states that the job may have. */
   expectedStates (job: SubmittedStepJob): string[] {
-    const expected = ['completed']
+    const expected = job.crashes === undefined ? ['completed'] : ['failed']
     if (job.isCancelled) expected.push('cancelled')
     if ([...this.failedRuns].some(([task, count]) => task.startsWith(`${job.identity}.`) && count >= MAXIMUM_ATTEMPTS)) expected.push('failed')
     return expected
--- a/test/fuzz/servingFuzzer.ts
+++ b/test/fuzz/servingFuzzer.ts
@@ -30,7 +30,7 @@
 
 const SERVING_COMMANDS: Array<fc.WeightedArbitrary<ClusterCommand>> = [
   { weight: 4, arbitrary: command('submitServing', [fc.nat({ max: SERVING_SHAPES.length - 1 })], (cluster, shape) => { if (countServing(cluster) < WORKERS) cluster.submit('batch', SERVING_SHAPES[shape] as readonly object[]) }) },
-  { weight: 6, arbitrary: command('submitFillers', [fc.nat({ max: FILLER_SHAPES.length - 1 })], (cluster, shape) => cluster.submit('batch', FILLER_SHAPES[shape] as readonly object[])) },
+  { weight: 6, arbitrary: command('submitFillers', [fc.nat({ max: FILLER_SHAPES.length - 1 })], (cluster, shape) => { cluster.submit('batch', FILLER_SHAPES[shape] as readonly object[]) }) },
   { weight: 4, arbitrary: command('servingLoad', [fc.constantFrom(0.3, 0.6, 0.95, 1.3)], (cluster, share) => { cluster.sharedLoad.servingShare = share }) },
   { weight: 3, arbitrary: command('drainWorker', [index, fc.constantFrom(2000, 4000)], (cluster, worker, milliseconds) => drain(cluster, worker, milliseconds)) },
   { weight: 3, arbitrary: command('endServing', [index, fc.constantFrom<EndKind>('failed', 'done')], (cluster, worker, kind) => endServing(cluster, workerAt(cluster, worker), kind)) },
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -343,7 +343,7 @@
 })
 
 describe('registry', () => {
-  const entry = { service: 'p', addr: 'h:1', zone: 'a', state: 'ready', room: { millicpus: 1, memMb: 2, gpus: 0 }, labels: ['k', 'r'], born: 7, sequence: 4 }
+  const entry = { service: 'p', addr: 'h:1', zone: 'a', state: 'ready', room: { millicpus: 1, memMb: 2, gpus: 0 }, labels: ['k', 'r'], machine: 'm-1', born: 7, sequence: 4 }
   /** Entries that describe no usable worker. */
   const UNUSABLE: ReadonlyArray<{ readonly name: string, readonly value: unknown }> = [
     { name: 'an unknown state', value: { ...entry, state: 'resting' } },
@@ -353,7 +353,7 @@
   ]
   for (const { name, value } of UNUSABLE) it(`skips an entry with ${name}`, () => assert.equal(decodeWorker('i-1', Buffer.from(JSON.stringify(value))), undefined))
   it('skips an entry that is not JSON', () => assert.equal(decodeWorker('i-1', Buffer.from([255, 0, 1])), undefined))
-  const decoded = { identity: 'i-1', pool: 'p', address: 'h:1', failureDomain: 'a', state: 'ready', processorsThousandths: 1, memoryMegabytes: 2, accelerators: 0, labels: ['k', 'r'], processStartedAt: 7 }
+  const decoded = { identity: 'i-1', pool: 'p', address: 'h:1', failureDomain: 'a', state: 'ready', processorsThousandths: 1, memoryMegabytes: 2, accelerators: 0, labels: ['k', 'r'], machine: 'm-1', processStartedAt: 7 }
   const ENTRIES: ReadonlyArray<{ readonly name: string, readonly fields: object, readonly expected: object }> = [
     { name: 'a ready worker', fields: {}, expected: {} },
     { name: 'a draining worker', fields: { state: 'draining', drainRemainingMs: 1500 }, expected: { state: 'draining', drainRemainingMilliseconds: 1500 } }
