--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -7,7 +7,8 @@
 import type { ClusterBounds } from '../contracts/clusterSettings.js'
 import type { JobState } from '../contracts/stepJob.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
-import { ClusterScheduler, type PendingStop, type RunLossCause, type SchedulerObserver } from './clusterScheduler.js'
+import { ClusterScheduler, type PendingStop, type SchedulerObserver } from './clusterScheduler.js'
+import type { RunLossCause } from './crashTracker.js'
 import { EligibilityRequester, type EligibilityRequestResult, type EligibilityChannel } from './eligibilityRequester.js'
 import { discardTicket, toProgressRecord, type Job, type Task } from './job.js'
 import { JobRetention } from './jobRetention.js'
@@ -208,6 +209,11 @@
     this.logger.info(message, { task: task.name, count: task.run, worker: worker.identity, code: cause, reason: `the run was ${task.phase}` })
   }
 
+  onDidCrashWorker (worker: string, task: Task): void {
+    this.metrics.workerCrashed()
+    this.logger.warn('worker has crashed under a task', { task: task.name, count: task.crashes, worker, reason: task.isIsolated ? 'further runs share their worker with no other run' : 'further runs avoid other tasks under which a worker has crashed' })
+  }
+
   onDidRestartWorker (worker: WorkerState, formerStartedAt: number): void {
     this.logger.warn('worker runs a new process', { worker: worker.identity, count: worker.runs.size, reason: `the former process started at ${formerStartedAt}, this one at ${worker.processStartedAt}` })
   }
--- a/src/cluster/clusterMetrics.ts
+++ b/src/cluster/clusterMetrics.ts
@@ -14,6 +14,7 @@
   private readonly startsTotal = this.counter('starts_total', 'Start orders', ['outcome'])
   private readonly runEndsTotal = this.counter('run_ends_total', 'Ends of runs', ['kind'])
   private readonly lostRunsTotal = this.counter('lost_runs_total', 'Runs that no longer exist although their worker has reported no end of them', ['cause'])
+  private readonly crashesTotal = this.counter('worker_crashes_total', 'Workers that have crashed under a run, counted for each run', [])
   private readonly jobsFinishedTotal = this.counter('jobs_finished_total', 'Jobs that reached a final state', ['state'])
   private readonly paceCommandsTotal = this.counter('pace_commands_total', 'Commands that set the pace of a run', ['outcome'])
   private readonly targetCrossingsTotal = this.counter('target_crossings_total', 'Times that the tail latency of a serving task crossed its target', ['direction'])
@@ -60,6 +61,10 @@
     this.lostRunsTotal.inc({ cause })
   }
 
+  workerCrashed (): void {
+    this.crashesTotal.inc()
+  }
+
   jobFinished (state: string): void {
     this.jobsFinishedTotal.inc({ state })
   }
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -1,5 +1,6 @@
 import type { ClusterConfiguration, Queue, QueuePolicy } from '../contracts/clusterConfiguration.js'
 import type { ProgressRecord, SubmissionRecord } from '../contracts/clusterRecords.js'
+import { CRASHES_BEFORE_FAILURE, CrashTracker, type RunLossCause } from './crashTracker.js'
 import { Job, Occurrence, restoreProgress, type Step, type Task } from './job.js'
 import { estimateObjective, LATE_FACTOR } from './objective.js'
 import { PlacementPass, URGENT_PRIORITY, type PlacementContext, type PlannedRun } from './placementPass.js'
@@ -19,12 +20,6 @@
 /** Upper bound on the assumed age of a job when its age is known only from the acceptance time. */
 const MAXIMUM_ASSUMED_AGE_MILLISECONDS = 60_000
 
-/**
- * Why a run no longer exists although its worker has reported no end of it: the worker does not list it, the worker reports a new
- * process, or nothing can run on the worker any more.
- */
-export type RunLossCause = 'notListed' | 'processRestarted' | WorkerLossCause
-
 /** Receives the events of the scheduler. */
 export interface SchedulerObserver extends ServingObserver {
   onDidFinishJob (job: Job): void
@@ -33,6 +28,8 @@
   onDidFindOrphanedRun (worker: WorkerState, task: string, run: number): void
   /** A run that was placed on a worker has no end and can no longer start; its task waits again. */
   onDidLoseRun (worker: WorkerState, task: Task, cause: RunLossCause): void
+  /** A worker has crashed under a run of a task, as another process on its machine proves. */
+  onDidCrashWorker (worker: string, task: Task): void
   /** A worker runs a new process under its identity. `formerStartedAt`: start of the former one as Unix time in milliseconds. */
   onDidRestartWorker (worker: WorkerState, formerStartedAt: number): void
   /** The registry states another capacity of a worker than before. */
@@ -78,13 +75,16 @@
   private readonly queues = new Map<string, Queue>()
   private readonly reconciler: RunReconciler
   private readonly serving: ServingSupervisor
+  private readonly crashTracker = new CrashTracker((task, worker, now) => this.onCrash(task, worker, now))
+  /** Tasks whose runs are isolated and whose jobs are not finished. */
+  private readonly isolatedTasks = new Set<Task>()
 
   constructor (private readonly observer: SchedulerObserver) {
     this.reconciler = new RunReconciler({
       findTask: taskName => this.findTask(taskName),
       onRunning: (task, now) => this.onRunning(task, now),
       onEnded: (task, worker, end, now) => this.onEnded(task, worker, end, now),
-      onLost: (task, worker, hasRestarted) => this.onRunLost(task, worker, hasRestarted ? 'processRestarted' : 'notListed'),
+      onLost: (task, worker, hasProcessExited, now) => this.onRunLost(task, worker, hasProcessExited ? 'processRestarted' : 'notListed', now),
       onWorkerRestarted: (worker, formerStartedAt) => this.observer.onDidRestartWorker(worker, formerStartedAt),
       onIgnoredEnd: (worker, end, task) => this.observer.onDidIgnoreRunEnd(worker, end, task),
       onOrphanedRun: (worker, task, run) => {
@@ -117,6 +117,7 @@
     const former = worker.entry
     worker.update(entry, now)
     this.workers.set(entry.identity, worker)
+    this.crashTracker.onWorkerListed(entry, now)
     if (!isSameCapacity(former, entry)) this.observer.onDidResizeWorker(worker, former)
     return worker
   }
@@ -148,7 +149,10 @@
       // The record does not contain the finishing time.
       job.finishedAt = now
     } else {
-      for (const task of job.tasks()) this.adoptRestoredRun(task)
+      for (const task of job.tasks()) {
+        this.adoptRestoredRun(task)
+        if (task.isIsolated) this.isolatedTasks.add(task)
+      }
       this.openDueOccurrencesOfJob(job, now, Date.now())
       for (const occurrence of job.occurrences.values()) this.openReadySteps(occurrence, now)
     }
@@ -237,6 +241,7 @@
     if (worker === undefined) return
     const inService = [...worker.runs.values()].filter(isInService)
     if (!this.reconciler.applyReport(worker, report, sentAt, now)) return
+    this.crashTracker.onWorkerReported(worker, now)
     for (const task of worker.runs.values()) {
       if (task.step.specification.longRunning && isInService(task) && !inService.includes(task)) this.observer.onDidEnterService(worker, task)
     }
@@ -271,10 +276,10 @@
   }
 
   /** Abandons the runs of a worker whose process has exited or whose leases have all expired. */
-  onWorkerLost (identity: string, cause: WorkerLossCause): void {
+  onWorkerLost (identity: string, cause: WorkerLossCause, now: number): void {
     const worker = this.workers.get(identity)
     if (worker === undefined) return
-    for (const task of [...worker.runs.values()]) this.onRunLost(task, worker, cause)
+    for (const task of [...worker.runs.values()]) this.onRunLost(task, worker, cause, now)
     if (!worker.isListed) this.workers.delete(identity)
   }
 
@@ -330,7 +335,7 @@
   }
 
   private get placementContext (): PlacementContext {
-    return { workers: this.workers, policyOf: step => this.policyOf(step.job), headroom: this.headroom, pacing: this.serving.pacing }
+    return { workers: this.workers, policyOf: step => this.policyOf(step.job), headroom: this.headroom, pacing: this.serving.pacing, isolatedTasks: this.isolatedTasks }
   }
 
   private adoptRestoredRun (task: Task): void {
@@ -379,9 +384,22 @@
     this.unrecordedJobs.add(job)
   }
 
-  private onRunLost (task: Task, worker: WorkerState, cause: RunLossCause): void {
+  private onRunLost (task: Task, worker: WorkerState, cause: RunLossCause, now: number): void {
     this.observer.onDidLoseRun(worker, task, cause)
+    const countCrash = this.crashTracker.onRunLost(task, worker, cause, now)
     this.abandonRun(task)
+    countCrash()
+  }
+
+  /** Handles a crash of a worker under a task. The task may have a new run by now, if the crash has only been proven later. */
+  private onCrash (task: Task, worker: string, now: number): void {
+    const { step } = task
+    step.hasClearedSuspect = false
+    this.unrecordedJobs.add(step.job)
+    if (task.hasRun) this.workers.get(task.worker)?.suspects.add(task)
+    this.observer.onDidCrashWorker(worker, task)
+    if (task.crashes >= CRASHES_BEFORE_FAILURE) this.finish(step.job, 'failed', `${task.crashes} workers have crashed under task ${task.name}`, now)
+    else if (task.isIsolated) this.isolatedTasks.add(task)
   }
 
   private findTask (taskName: string): Task | undefined {
@@ -393,6 +411,7 @@
     this.observer.onDidEndRun(task, worker, end.kind, now - task.startedAt)
     const job = task.step.job
     this.markStarted(job)
+    if (task.isSuspect) task.step.hasClearedSuspect = true
     if (end.kind === 'done' && !task.step.specification.longRunning) {
       worker.recordSuccess(task.step.specification.estimateMilliseconds, task.phase === 'running' && task.startedAt > 0 ? now - task.startedAt : 0)
       this.onDone(task, worker, now)
@@ -425,6 +444,7 @@
     else task.step.waitingCount -= 1
     task.phase = 'done'
     task.step.doneCount += 1
+    this.isolatedTasks.delete(task)
   }
 
   private onFailure (task: Task, now: number): void {
@@ -443,7 +463,10 @@
     job.reason = reason
     job.finishedAt = now
     this.unrecordedJobs.add(job)
-    for (const task of job.tasks()) this.stopRun(task)
+    for (const task of job.tasks()) {
+      this.isolatedTasks.delete(task)
+      this.stopRun(task)
+    }
     for (const occurrence of job.occurrences.values()) {
       for (const step of occurrence.steps) this.readySteps.delete(step)
     }
--- a/src/cluster/job.ts
+++ b/src/cluster/job.ts
@@ -11,6 +11,9 @@
  */
 export type TaskPhase = 'waiting' | 'placed' | 'starting' | 'uncertain' | 'running' | 'stopping' | 'done'
 
+/** Number of workers that must have crashed under a task for its runs to be isolated. */
+const CRASHES_BEFORE_ISOLATION = 2
+
 export class Task {
   phase: TaskPhase = 'waiting'
   /** Number of the last run; 0 before the first. */
@@ -18,6 +21,14 @@
   /** Worker of the current run; empty if there is none. */
   worker = ''
   failures = 0
+  /** Number of workers that have crashed under runs of the task. */
+  crashes = 0
+  /** Start of the worker process that was to run the current run, as Unix time in milliseconds; 0 if it is not known. */
+  processStartedAt = 0
+  /** Time since which the task has waited for a worker of its own, in milliseconds of the monotonic clock; undefined if it does not. */
+  waitsForIsolationSince: number | undefined
+  /** Worker that is kept free of other runs for the task; empty if there is none. */
+  isolationWorker = ''
   checkpoint = ''
   percent = 0
   /** Time of the last change of `percent`, in milliseconds of the monotonic clock. */
@@ -47,10 +58,23 @@
     return this.phase !== 'waiting' && this.phase !== 'done'
   }
 
-  /** Starts a new run with the state `placed`. */
-  beginRun (run: number, worker: string): void {
+  /** True if a worker has crashed under the task. */
+  get isSuspect (): boolean {
+    return this.crashes > 0
+  }
+
+  /** True if runs of the task share their worker with no other runs: the next crash must show whether the task causes it, and harm nothing else. */
+  get isIsolated (): boolean {
+    return this.crashes >= CRASHES_BEFORE_ISOLATION
+  }
+
+  /** Starts a new run with the state `placed`. `processStartedAt` is the start of the worker's process. */
+  beginRun (run: number, worker: string, processStartedAt: number): void {
     this.run = run
     this.worker = worker
+    this.processStartedAt = processStartedAt
+    this.waitsForIsolationSince = undefined
+    this.isolationWorker = ''
     this.phase = 'placed'
     this.percent = 0
     this.reportedLoad = undefined
@@ -83,6 +107,8 @@
   /** Workers whose capacity is reserved for this gang, or undefined. */
   reservation: ReadonlySet<string> | undefined
   doneCount = 0
+  /** Whether a suspect task has ended without a crash since the last crash under a task of the step. */
+  hasClearedSuspect = false
   /** Last run of a gang that was counted as failed. Several members of one run may fail, which counts once. */
   lastFailedRun = 0
   waitingCount: number
@@ -180,11 +206,16 @@
   const tasks: TaskRow[] = []
   for (const task of step.tasks) {
     if (task.phase === 'done') done.push(task.index)
-    else if (task.run > 0) tasks.push([task.index, task.run, task.hasRun ? task.worker : '', task.failures, task.checkpoint])
+    else if (task.run > 0) tasks.push(toTaskRow(task))
   }
   return step.lastFailedRun === 0 ? [done, tasks] : [done, tasks, step.lastFailedRun]
 }
 
+function toTaskRow ({ index, run, hasRun, worker, failures, checkpoint, crashes, processStartedAt }: Task): TaskRow {
+  if (!hasRun && crashes === 0) return [index, run, '', failures, checkpoint]
+  return [index, run, hasRun ? worker : '', failures, checkpoint, crashes, hasRun ? processStartedAt : 0]
+}
+
 /** Restores the progress of a job from its record. Tasks with a run that may exist become `uncertain`. */
 export function restoreProgress (job: Job, record: ProgressRecord): void {
   job.state = record.state
@@ -207,14 +238,16 @@
     step.doneCount += 1
     step.waitingCount -= 1
   }
-  for (const [index, run, worker, failures, checkpoint] of rows) {
+  for (const [index, run, worker, failures, checkpoint, crashes, processStartedAt] of rows) {
     const task = step.tasks[index]
     if (task === undefined) continue
     task.run = run
     task.failures = failures
     task.checkpoint = checkpoint
+    task.crashes = crashes ?? 0
     if (worker === '') continue
     task.worker = worker
+    task.processStartedAt = processStartedAt ?? 0
     task.phase = 'uncertain'
     // The former scheduler may have slowed the run down.
     task.confirmedPacePercent = undefined
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -1,4 +1,5 @@
 import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
+import { IsolationPlan } from './isolationPlan.js'
 import type { Step, Task } from './job.js'
 import { hasTarget, type PacingController } from './serving/pacingController.js'
 import { FAST_WORKER_SPEED, type UrgentHeadroom } from './urgentHeadroom.js'
@@ -31,12 +32,17 @@
 /** Penalty for the worker that a task was moved away from. */
 const MOVED_FROM_PENALTY = 1
 
+/** Penalty for a worker with another task under which a worker has crashed: apart, the next crash tells which of them causes it. */
+const SUSPECT_NEIGHBOUR_PENALTY = 1
+
 /** What placement depends on besides the steps. */
 export interface PlacementContext {
   readonly workers: ReadonlyMap<string, WorkerState>
   readonly policyOf: (step: Step) => QueuePolicy
   readonly headroom: UrgentHeadroom
   readonly pacing: PacingController
+  /** Tasks whose runs must share their worker with no other runs. */
+  readonly isolatedTasks: ReadonlySet<Task>
 }
 
 /** A run that must be recorded before its start command is sent. */
@@ -63,12 +69,14 @@
   private readonly policyOf: (step: Step) => QueuePolicy
   private readonly headroom: UrgentHeadroom
   private readonly pacing: PacingController
+  private readonly isolation: IsolationPlan
 
   constructor (private readonly steps: Step[], context: PlacementContext, private readonly now: number) {
     this.workers = context.workers
     this.policyOf = context.policyOf
     this.headroom = context.headroom
     this.pacing = context.pacing
+    this.isolation = new IsolationPlan(context.isolatedTasks, step => this.eligibleWorkers(step).filter(worker => worker.isUsable(now)), now)
   }
 
   run (): PlannedRun[] {
@@ -112,8 +120,9 @@
     if (candidates.length === 0) return
     const perWorker = countPerWorker(step)
     for (const task of step.tasks) {
-      if (task.phase !== 'waiting') continue
-      const worker = this.chooseWorker(task, candidates, perWorker)
+      if (task.phase !== 'waiting' || mustWaitForSuspect(task)) continue
+      const worker = this.chooseWorker(task, this.isolation.selectFor(task, candidates), perWorker)
+      if (worker === undefined && task.isIsolated) continue
       if (worker === undefined) return
       perWorker.set(worker.identity, (perWorker.get(worker.identity) ?? 0) + 1)
       this.assign(task, task.run + 1, worker)
@@ -127,7 +136,7 @@
       this.reserve(step)
       return
     }
-    const candidates = this.selectInTime(step, this.candidates(step))
+    const candidates = this.selectInTime(step, this.isolation.selectForGang(step, this.candidates(step)))
     const groups = step.specification.sameRack ? groupByRack(candidates) : groupBySpeed(candidates, step.job.isUrgent)
     for (const group of [...groups, candidates]) {
       const chosen = this.chooseForGang(step, group)
@@ -186,6 +195,7 @@
     return this.eligibleWorkers(step).filter(worker => {
       if (!worker.isUsable(this.now) || !worker.fits(step.specification, this.headroomFor(step, worker))) return false
       if (!urgent && this.reservedWorkers.has(worker.identity)) return false
+      if (worker.hasIsolatedRun || this.isolation.isKeptFromOthers(step, worker)) return false
       return this.ticketOf(step, worker) !== undefined
     })
   }
@@ -250,7 +260,7 @@
     for (const worker of candidates) {
       if (!worker.fits(specification, this.headroomFor(step, worker))) continue
       if (specification.maximumPerWorker > 0 && (perWorker.get(worker.identity) ?? 0) >= specification.maximumPerWorker) continue
-      const score = this.scoreOf(step, worker) + (worker.identity === movedFrom ? MOVED_FROM_PENALTY : 0)
+      const score = this.scoreOf(step, worker) + (worker.identity === movedFrom ? MOVED_FROM_PENALTY : 0) + (task.isSuspect && worker.suspects.size > 0 ? SUSPECT_NEIGHBOUR_PENALTY : 0)
       if (score >= bestScore) continue
       best = worker
       bestScore = score
@@ -290,13 +300,23 @@
 
   private assign (task: Task, run: number, worker: WorkerState): void {
     const ticket = this.ticketOf(task.step, worker) ?? ''
-    task.beginRun(run, worker.identity)
+    task.beginRun(run, worker.identity, worker.processStartedAt)
     if (task.step.specification.filler) task.pacePercent = this.pacing.initialPaceOn(worker, this.now)
     worker.allocate(task)
     this.planned.push({ task, run, worker, ticket })
   }
 }
 
+/**
+ * Returns true if a task under which a worker has crashed must wait for another such task of its step, so that a job whose tasks all
+ * crash their workers takes no more workers along than needed. Tasks that last do not wait for one that does not end.
+ */
+function mustWaitForSuspect (task: Task): boolean {
+  const { step } = task
+  if (!task.isSuspect || step.hasClearedSuspect || step.specification.longRunning) return false
+  return step.tasks.some(other => other !== task && other.isSuspect && other.hasRun)
+}
+
 /** Classes of work in placement order. */
 const enum PlacementClass { UrgentInTime, UrgentLate, Serving, InTime, Late, Overdue }
 
--- a/src/cluster/runReconciler.ts
+++ b/src/cluster/runReconciler.ts
@@ -13,8 +13,8 @@
   onRunning (task: Task, now: number): void
   /** A run has ended. */
   onEnded (task: Task, worker: WorkerState, end: EndReport, now: number): void
-  /** A worker does not list a run that was placed there, and the run can no longer start. `hasRestarted`: another process of the worker was to run it. */
-  onLost (task: Task, worker: WorkerState, hasRestarted: boolean): void
+  /** A worker does not list a run that was placed there, and the run can no longer start. `hasProcessExited`: it was placed on a former process of the worker. */
+  onLost (task: Task, worker: WorkerState, hasProcessExited: boolean, now: number): void
   /** A worker reports a new process under its identity. */
   onWorkerRestarted (worker: WorkerState, formerStartedAt: number): void
   /** A worker has reported the end of a run that is no longer the current run of its unfinished task. */
@@ -32,8 +32,7 @@
     // A delayed report of a former process: a later poll has already reached the current process.
     if (report.processStartedAt !== worker.processStartedAt && sentAt < worker.processSeenAt) return false
     const isFirst = !worker.hasReported
-    const hasRestarted = !isFirst && report.processStartedAt !== worker.processStartedAt
-    if (hasRestarted) this.onWorkerRestarted(worker, report.processStartedAt)
+    if (!isFirst && report.processStartedAt !== worker.processStartedAt) this.onWorkerRestarted(worker, report.processStartedAt)
     worker.processStartedAt = report.processStartedAt
     worker.processSeenAt = Math.max(worker.processSeenAt, sentAt)
     worker.hasReported = true
@@ -46,7 +45,8 @@
     this.applyRunning(worker, report.running, now)
     const listed = new Set(report.running.map(({ task }) => task))
     for (const task of [...worker.runs.values()]) {
-      if (!listed.has(task.name) && this.isRunAbsent(task, isFirst, sentAt)) this.actions.onLost(task, worker, hasRestarted)
+      if (listed.has(task.name) || !this.isRunAbsent(task, isFirst, sentAt)) continue
+      this.actions.onLost(task, worker, task.processStartedAt !== 0 && task.processStartedAt !== report.processStartedAt, now)
     }
     return true
   }
@@ -85,6 +85,7 @@
       return
     }
     if (checkpoint !== '') task.checkpoint = checkpoint
+    task.processStartedAt = worker.processStartedAt
     if (task.phase === 'starting' || task.phase === 'uncertain') this.actions.onRunning(task, now)
     task.reportedLoad = load
     if (percent === task.percent) return
--- a/src/cluster/workerSessions.ts
+++ b/src/cluster/workerSessions.ts
@@ -121,7 +121,7 @@
     if (worker === undefined) return
     this.logger.info('nothing can run on a worker any more', { worker: identity, count: worker.runs.size, code: cause })
     this.scheduler.onPollFailed(identity)
-    this.scheduler.onWorkerLost(identity, cause)
+    this.scheduler.onWorkerLost(identity, cause, this.now())
     this.closeIfUnknown(identity)
     this.options.onDidChange()
   }
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -23,6 +23,8 @@
   fillerProcessors = 0
   /** Tasks that may be running on the worker, by name. */
   readonly runs = new Map<string, Task>()
+  /** Tasks among `runs` under which a worker has crashed before. */
+  readonly suspects = new Set<Task>()
   /** The worker has reported under the current term, so its runs are known. */
   hasReported = false
   /** The latest poll failed. */
@@ -83,6 +85,14 @@
     return this.entry.memoryMegabytes - this.usedMemory
   }
 
+  /** True if a run of the worker must not be joined by others. */
+  get hasIsolatedRun (): boolean {
+    for (const task of this.suspects) {
+      if (task.isIsolated) return true
+    }
+    return false
+  }
+
   /** Returns true if new runs may be placed on the worker. */
   isUsable (now: number): boolean {
     return this.hasReported && !this.isUnresponsive && !this.hasOrphanedRuns && this.isListed && this.entry.state === 'ready' && now >= this.quarantinedUntil
@@ -105,11 +115,14 @@
   allocate (task: Task): void {
     if (this.runs.has(task.name)) return
     this.runs.set(task.name, task)
+    if (task.isSuspect) this.suspects.add(task)
     this.addUsage(task, 1)
   }
 
   release (task: Task): void {
-    if (this.runs.delete(task.name)) this.addUsage(task, -1)
+    if (!this.runs.delete(task.name)) return
+    this.suspects.delete(task)
+    this.addUsage(task, -1)
   }
 
   /** Updates the speed and resets the consecutive failures after a successful run. */
--- a/src/contracts/clusterRecords.ts
+++ b/src/contracts/clusterRecords.ts
@@ -2,8 +2,12 @@
 import type { QueuePolicy } from './clusterConfiguration.js'
 import type { StepJob, JobState } from './stepJob.js'
 
-/** Progress of one task that is not done: index, last run, worker (empty if none), number of failed runs, checkpoint (empty if none). */
-export type TaskRow = readonly [index: number, run: number, worker: string, failures: number, checkpoint: string]
+/**
+ * Progress of one task that is not done: index, last run, worker (empty if none), number of failed runs, checkpoint (empty if none), number of
+ * workers that have crashed under the task, and start of the worker's process as Unix time in milliseconds (0 if unknown). Rows without
+ * a worker or a crash, and those of earlier versions, lack the last two.
+ */
+export type TaskRow = readonly [index: number, run: number, worker: string, failures: number, checkpoint: string, crashes?: number, processStartedAt?: number]
 
 /** Progress of one step: indexes of the tasks that are done, rows of the others that have started, and the last run of a gang that counted as a failure. */
 export type StepRow = readonly [done: readonly number[], tasks: readonly TaskRow[], lastFailedRun?: number]
--- a/test/cluster/crashingTasks.test.ts
+++ b/test/cluster/crashingTasks.test.ts
@@ -7,6 +7,8 @@
 /** Index of the only task of a job. */
 const ONLY_TASK = [0]
 const REFUSED: CrashOptions = { identity: 'new', outage: 'refused', downMilliseconds: 4000 }
+/** Retention of the state of a finished job, in milliseconds; longer than a whole test. */
+const STATE_RETENTION_MILLISECONDS = 3_600_000
 /** Longer than a lease: the run is given up before anything shows that its worker has crashed. */
 const DOWN_FOR_LONG_MILLISECONDS = 9000
 
@@ -41,7 +43,7 @@
         const job = cluster.submit('batch', steps, crashes)
         await cluster.advance(60_000)
         assert.equal(stateOf(cluster, job), 'failed')
-      })
+      }, STATE_RETENTION_MILLISECONDS)
     })
   }
 
@@ -54,7 +56,7 @@
       }
       await cluster.advance(1000)
       assert.equal(stateOf(cluster, job), 'failed')
-    })
+    }, STATE_RETENTION_MILLISECONDS)
   })
 
   itUnlessKnownRed('a task that crashes workers is given up without the tasks beside it', async () => {
@@ -64,7 +66,7 @@
       await cluster.advance(60_000)
       assert.equal(stateOf(cluster, job), 'failed')
       assert.deepEqual(neighbours.map(neighbour => stateOf(cluster, neighbour)), neighbours.map(() => 'completed'))
-    })
+    }, STATE_RETENTION_MILLISECONDS)
   })
 })
 
@@ -90,7 +92,7 @@
         await cluster.advance(8000)
         assert.equal(stateOf(cluster, job), 'running')
         cluster.cancel(job)
-      })
+      }, STATE_RETENTION_MILLISECONDS)
     })
   }
 })
--- a/test/fakes/silentObserver.ts
+++ b/test/fakes/silentObserver.ts
@@ -7,6 +7,7 @@
   onDidQuarantine () {},
   onDidFindOrphanedRun () {},
   onDidLoseRun () {},
+  onDidCrashWorker () {},
   onDidRestartWorker () {},
   onDidResizeWorker () {},
   onDidIgnoreRunEnd () {},
