Start a placed run only if its worker can still take it

What callers would see: a worker over its capacity, or a run started on a worker that drains. Cause: capacity and state of the worker were checked when a task was placed; the start followed when the log held the placement, which takes seconds while the log is slow or away, and nothing was checked again.

Change: beginStart withdraws a run whose worker is no longer usable or whose runs exceed its capacity in something that the task uses; the task waits again. What is being stopped counts until its end is listed, as before.

--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -203,6 +203,11 @@
     this.logger.warn('worker has an orphaned run; the run is stopped', { worker: worker.identity, task, count: run })
   }
 
+  onDidWithdrawRun (worker: WorkerState | undefined, task: Task): void {
+    this.logger.info('placed run is not started; its task waits again', { task: task.name, count: task.run, worker: worker?.identity, reason: worker === undefined ? 'the worker is not known' : `the worker is ${worker.isListed ? worker.entry.state : 'not listed'}; ${describeUse(worker)}` })
+    this.requestRound()
+  }
+
   onDidLoseRun (worker: WorkerState, task: Task, cause: RunLossCause): void {
     this.metrics.runLost(cause)
     const message = cause === 'notListed' ? 'run is not on its worker; its task waits again' : 'run is lost with its worker; its task waits again'
@@ -219,8 +224,7 @@
   }
 
   onDidResizeWorker (worker: WorkerState, former: WorkerEntry): void {
-    const { entry } = worker
-    this.logger.info('capacity of a worker changed', { worker: worker.identity, count: worker.runs.size, reason: `${describeCapacity(former)} before, ${describeCapacity(entry)} now; ${worker.usedProcessors}/${worker.usedMemory}/${worker.usedAccelerators} in use` })
+    this.logger.info('capacity of a worker changed', { worker: worker.identity, count: worker.runs.size, reason: `${describeCapacity(former)} before; ${describeUse(worker)}` })
   }
 
   onDidIgnoreRunEnd (worker: WorkerState, end: EndReport, task: Task): void {
@@ -435,7 +439,11 @@
 
   private async startRun ({ task, run, worker, ticket }: PlannedRun): Promise<void> {
     const session = this.sessions.get(worker.identity)
-    if (session === undefined || !this.scheduler.beginStart(task, run, this.now())) return
+    if (session === undefined) {
+      this.scheduler.withdrawRun(task, run)
+      return
+    }
+    if (!this.scheduler.beginStart(task, run, this.now())) return
     const sentAt = this.now()
     this.logger.info('run ordered', { task: task.name, count: run, worker: worker.identity })
     const outcome = await session.start({ task: task.name, run, specification: task.step.job.submission.job.specification, checkpoint: task.checkpoint, ticket })
@@ -467,6 +475,11 @@
   }
 }
 
+/** Formats what is in use of the capacity of a worker. */
+function describeUse ({ entry, usedProcessors, usedMemory, usedAccelerators }: WorkerState): string {
+  return `${usedProcessors}/${usedMemory}/${usedAccelerators} of ${describeCapacity(entry)} in use`
+}
+
 /** Formats the processors in thousandths, the memory in megabytes and the accelerators of a worker. */
 function describeCapacity ({ processorsThousandths, memoryMegabytes, accelerators }: WorkerEntry): string {
   return `${processorsThousandths}/${memoryMegabytes}/${accelerators}`
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -26,6 +26,8 @@
   onDidEndRun (task: Task, worker: WorkerState, kind: EndReport['kind'], durationMilliseconds: number): void
   onDidQuarantine (worker: WorkerState): void
   onDidFindOrphanedRun (worker: WorkerState, task: string, run: number): void
+  /** A placed run is not started, because its worker can no longer take it or its capacity is not known well enough. */
+  onDidWithdrawRun (worker: WorkerState | undefined, task: Task): void
   /** A run that was placed on a worker has no end and can no longer start; its task waits again. */
   onDidLoseRun (worker: WorkerState, task: Task, cause: RunLossCause): void
   /** A worker has crashed under a run of a task, as another process on its machine proves. */
@@ -207,14 +209,29 @@
     return planned
   }
 
-  /** Marks a placed run as starting, before its start command is sent. Returns false if the run is no longer wanted. */
+  /**
+   * Marks a placed run as starting, before its start command is sent. Returns false if the run is no longer wanted, or if its worker can
+   * no longer take it: recording the placement may take seconds, in which the worker may drain or its capacity may shrink.
+   */
   beginStart (task: Task, run: number, now: number): boolean {
     if (task.phase !== 'placed' || task.run !== run) return false
+    const worker = this.workers.get(task.worker)
+    if (worker === undefined || !worker.isUsable(now) || worker.isOvercommittedBy(task.step.specification)) {
+      this.withdrawRun(task, run)
+      return false
+    }
     task.phase = 'starting'
     task.startedAt = now
     return true
   }
 
+  /** Withdraws a placed run whose start command has not been sent; its task waits again. */
+  withdrawRun (task: Task, run: number): void {
+    if (task.phase !== 'placed' || task.run !== run) return
+    this.observer.onDidWithdrawRun(this.workers.get(task.worker), task)
+    this.abandonRun(task)
+  }
+
   /** Handles the outcome of a start command. */
   onStartOutcome (task: Task, run: number, outcome: 'started' | 'notStarted' | 'uncertain', now: number): void {
     if (task.run !== run || task.phase !== 'starting') return
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -103,6 +103,12 @@
     return processorsOf(step) + headroom <= this.freeProcessors && step.memoryMegabytes <= this.freeMemory && step.accelerators <= this.entry.accelerators - this.usedAccelerators
   }
 
+  /** Returns true if the worker's capacity no longer holds all its runs and a task of the step is one of them that uses what is exceeded. */
+  isOvercommittedBy (step: JobStep): boolean {
+    const { memoryMegabytes, accelerators } = step
+    return (processorsOf(step) > 0 && this.freeProcessors < 0) || (memoryMegabytes > 0 && this.freeMemory < 0) || (accelerators > 0 && this.usedAccelerators > this.entry.accelerators)
+  }
+
   /** Returns true if a task of the step would fit on the worker if it were empty. */
   fitsWhenEmpty (step: JobStep): boolean {
     return processorsOf(step) <= this.entry.processorsThousandths && step.memoryMegabytes <= this.entry.memoryMegabytes && step.accelerators <= this.entry.accelerators && this.hasLabel(step)
--- a/test/cluster/activeScheduler.test.ts
+++ b/test/cluster/activeScheduler.test.ts
@@ -119,6 +119,24 @@
     }))
   }
 
+  /** Guards against a start that relies on the capacity that a worker had before a slow append of its placement. */
+  it('starts no run beyond a capacity that has shrunk while the placement was being recorded', async () => await withSite(async (site, start) => {
+    const worker = site.port.add(new FakeClusterWorker('w1', 2, () => 1000))
+    const scheduler = start(1)
+    await site.clock.tickAsync(100)
+    site.log.appendMilliseconds = 6000
+    submit(site.log, JOB, [step({ count: 2 })])
+    await site.clock.tickAsync(500)
+    worker.resize(1)
+    scheduler.setWorker(worker.entry)
+    await site.clock.tickAsync(6000)
+    assert.deepEqual(worker.overcommitted, [])
+    site.log.appendMilliseconds = 0
+    await site.clock.tickAsync(15_000)
+    assert.deepEqual(worker.overcommitted, [])
+    assert.equal(scheduler.stateOf(JOB), 'completed')
+  }))
+
   /** With a slow log, tickets expire before the commands are sent. Without another request, the step could never use the worker again. */
   it('requests a new ticket for a worker that has refused one', async () => await withSite(async (site, start) => {
     const worker = site.port.add(new FakeClusterWorker('w1', 1, () => 100))
--- a/test/fakes/silentObserver.ts
+++ b/test/fakes/silentObserver.ts
@@ -6,6 +6,7 @@
   onDidEndRun () {},
   onDidQuarantine () {},
   onDidFindOrphanedRun () {},
+  onDidWithdrawRun () {},
   onDidLoseRun () {},
   onDidCrashWorker () {},
   onDidRestartWorker () {},
