--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -36,6 +36,9 @@
 /** Age of the last read of submissions beyond which an unknown job may exist. While a long-poll read is pending, the last completed read is up to two long-poll durations old. */
 const MAXIMUM_SUBMISSIONS_AGE_MILLISECONDS = 2 * SUBMISSION_WAIT_MILLISECONDS + 500
 
+/** Part of the grace time after a worker's capacity has shrunk that is reserved for start commands to arrive, in milliseconds. */
+const START_DELIVERY_MILLISECONDS = 500
+
 /** Result of a query for the state of a job. `unsure`: the job may exist although this scheduler has not read it yet. */
 export type JobStateResult = JobState | 'unknown' | 'unsure'
 
@@ -44,6 +47,8 @@
   readonly bounds: ClusterBounds
   /** Returns the time of the last renewal of the role that the log has stored, in milliseconds of the monotonic clock. */
   readonly renewedAt: () => number
+  /** Returns when the last successful read of the worker registry was sent, in milliseconds of the monotonic clock; undefined before the first. */
+  readonly registryReadAt: () => number | undefined
   /** Returns the channels to the eligibility service through all reachable instances. */
   readonly eligibilityChannels: () => readonly EligibilityChannel[]
   /** Called when the role has passed to another instance. */
@@ -75,6 +80,8 @@
   private wakeLoop: (() => void) | undefined
   private isRoundRequested = false
   private isActive = false
+  /** Whether the worker registry was too old at the last placement. */
+  private isRegistryStale = false
   /** Number of ends of runs that are processed but not recorded yet. */
   private unrecordedEnds = 0
   /** Runs of a round whose record must be written again before their start commands are sent. */
@@ -366,13 +373,24 @@
 
   /** Plans the runs of a round, and sends stop commands and eligibility requests. */
   private planRound (now: number): PlannedRun[] {
-    const planned = [...this.unsentRuns.splice(0), ...this.scheduler.place(now)]
+    const planned = [...this.unsentRuns.splice(0), ...this.isRegistryFresh() ? this.scheduler.place(now) : []]
     this.sendStops(this.scheduler.takeStops())
     for (const pace of this.scheduler.takePaces()) this.sendPace(pace)
     this.eligibilityRequester.sendRequests()
     return planned
   }
 
+  /** Returns whether the registry was read recently enough to rely on the capacities that it states. Logs each change. */
+  private isRegistryFresh (): boolean {
+    const readAt = this.options.registryReadAt()
+    const isStale = readAt === undefined || this.now() - readAt > this.options.bounds.capacityGraceMilliseconds - START_DELIVERY_MILLISECONDS
+    if (isStale !== this.isRegistryStale) {
+      this.isRegistryStale = isStale
+      this.logger.info(isStale ? 'no tasks are started: the worker registry is out of date' : 'tasks are started again: the worker registry is up to date', { term: this.options.term, durationMilliseconds: readAt === undefined ? undefined : Math.round(this.now() - readAt) })
+    }
+    return !isStale
+  }
+
   /** Records changed progress, then acknowledges the ends covered by the record and sends the start commands. */
   private async recordAndStart (planned: readonly PlannedRun[], startedAt: number): Promise<void> {
     const jobs = [...this.scheduler.unrecordedJobs]
@@ -439,7 +457,7 @@
 
   private async startRun ({ task, run, worker, ticket }: PlannedRun): Promise<void> {
     const session = this.sessions.get(worker.identity)
-    if (session === undefined) {
+    if (session === undefined || !this.isRegistryFresh()) {
       this.scheduler.withdrawRun(task, run)
       return
     }
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -325,6 +325,7 @@
       term,
       bounds: this.settings.bounds,
       renewedAt: () => this.renewedAt,
+      registryReadAt: () => this.registryFollower.lastReadStartedAt,
       eligibilityChannels: () => this.links.eligibilityChannels(),
       onSuperseded: () => this.onSuperseded(scheduler)
     }, this.metrics, this.logger, this.random, this.now)
--- a/src/contracts/clusterSettings.ts
+++ b/src/contracts/clusterSettings.ts
@@ -10,6 +10,8 @@
   readonly workerLeaseMilliseconds: number
   /** Grace time between the stop signal and the kill. */
   readonly graceMilliseconds: number
+  /** Time from the registry's statement that a worker's capacity has shrunk until every start must respect it. */
+  readonly capacityGraceMilliseconds: number
   /** Time for which the state of a finished job stays readable. */
   readonly stateRetentionMilliseconds: number
 }
