--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -223,7 +223,7 @@
 
   onDidCrashWorker (worker: string, task: Task): void {
     this.metrics.workerCrashed()
-    this.logger.warn('worker has crashed under a task', { task: task.name, count: task.crashes, worker, reason: task.isIsolated ? 'further runs share their worker with no other run' : 'further runs avoid other tasks under which a worker has crashed' })
+    this.logger.warn('worker has crashed under a task', { task: task.name, count: task.run, worker, code: `evidence ${task.crashEvidence.proven}`, reason: task.crashEvidence.needsIsolation ? 'further runs share their worker with no other run' : 'further runs avoid other tasks under which a worker has crashed' })
   }
 
   onDidRestartWorker (worker: WorkerState, formerStartedAt: number): void {
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -1,6 +1,6 @@
 import type { ClusterConfiguration, Queue, QueuePolicy } from '../contracts/clusterConfiguration.js'
 import type { ProgressRecord, SubmissionRecord } from '../contracts/clusterRecords.js'
-import { CRASHES_BEFORE_FAILURE, CrashTracker, type RunLossCause } from './crashTracker.js'
+import { CrashTracker, type RunLossCause } from './crashTracker.js'
 import { Job, Occurrence, restoreProgress, type Step, type Task } from './job.js'
 import { estimateObjective, LATE_FACTOR } from './objective.js'
 import { PlacementPass, URGENT_PRIORITY, type PlacementContext, type PlannedRun } from './placementPass.js'
@@ -77,7 +77,7 @@
   private readonly queues = new Map<string, Queue>()
   private readonly reconciler: RunReconciler
   private readonly serving: ServingSupervisor
-  private readonly crashTracker = new CrashTracker((task, worker, now) => this.onCrash(task, worker, now))
+  private readonly crashTracker = new CrashTracker(this.workers, (task, worker, now) => this.onCrash(task, worker, now))
   /** Tasks whose runs are isolated and whose jobs are not finished. */
   private readonly isolatedTasks = new Set<Task>()
 
@@ -86,7 +86,7 @@
       findTask: taskName => this.findTask(taskName),
       onRunning: (task, now) => this.onRunning(task, now),
       onEnded: (task, worker, end, now) => this.onEnded(task, worker, end, now),
-      onLost: (task, worker, hasProcessExited, now) => this.onRunLost(task, worker, hasProcessExited ? 'processRestarted' : 'notListed', now),
+      onLost: (task, worker, hasProcessExited, isAlone, now) => this.onRunLost(task, worker, hasProcessExited ? 'processRestarted' : 'notListed', isAlone, now),
       onWorkerRestarted: (worker, formerStartedAt) => this.observer.onDidRestartWorker(worker, formerStartedAt),
       onIgnoredEnd: (worker, end, task) => this.observer.onDidIgnoreRunEnd(worker, end, task),
       onOrphanedRun: (worker, task, run) => {
@@ -153,7 +153,7 @@
     } else {
       for (const task of job.tasks()) {
         this.adoptRestoredRun(task)
-        if (task.isIsolated) this.isolatedTasks.add(task)
+        if (task.crashEvidence.needsIsolation) this.isolatedTasks.add(task)
       }
       this.openDueOccurrencesOfJob(job, now, Date.now())
       for (const occurrence of job.occurrences.values()) this.openReadySteps(occurrence, now)
@@ -202,6 +202,7 @@
 
   /** Places waiting tasks and allocates capacity for their runs. Each run must be recorded before its start command is sent. */
   place (now: number): PlannedRun[] {
+    this.crashTracker.discardOldLosses(now)
     const pass = new PlacementPass([...this.readySteps], this.placementContext, now)
     const planned = pass.run()
     for (const { task } of planned) this.onPlaced(task, now)
@@ -296,7 +297,8 @@
   onWorkerLost (identity: string, cause: WorkerLossCause, now: number): void {
     const worker = this.workers.get(identity)
     if (worker === undefined) return
-    for (const task of [...worker.runs.values()]) this.onRunLost(task, worker, cause, now)
+    const isAlone = worker.runs.size === 1
+    for (const task of [...worker.runs.values()]) this.onRunLost(task, worker, cause, isAlone, now)
     if (!worker.isListed) this.workers.delete(identity)
   }
 
@@ -385,6 +387,7 @@
 
   private onRunning (task: Task, now: number): void {
     task.phase = 'running'
+    task.isConfirmed = true
     task.progressedAt = now
     task.percent = 0
     this.serving.onRunning(task)
@@ -401,9 +404,9 @@
     this.unrecordedJobs.add(job)
   }
 
-  private onRunLost (task: Task, worker: WorkerState, cause: RunLossCause, now: number): void {
+  private onRunLost (task: Task, worker: WorkerState, cause: RunLossCause, isAlone: boolean, now: number): void {
     this.observer.onDidLoseRun(worker, task, cause)
-    const countCrash = this.crashTracker.onRunLost(task, worker, cause, now)
+    const countCrash = this.crashTracker.onRunLost(task, worker, cause, isAlone, now)
     this.abandonRun(task)
     countCrash()
   }
@@ -415,8 +418,8 @@
     this.unrecordedJobs.add(step.job)
     if (task.hasRun) this.workers.get(task.worker)?.suspects.add(task)
     this.observer.onDidCrashWorker(worker, task)
-    if (task.crashes >= CRASHES_BEFORE_FAILURE) this.finish(step.job, 'failed', `${task.crashes} workers have crashed under task ${task.name}`, now)
-    else if (task.isIsolated) this.isolatedTasks.add(task)
+    if (task.crashEvidence.isConclusive) this.finish(step.job, 'failed', `task ${task.name} has crashed worker after worker`, now)
+    else if (task.crashEvidence.needsIsolation) this.isolatedTasks.add(task)
   }
 
   private findTask (taskName: string): Task | undefined {
@@ -428,7 +431,7 @@
     this.observer.onDidEndRun(task, worker, end.kind, now - task.startedAt)
     const job = task.step.job
     this.markStarted(job)
-    if (task.isSuspect) task.step.hasClearedSuspect = true
+    if (task.crashEvidence.isSuspect) task.step.hasClearedSuspect = true
     if (end.kind === 'done' && !task.step.specification.longRunning) {
       worker.recordSuccess(task.step.specification.estimateMilliseconds, task.phase === 'running' && task.startedAt > 0 ? now - task.startedAt : 0)
       this.onDone(task, worker, now)
--- a/src/cluster/crashTracker.ts
+++ b/src/cluster/crashTracker.ts
@@ -1,16 +1,15 @@
+import { CERTAIN_CRASH, POSSIBLE_CRASH } from './crashEvidence.js'
 import type { Task } from './job.js'
 import type { WorkerEntry } from './workerPort.js'
 import type { WorkerLossCause } from './workerSession.js'
 import type { WorkerState } from './workerState.js'
 
-/** Number of workers that must have crashed under a task for its job to fail. */
-export const CRASHES_BEFORE_FAILURE = 3
 /** Time in service after which a crash no longer speaks against a task that lasts, in milliseconds. */
 const PROVEN_SERVICE_MILLISECONDS = 5000
 /** The same for the run time of other tasks: a task that works for long loses many workers over its life. */
 const PROVEN_RUN_MILLISECONDS = 60_000
-/** Time after which a lost run is no longer looked up, in milliseconds; longer than a worker takes to start again. */
-const UNEXPLAINED_LOSS_RETENTION_MILLISECONDS = 60_000
+/** Time for which a loss waits for its explanation, in milliseconds; longer than a worker takes to start again. */
+const UNEXPLAINED_LOSS_RETENTION_MILLISECONDS = 15_000
 
 /**
  * Why a run no longer exists although its worker has reported no end of it: the worker does not list it, the worker reports a new
@@ -24,29 +23,34 @@
   readonly worker: string
   readonly host: string
   readonly processStartedAt: number
+  readonly evidence: number
   readonly lostAt: number
 }
 
 /**
- * Counts the workers that have crashed under each task. Only proof of a crash counts: another process of the worker, or a later worker on its
+ * Collects evidence that a task crashes the workers that start it. Only proof of a crash counts: another process of the worker, or a later worker on its
  * machine, while the worker was not draining. A worker that is merely silent may still be running its tasks.
  */
 export class CrashTracker {
   private unexplained: UnexplainedLoss[] = []
 
-  /** `onCrash` is called with a task under which a worker has crashed, after the task's count was increased. */
-  constructor (private readonly onCrash: (task: Task, worker: string, now: number) => void) {}
+  /** `onCrash` is called with a task under which a worker has crashed, after the task's evidence was increased. */
+  constructor (private readonly workers: ReadonlyMap<string, WorkerState>, private readonly onCrash: (task: Task, worker: string, now: number) => void) {}
 
-  /** Handles the loss of a run. Must be called while the task still has the state of the lost run. Returns a function that counts the crash, to be called once the run is abandoned. */
-  onRunLost (task: Task, worker: WorkerState, cause: RunLossCause, now: number): () => void {
+  /**
+   * Handles the loss of a run. Must be called while the task still has the state of the lost run. `isAlone`: the worker had no other run.
+   * Returns a function that counts the crash, to be called once the run is abandoned.
+   */
+  onRunLost (task: Task, worker: WorkerState, cause: RunLossCause, isAlone: boolean, now: number): () => void {
     if (cause === 'notListed' || !mayHaveBegun(task) || worker.entry.state === 'draining') return () => {}
     if (hasProvenItself(task, worker)) {
-      task.crashes = 0
+      task.crashEvidence.proven = 0
       return () => {}
     }
-    const loss = { task, worker: worker.identity, host: hostOf(worker.entry), processStartedAt: task.processStartedAt, lostAt: now }
-    if (cause !== 'leasesExpired') return () => this.count(loss, now)
+    const loss = { task, worker: worker.identity, host: hostOf(worker.entry), processStartedAt: task.processStartedAt, evidence: task.isConfirmed || isAlone ? CERTAIN_CRASH : POSSIBLE_CRASH, lostAt: now }
+    if (cause !== 'leasesExpired' || this.hasLaterProcess(loss)) return () => this.count(loss, now)
     this.unexplained.push(loss)
+    task.crashEvidence.unexplained += loss.evidence
     return () => {}
   }
 
@@ -54,31 +58,54 @@
   onWorkerListed (entry: WorkerEntry, now: number): void {
     if (this.unexplained.length === 0) return
     const host = hostOf(entry)
-    this.resolve(loss => loss.host === host && entry.processStartedAt > loss.processStartedAt, now)
+    this.resolve(loss => loss.host === host && isLater(entry, loss), now)
   }
 
   /** Handles a report: the process that ran the lost runs was only silent, or another one has replaced it. */
   onWorkerReported (worker: WorkerState, now: number): void {
     if (this.unexplained.length === 0) return
-    this.unexplained = this.unexplained.filter(loss => loss.worker !== worker.identity || loss.processStartedAt !== worker.processStartedAt)
+    this.take(loss => loss.worker === worker.identity && loss.processStartedAt === worker.processStartedAt)
     this.resolve(loss => loss.worker === worker.identity, now)
   }
 
-  private resolve (isExplained: (loss: UnexplainedLoss) => boolean, now: number): void {
-    const remaining = this.unexplained.filter(({ lostAt }) => now - lostAt < UNEXPLAINED_LOSS_RETENTION_MILLISECONDS)
-    this.unexplained = remaining.filter(loss => !isExplained(loss))
-    for (const loss of remaining) {
-      if (isExplained(loss)) this.count(loss, now)
+  /** Discards losses that have not been explained for long, so that their tasks may start again. */
+  discardOldLosses (now: number): void {
+    if (this.unexplained.length > 0) this.take(({ lostAt }) => now - lostAt >= UNEXPLAINED_LOSS_RETENTION_MILLISECONDS)
+  }
+
+  /** Returns true if the registry already lists a process that started on the machine after that of the lost run. */
+  private hasLaterProcess (loss: UnexplainedLoss): boolean {
+    for (const { entry } of this.workers.values()) {
+      if (isLater(entry, loss) && hostOf(entry) === loss.host) return true
     }
+    return false
+  }
+
+  private resolve (isExplained: (loss: UnexplainedLoss) => boolean, now: number): void {
+    for (const loss of this.take(isExplained)) this.count(loss, now)
+  }
+
+  /** Removes and returns the selected losses. */
+  private take (isSelected: (loss: UnexplainedLoss) => boolean): UnexplainedLoss[] {
+    const selected = this.unexplained.filter(isSelected)
+    if (selected.length === 0) return selected
+    this.unexplained = this.unexplained.filter(loss => !selected.includes(loss))
+    for (const { task, evidence } of selected) task.crashEvidence.unexplained -= evidence
+    return selected
   }
 
-  private count ({ task, worker }: UnexplainedLoss, now: number): void {
+  private count ({ task, worker, evidence }: UnexplainedLoss, now: number): void {
     if (task.phase === 'done' || task.step.job.isFinal) return
-    task.crashes += 1
+    task.crashEvidence.proven += evidence
     this.onCrash(task, worker, now)
   }
 }
 
+/** Returns true if the process of a registry entry started after that of a lost run. */
+function isLater ({ processStartedAt }: WorkerEntry, loss: UnexplainedLoss): boolean {
+  return loss.processStartedAt !== 0 && processStartedAt > loss.processStartedAt
+}
+
 /** Returns the machine of a worker; its address if the entry states none. */
 function hostOf ({ machine, address }: WorkerEntry): string {
   return machine === '' ? address : machine
--- a/src/cluster/isolationPlan.ts
+++ b/src/cluster/isolationPlan.ts
@@ -17,7 +17,7 @@
   /** `usableWorkers` returns the workers that may run a step, whatever their free capacity. */
   constructor (isolatedTasks: Iterable<Task>, private readonly usableWorkers: (step: Step) => WorkerState[], private readonly now: number) {
     for (const task of isolatedTasks) {
-      if (task.phase !== 'waiting' || task.step.readyAt === undefined || task.step.specification.gang) continue
+      if (task.phase !== 'waiting' || task.crashEvidence.mayBeConclusive || task.step.readyAt === undefined || task.step.specification.gang) continue
       this.keepWorkerFor(task)
     }
   }
@@ -30,7 +30,7 @@
 
   /** Returns the candidates on which a task may be placed now. */
   selectFor (task: Task, candidates: readonly WorkerState[]): readonly WorkerState[] {
-    if (!task.isIsolated) return this.keptWorkers.size === 0 ? candidates : candidates.filter(worker => !this.keptWorkers.has(worker.identity) && !worker.hasIsolatedRun)
+    if (!task.crashEvidence.needsIsolation) return this.keptWorkers.size === 0 ? candidates : candidates.filter(worker => !this.keptWorkers.has(worker.identity) && !worker.hasIsolatedRun)
     const own = candidates.filter(worker => !worker.hasIsolatedRun && (this.keptWorkers.get(worker.identity) ?? task) === task)
     const empty = own.filter(worker => worker.runs.size === 0)
     if (empty.length > 0 || task.waitsForIsolationSince === undefined || this.now - task.waitsForIsolationSince < MAXIMUM_ISOLATION_WAIT_MILLISECONDS) return empty
@@ -39,7 +39,7 @@
 
   /** Returns the candidates on which a gang may be placed now. */
   selectForGang (step: Step, candidates: WorkerState[]): WorkerState[] {
-    if (!step.tasks.some(task => task.isIsolated)) return candidates
+    if (!step.tasks.some(task => task.crashEvidence.needsIsolation)) return candidates
     const hasWaited = step.waitingSince !== undefined && this.now - step.waitingSince >= MAXIMUM_ISOLATION_WAIT_MILLISECONDS
     return hasWaited ? candidates : candidates.filter(worker => worker.runs.size === 0)
   }
@@ -47,10 +47,10 @@
   private keepWorkerFor (task: Task): void {
     const specification = task.step.specification
     const workers = this.usableWorkers(task.step).filter(worker => worker.fitsWhenEmpty(specification) && !worker.hasIsolatedRun && !this.keptWorkers.has(worker.identity))
-    if (workers.some(worker => worker.runs.size === 0)) return
-    task.waitsForIsolationSince ??= this.now
+    const empty = workers.find(worker => worker.runs.size === 0)
+    if (empty === undefined) task.waitsForIsolationSince ??= this.now
     if (this.keptWorkers.size >= MAXIMUM_KEPT_WORKERS) return
-    const kept = workers.find(worker => worker.identity === task.isolationWorker) ?? leastBusy(workers)
+    const kept = empty ?? workers.find(worker => worker.identity === task.isolationWorker) ?? leastBusy(workers)
     if (kept === undefined) return
     task.isolationWorker = kept.identity
     this.keptWorkers.set(kept.identity, task)
--- a/src/cluster/job.ts
+++ b/src/cluster/job.ts
@@ -1,6 +1,7 @@
 import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
 import type { OccurrenceRow, ProgressRecord, StepRow, SubmissionRecord, TaskRow } from '../contracts/clusterRecords.js'
 import { isFinalState, type JobState, type JobStep } from '../contracts/stepJob.js'
+import { CrashEvidence } from './crashEvidence.js'
 
 /**
  * Phase of a task.
@@ -11,9 +12,6 @@
  */
 export type TaskPhase = 'waiting' | 'placed' | 'starting' | 'uncertain' | 'running' | 'stopping' | 'done'
 
-/** Number of workers that must have crashed under a task for its runs to be isolated. */
-const CRASHES_BEFORE_ISOLATION = 2
-
 export class Task {
   phase: TaskPhase = 'waiting'
   /** Number of the last run; 0 before the first. */
@@ -21,8 +19,10 @@
   /** Worker of the current run; empty if there is none. */
   worker = ''
   failures = 0
-  /** Number of workers that have crashed under runs of the task. */
-  crashes = 0
+  /** Evidence that the task crashes the workers that start it. */
+  readonly crashEvidence = new CrashEvidence()
+  /** Whether a worker has confirmed or listed the current run. */
+  isConfirmed = false
   /** Start of the worker process that was to run the current run, as Unix time in milliseconds; 0 if it is not known. */
   processStartedAt = 0
   /** Time since which the task has waited for a worker of its own, in milliseconds of the monotonic clock; undefined if it does not. */
@@ -58,16 +58,6 @@
     return this.phase !== 'waiting' && this.phase !== 'done'
   }
 
-  /** True if a worker has crashed under the task. */
-  get isSuspect (): boolean {
-    return this.crashes > 0
-  }
-
-  /** True if runs of the task share their worker with no other runs: the next crash must show whether the task causes it, and harm nothing else. */
-  get isIsolated (): boolean {
-    return this.crashes >= CRASHES_BEFORE_ISOLATION
-  }
-
   /** Starts a new run with the state `placed`. `processStartedAt` is the start of the worker's process. */
   beginRun (run: number, worker: string, processStartedAt: number): void {
     this.run = run
@@ -76,6 +66,7 @@
     this.waitsForIsolationSince = undefined
     this.isolationWorker = ''
     this.phase = 'placed'
+    this.isConfirmed = false
     this.percent = 0
     this.reportedLoad = undefined
     this.pacePercent = 100
@@ -211,9 +202,9 @@
   return step.lastFailedRun === 0 ? [done, tasks] : [done, tasks, step.lastFailedRun]
 }
 
-function toTaskRow ({ index, run, hasRun, worker, failures, checkpoint, crashes, processStartedAt }: Task): TaskRow {
-  if (!hasRun && crashes === 0) return [index, run, '', failures, checkpoint]
-  return [index, run, hasRun ? worker : '', failures, checkpoint, crashes, hasRun ? processStartedAt : 0]
+function toTaskRow ({ index, run, hasRun, worker, failures, checkpoint, crashEvidence, processStartedAt }: Task): TaskRow {
+  if (!hasRun && !crashEvidence.isSuspect) return [index, run, '', failures, checkpoint]
+  return [index, run, hasRun ? worker : '', failures, checkpoint, crashEvidence.proven, hasRun ? processStartedAt : 0]
 }
 
 /** Restores the progress of a job from its record. Tasks with a run that may exist become `uncertain`. */
@@ -238,13 +229,13 @@
     step.doneCount += 1
     step.waitingCount -= 1
   }
-  for (const [index, run, worker, failures, checkpoint, crashes, processStartedAt] of rows) {
+  for (const [index, run, worker, failures, checkpoint, crashEvidence, processStartedAt] of rows) {
     const task = step.tasks[index]
     if (task === undefined) continue
     task.run = run
     task.failures = failures
     task.checkpoint = checkpoint
-    task.crashes = crashes ?? 0
+    task.crashEvidence.proven = crashEvidence ?? 0
     if (worker === '') continue
     task.worker = worker
     task.processStartedAt = processStartedAt ?? 0
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -120,9 +120,9 @@
     if (candidates.length === 0) return
     const perWorker = countPerWorker(step)
     for (const task of step.tasks) {
-      if (task.phase !== 'waiting' || mustWaitForSuspect(task)) continue
+      if (task.phase !== 'waiting' || mustWaitForEvidence(task)) continue
       const worker = this.chooseWorker(task, this.isolation.selectFor(task, candidates), perWorker)
-      if (worker === undefined && task.isIsolated) continue
+      if (worker === undefined && task.crashEvidence.needsIsolation) continue
       if (worker === undefined) return
       perWorker.set(worker.identity, (perWorker.get(worker.identity) ?? 0) + 1)
       this.assign(task, task.run + 1, worker)
@@ -131,7 +131,7 @@
 
   /** Places all members or none. For a gang that does not fit, capacity is reserved on the workers with the least remaining work. */
   private placeGang (step: Step): void {
-    if (step.waitingCount < step.tasks.length) return
+    if (step.waitingCount < step.tasks.length || step.tasks.some(task => task.crashEvidence.mayBeConclusive)) return
     if (this.isFull(step)) {
       this.reserve(step)
       return
@@ -260,7 +260,7 @@
     for (const worker of candidates) {
       if (!worker.fits(specification, this.headroomFor(step, worker))) continue
       if (specification.maximumPerWorker > 0 && (perWorker.get(worker.identity) ?? 0) >= specification.maximumPerWorker) continue
-      const score = this.scoreOf(step, worker) + (worker.identity === movedFrom ? MOVED_FROM_PENALTY : 0) + (task.isSuspect && worker.suspects.size > 0 ? SUSPECT_NEIGHBOUR_PENALTY : 0)
+      const score = this.scoreOf(step, worker) + (worker.identity === movedFrom ? MOVED_FROM_PENALTY : 0) + (task.crashEvidence.isSuspect && worker.suspects.size > 0 ? SUSPECT_NEIGHBOUR_PENALTY : 0)
       if (score >= bestScore) continue
       best = worker
       bestScore = score
@@ -308,13 +308,14 @@
 }
 
 /**
- * Returns true if a task under which a worker has crashed must wait for another such task of its step, so that a job whose tasks all
+ * Returns true if a task must wait until it is known whether it has crashed its latest worker, or for another suspect task of its step, so that a job whose tasks all
  * crash their workers takes no more workers along than needed. Tasks that last do not wait for one that does not end.
  */
-function mustWaitForSuspect (task: Task): boolean {
+function mustWaitForEvidence (task: Task): boolean {
   const { step } = task
-  if (!task.isSuspect || step.hasClearedSuspect || step.specification.longRunning) return false
-  return step.tasks.some(other => other !== task && other.isSuspect && other.hasRun)
+  if (task.crashEvidence.mayBeConclusive) return true
+  if (!task.crashEvidence.isSuspect || step.hasClearedSuspect || step.specification.longRunning) return false
+  return step.tasks.some(other => other !== task && other.crashEvidence.isSuspect && other.hasRun)
 }
 
 /** Classes of work in placement order. */
--- a/src/cluster/runReconciler.ts
+++ b/src/cluster/runReconciler.ts
@@ -13,8 +13,8 @@
   onRunning (task: Task, now: number): void
   /** A run has ended. */
   onEnded (task: Task, worker: WorkerState, end: EndReport, now: number): void
-  /** A worker does not list a run that was placed there, and the run can no longer start. `hasProcessExited`: it was placed on a former process of the worker. */
-  onLost (task: Task, worker: WorkerState, hasProcessExited: boolean, now: number): void
+  /** A worker does not list a run that was placed there, and the run can no longer start. `hasProcessExited`: it was placed on a former process of the worker. `isAlone`: the worker had no other run. */
+  onLost (task: Task, worker: WorkerState, hasProcessExited: boolean, isAlone: boolean, now: number): void
   /** A worker reports a new process under its identity. */
   onWorkerRestarted (worker: WorkerState, formerStartedAt: number): void
   /** A worker has reported the end of a run that is no longer the current run of its unfinished task. */
@@ -44,9 +44,10 @@
     }
     this.applyRunning(worker, report.running, now)
     const listed = new Set(report.running.map(({ task }) => task))
+    const isAlone = worker.runs.size === 1
     for (const task of [...worker.runs.values()]) {
       if (listed.has(task.name) || !this.isRunAbsent(task, isFirst, sentAt)) continue
-      this.actions.onLost(task, worker, task.processStartedAt !== 0 && task.processStartedAt !== report.processStartedAt, now)
+      this.actions.onLost(task, worker, task.processStartedAt !== 0 && task.processStartedAt !== report.processStartedAt, isAlone, now)
     }
     return true
   }
@@ -86,6 +87,7 @@
     }
     if (checkpoint !== '') task.checkpoint = checkpoint
     task.processStartedAt = worker.processStartedAt
+    task.isConfirmed = true
     if (task.phase === 'starting' || task.phase === 'uncertain') this.actions.onRunning(task, now)
     task.reportedLoad = load
     if (percent === task.percent) return
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -88,7 +88,7 @@
   /** True if a run of the worker must not be joined by others. */
   get hasIsolatedRun (): boolean {
     for (const task of this.suspects) {
-      if (task.isIsolated) return true
+      if (task.crashEvidence.needsIsolation) return true
     }
     return false
   }
@@ -121,7 +121,7 @@
   allocate (task: Task): void {
     if (this.runs.has(task.name)) return
     this.runs.set(task.name, task)
-    if (task.isSuspect) this.suspects.add(task)
+    if (task.crashEvidence.isSuspect) this.suspects.add(task)
     this.addUsage(task, 1)
   }
 
--- a/src/contracts/clusterRecords.ts
+++ b/src/contracts/clusterRecords.ts
@@ -3,11 +3,11 @@
 import type { StepJob, JobState } from './stepJob.js'
 
 /**
- * Progress of one task that is not done: index, last run, worker (empty if none), number of failed runs, checkpoint (empty if none), number of
- * workers that have crashed under the task, and start of the worker's process as Unix time in milliseconds (0 if unknown). Rows without
- * a worker or a crash, and those of earlier versions, lack the last two.
+ * Progress of one task that is not done: index, last run, worker (empty if none), number of failed runs, checkpoint (empty if none), evidence that
+ * the task crashes its workers, and start of the worker's process as Unix time in milliseconds (0 if unknown). Rows without
+ * a worker or evidence, and those of earlier versions, lack the last two.
  */
-export type TaskRow = readonly [index: number, run: number, worker: string, failures: number, checkpoint: string, crashes?: number, processStartedAt?: number]
+export type TaskRow = readonly [index: number, run: number, worker: string, failures: number, checkpoint: string, crashEvidence?: number, processStartedAt?: number]
 
 /** Progress of one step: indexes of the tasks that are done, rows of the others that have started, and the last run of a gang that counted as a failure. */
 export type StepRow = readonly [done: readonly number[], tasks: readonly TaskRow[], lastFailedRun?: number]
--- a/test/fuzz/clusterOracle.ts
+++ b/test/fuzz/clusterOracle.ts
@@ -2,6 +2,8 @@
 import { crashesOf, MAXIMUM_ATTEMPTS, type ClusterView, type FakeCluster, type SubmittedStepJob } from '../fakes/fakeCluster.js'
 import type { FakeClusterWorker, FakeClusterWorkerObserver } from '../fakes/fakeClusterWorkers.js'
 
+/** Number of workers that must have crashed under a task for its job to fail. */
+const CRASHES_BEFORE_FAILURE = 3
 /** Number of workers that may crash under a task before its starts are limited, and the first start after that which is a violation. */
 const CRASHES_WITHOUT_LIMIT = 3
 const FORBIDDEN_START_AFTER_CRASHES = 3
@@ -126,6 +128,7 @@
   expectedStates (job: SubmittedStepJob): string[] {
     const expected = job.crashes === undefined ? ['completed'] : ['failed']
     if (job.isCancelled) expected.push('cancelled')
+    if ([...this.crashesUnder].some(([task, count]) => task.startsWith(`${job.identity}.`) && count >= CRASHES_BEFORE_FAILURE)) expected.push('failed')
     if ([...this.failedRuns].some(([task, count]) => task.startsWith(`${job.identity}.`) && count >= MAXIMUM_ATTEMPTS)) expected.push('failed')
     return expected
   }
