Place and start tasks only while the role of scheduler is certain

One of the faults that operators of similar systems report: a process paused for some seconds acts on a permission that has run out. Cause: WorkerSession.start extended the lease of a worker without the check that polls have.

Change: tasks are placed, and recorded placements started, only while the role was renewed recently enough for leases to be extended; else the placement is withdrawn. The new case of activeScheduler.test.ts failed before (the task was started). Refusing in the session alone made the scheduler place the same tasks in a loop (the fuzzer did not end); so placing stops as well.

--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -373,7 +373,7 @@
 
   /** Plans the runs of a round, and sends stop commands and eligibility requests. */
   private planRound (now: number): PlannedRun[] {
-    const planned = [...this.unsentRuns.splice(0), ...this.isRegistryFresh() ? this.scheduler.place(now) : []]
+    const planned = [...this.unsentRuns.splice(0), ...this.isRegistryFresh() && this.sessions.isRoleCertain ? this.scheduler.place(now) : []]
     this.sendStops(this.scheduler.takeStops())
     for (const pace of this.scheduler.takePaces()) this.sendPace(pace)
     this.eligibilityRequester.sendRequests()
@@ -457,7 +457,7 @@
 
   private async startRun ({ task, run, worker, ticket }: PlannedRun): Promise<void> {
     const session = this.sessions.get(worker.identity)
-    if (session === undefined || !this.isRegistryFresh()) {
+    if (session === undefined || !this.isRegistryFresh() || !this.sessions.isRoleCertain) {
       this.scheduler.withdrawRun(task, run)
       return
     }
--- a/src/cluster/workerSessions.ts
+++ b/src/cluster/workerSessions.ts
@@ -50,6 +50,11 @@
     }))
   }
 
+  /** Whether the role was renewed recently enough for leases of workers to be extended: a successor that cannot reach a worker counts on it that they are not. */
+  get isRoleCertain (): boolean {
+    return this.now() - this.options.renewedAt() < leaseRenewalWithoutLog(this.options.leaseMilliseconds)
+  }
+
   get (identity: string): WorkerSession | undefined {
     return this.sessions.get(identity)
   }
@@ -58,7 +63,7 @@
   open (worker: WorkerState): void {
     if (this.sessions.has(worker.identity)) return
     const identity = worker.identity
-    const { term, leaseMilliseconds, renewedAt } = this.options
+    const { term, leaseMilliseconds } = this.options
     const session = new WorkerSession(
       { identity, address: worker.entry.address },
       this.workers,
@@ -74,7 +79,7 @@
         getPollWait: () => this.scheduler.pollWaitMilliseconds(identity)
       },
       { term, leaseMilliseconds, formerLeasesEndAt: this.startedAt + leaseRenewalWithoutLog(leaseMilliseconds) + leaseMilliseconds / (1 - MAXIMUM_CLOCK_DRIFT) },
-      () => this.now() - renewedAt() < leaseRenewalWithoutLog(leaseMilliseconds),
+      () => this.isRoleCertain,
       this.now
     )
     this.sessions.set(identity, session)
--- a/test/cluster/activeScheduler.test.ts
+++ b/test/cluster/activeScheduler.test.ts
@@ -174,6 +174,25 @@
     assert.equal(scheduler.stateOf(JOB), 'completed')
   }))
 
+  /**
+   * Guards against a start by a process that was paused while its placement was being recorded: the start would extend the worker's lease
+   * beyond the time after which a successor that cannot reach the worker starts the task elsewhere.
+   */
+  it('sends no start once the role may have passed to another instance', async () => await withSite(async (site, start) => {
+    const worker = site.port.add(new FakeClusterWorker('w1', 2, () => 1000))
+    const scheduler = start(1)
+    await site.clock.tickAsync(100)
+    site.renewedAt = performance.now()
+    site.log.appendMilliseconds = leaseRenewalWithoutLog(BOUNDS.workerLeaseMilliseconds) + 500
+    submit(site.log, JOB, [step()])
+    await site.clock.tickAsync(site.log.appendMilliseconds + 200)
+    assert.deepEqual(worker.started, [])
+    site.log.appendMilliseconds = 0
+    site.renewedAt = 0
+    await site.clock.tickAsync(10_000)
+    assert.equal(scheduler.stateOf(JOB), 'completed')
+  }))
+
   /** With a slow log, tickets expire before the commands are sent. Without another request, the step could never use the worker again. */
   it('requests a new ticket for a worker that has refused one', async () => await withSite(async (site, start) => {
     const worker = site.port.add(new FakeClusterWorker('w1', 1, () => 100))
