Pause the wall clock in the tests of placement

Cause: jobs are ordered by age, measured on the wall clock, which may advance between the submission of a job and its reading. The clock now stands still in these tests; checks are unchanged.

--- a/test/cluster/isolationPlan.test.ts
+++ b/test/cluster/isolationPlan.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict'
-import { describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
 import { ClusterScheduler } from '../../src/cluster/clusterScheduler.js'
 import { POSSIBLE_CRASH } from '../../src/cluster/crashEvidence.js'
 import type { Task } from '../../src/cluster/job.js'
@@ -73,6 +73,10 @@
 
 /** Pattern: a task takes worker after worker down, on a site whose workers are shared by other work. */
 describe('placement of tasks under which workers have crashed', () => {
+  // The age of a job, by which jobs are ordered, is measured on the wall clock.
+  beforeEach(() => mock.timers.enable({ apis: ['Date'] }))
+  afterEach(() => mock.timers.reset())
+
   it('keeps other work away from a task under which two workers have crashed', () => {
     const site = new Site()
     const task = site.addIsolatedTask()
--- a/test/cluster/placementPass.test.ts
+++ b/test/cluster/placementPass.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict'
-import { describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
 import { ClusterScheduler } from '../../src/cluster/clusterScheduler.js'
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
 import { FakeClusterWorker } from '../fakes/fakeClusterWorkers.js'
@@ -42,6 +42,10 @@
 }
 
 describe('PlacementPass', () => {
+  // The age of a job, by which jobs are ordered, is measured on the wall clock.
+  beforeEach(() => mock.timers.enable({ apis: ['Date'] }))
+  afterEach(() => mock.timers.reset())
+
   /** Urgent work that would be late on a slow worker waits for a fast one until it would be late there too. */
   const URGENT: ReadonlyArray<{ readonly name: string, readonly now: number, readonly fastIsFull: boolean, readonly gang: boolean, readonly placed: readonly string[] }> = [
     { name: 'takes the fast worker', now: 0, fastIsFull: false, gang: false, placed: ['fast', 'fast'] },
