Skip malformed records of the log instead of ending the process

One of the faults that operators of similar systems report: one malformed message takes a whole process down. Links, callers, workers and the registry were guarded; the system's own topics were not: unpacking threw in the reader of the topic, which ended each instance that read the record, again after each restart.

Change: a malformed submission or leadership record is logged and skipped. A job whose progress is malformed is left alone, because its tasks may have ended, and its state is given as not known. 8 new cases; without the change the run of the file ends with an unhandled error (the decoder threw).

--- a/bench/capacityCluster.ts
+++ b/bench/capacityCluster.ts
@@ -2,7 +2,7 @@
 import { ClusterScheduler } from '../src/cluster/clusterScheduler.js'
 import { EligibilityRequester } from '../src/cluster/eligibilityRequester.js'
 import { toProgressRecord } from '../src/cluster/job.js'
-import { decodeRecord, encodeRecord, type ProgressRecord, type SubmissionRecord } from '../src/contracts/clusterRecords.js'
+import { decodeProgress, decodeSubmission, encodeRecord, type SubmissionRecord } from '../src/contracts/clusterRecords.js'
 import { stepJobSchema } from '../src/contracts/stepJob.js'
 import { SILENT_OBSERVER } from '../test/fakes/silentObserver.js'
 import { medianMilliseconds, printRow, printTitle } from './measure.js'
@@ -105,7 +105,7 @@
     previousScheduler.place(0)
     const records = [...previousScheduler.jobs.values()].map(job => ({ identity: job.identity, submission: encodeRecord(job.submission), progress: encodeRecord(toProgressRecord(job)) }))
     const milliseconds = medianMilliseconds(runs, () => createScheduler(workers), scheduler => {
-      for (const { identity, submission, progress } of records) scheduler.addJob(identity, decodeRecord<SubmissionRecord>(submission), 0, { progress: decodeRecord<ProgressRecord>(progress) })
+      for (const { identity, submission, progress } of records) scheduler.addJob(identity, decodeSubmission(submission) as SubmissionRecord, 0, { progress: decodeProgress(progress) })
     })
     const kilobytes = (of: (record: typeof records[number]) => Buffer): string => (records.reduce((sum, record) => sum + of(record).length, 0) / 1000).toFixed(0)
     printRow([jobs, kilobytes(record => record.submission), kilobytes(record => record.progress), milliseconds.toFixed(1)])
--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
 import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
-import { decodeRecord, encodeRecord, type ProgressRecord, type SubmissionRecord } from '../contracts/clusterRecords.js'
+import { decodeProgress, decodeSubmission, encodeRecord, type ProgressRecord } from '../contracts/clusterRecords.js'
 import type { ClusterBounds } from '../contracts/clusterSettings.js'
 import type { JobState } from '../contracts/stepJob.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
@@ -89,6 +89,8 @@
   /** Finished jobs whose submission was deleted from the log and whose progress must be deleted as well. */
   private readonly evictedKeys: string[] = []
   private readonly retention: JobRetention
+  /** Jobs whose recorded progress is malformed. Without it, tasks that have ended would run again. */
+  private readonly unreadableJobs = new Set<string>()
   /** Submissions that were read before the progress of their jobs; undefined once the progress has been read. */
   private bufferedSubmissions: SubmissionBatch[] | undefined = []
 
@@ -175,7 +177,7 @@
     if (!this.isActive) return 'unsure'
     const job = this.scheduler.jobs.get(identity)
     if (job !== undefined) return job.visibleState
-    return this.areSubmissionsFresh() ? 'unknown' : 'unsure'
+    return this.areSubmissionsFresh() && !this.unreadableJobs.has(identity) ? 'unknown' : 'unsure'
   }
 
   /** Returns the number of jobs of a queue of which no task has started; undefined while that is not known. */
@@ -285,7 +287,14 @@
       const outcome = await this.log.snapshot(TOPICS.progress, 0)
       if (outcome.kind === 'snapshot') {
         for (const record of outcome.records) {
-          if (record.value !== undefined) found.set(record.key, decodeRecord<ProgressRecord>(record.value))
+          if (record.value === undefined) continue
+          const progress = decodeProgress(record.value)
+          if (progress !== undefined) {
+            found.set(record.key, progress)
+            continue
+          }
+          this.unreadableJobs.add(record.key)
+          this.logger.error('malformed progress; its job is left alone', { term: this.options.term, job: record.key, offset: record.offset })
         }
         this.logger.info('progress of former schedulers was read', { term: this.options.term, offset: outcome.end, count: found.size })
         return found
@@ -314,11 +323,17 @@
       }
       this.retention.onStored(key, partition)
       if (isCancelKey(key)) this.onCancel(jobOfCancelKey(key), now)
-      else if (!this.scheduler.jobs.has(key)) this.scheduler.addJob(key, decodeRecord<SubmissionRecord>(value), now, { progress: progress.get(key), storedAfter })
+      else if (!this.scheduler.jobs.has(key) && !this.unreadableJobs.has(key)) this.addJob(key, value, progress.get(key), storedAfter)
     }
     this.requestRound()
   }
 
+  private addJob (identity: string, value: Uint8Array, progress: ProgressRecord | undefined, storedAfter: number | undefined): void {
+    const submission = decodeSubmission(value)
+    if (submission === undefined) this.logger.error('malformed submission; it is skipped', { job: identity })
+    else this.scheduler.addJob(identity, submission, this.now(), { progress, storedAfter })
+  }
+
   private onCancel (job: string, now: number): void {
     if (this.scheduler.jobs.get(job)?.isFinal !== true) this.logger.info('job cancelled', { job })
     this.scheduler.cancelJob(job, now)
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
 import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
-import { decodeRecord, encodeRecord, type LeadershipRecord } from '../contracts/clusterRecords.js'
+import { decodeLeadership, encodeRecord, type LeadershipRecord } from '../contracts/clusterRecords.js'
 import type { ClusterSettings } from '../contracts/clusterSettings.js'
 import { ActiveScheduler, type JobStateResult } from './activeScheduler.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
@@ -216,7 +216,11 @@
     if (this.configurationInForce !== undefined) this.startFirstClaimDelay(now)
     for (const { value, offset } of records) {
       if (value === undefined) continue
-      const record = decodeRecord<LeadershipRecord>(value)
+      const record = decodeLeadership(value)
+      if (record === undefined) {
+        this.logger.error('malformed record of the scheduler role; it is skipped', { offset })
+        continue
+      }
       if (!this.leadership.onRecord(record, now)) continue
       // The record was written by the previous process of this instance, which has exited.
       if (record.instance === this.settings.instance && record.incarnation !== this.incarnation) this.leadership.onHolderExited(record.incarnation, now)
--- a/src/contracts/clusterRecords.ts
+++ b/src/contracts/clusterRecords.ts
@@ -54,7 +54,30 @@
   return packer.pack(record)
 }
 
-/** Decodes a record written by `encodeRecord`. Throws if the bytes cannot be unpacked; the type is not verified. */
-export function decodeRecord<T extends SubmissionRecord | ProgressRecord | LeadershipRecord> (value: Uint8Array): T {
-  return packer.unpack(value) as T
+/** Decodes a submission written by `encodeRecord`; undefined if the bytes hold no submission. */
+export function decodeSubmission (value: Uint8Array): SubmissionRecord | undefined {
+  const record = unpackObject(value)
+  return typeof record?.queue === 'string' && typeof record.pool === 'string' && Array.isArray(record.job?.steps) ? record as SubmissionRecord : undefined
+}
+
+/** Decodes the progress of a job written by `encodeRecord`; undefined if the bytes hold no progress. */
+export function decodeProgress (value: Uint8Array): ProgressRecord | undefined {
+  const record = unpackObject(value)
+  return typeof record?.state === 'string' && Array.isArray(record.occurrences) ? record as ProgressRecord : undefined
+}
+
+/** Decodes a leadership record written by `encodeRecord`; undefined if the bytes hold none. */
+export function decodeLeadership (value: Uint8Array): LeadershipRecord | undefined {
+  const record = unpackObject(value)
+  return typeof record?.term === 'number' && typeof record.incarnation === 'string' ? record as LeadershipRecord : undefined
+}
+
+/** Returns the unpacked object; undefined if the bytes hold something else. Only the fields that callers check are known to be of their type. */
+function unpackObject (value: Uint8Array): Record<string, any> | undefined {
+  try {
+    const record: unknown = packer.unpack(value)
+    return typeof record === 'object' && record !== null ? record : undefined
+  } catch {
+    return undefined // The caller logs the record.
+  }
 }
--- a/test/cluster/activeScheduler.test.ts
+++ b/test/cluster/activeScheduler.test.ts
@@ -193,6 +193,38 @@
     assert.equal(scheduler.stateOf(JOB), 'completed')
   }))
 
+  /** Guards against one malformed record that ends the process of every instance that reads it. */
+  const MALFORMED: ReadonlyArray<{ readonly name: string, readonly bytes: Buffer }> = [
+    { name: 'cannot be unpacked', bytes: Buffer.from([0xc1, 0xff]) },
+    { name: 'is truncated', bytes: encodeRecord({ state: 'running', occurrences: [] }).subarray(0, 5) },
+    { name: 'holds no object', bytes: Buffer.from([0x07]) },
+    { name: 'lacks its fields', bytes: Buffer.from([0x80]) }
+  ]
+  for (const { name, bytes } of MALFORMED) {
+    it(`skips a submission that ${name}`, async () => await withSite(async (site, start) => {
+      site.port.add(new FakeClusterWorker('w1', 2, () => 1000))
+      site.log.write(TOPICS.submissions, 'bad1', bytes)
+      const scheduler = start(1)
+      await site.clock.tickAsync(100)
+      site.log.write(TOPICS.submissions, 'bad2', bytes)
+      submit(site.log, JOB, [step()])
+      await site.clock.tickAsync(3000)
+      assert.equal(scheduler.stateOf(JOB), 'completed')
+    }))
+
+    it(`leaves a job alone whose progress ${name}`, async () => await withSite(async (site, start) => {
+      const worker = site.port.add(new FakeClusterWorker('w1', 2, () => 1000))
+      submit(site.log, 'bad1', [step()])
+      site.log.write(TOPICS.progress, 'bad1', bytes)
+      submit(site.log, JOB, [step()])
+      const scheduler = start(1)
+      await site.clock.tickAsync(3000)
+      assert.equal(scheduler.stateOf(JOB), 'completed')
+      assert.equal(scheduler.stateOf('bad1'), 'unsure')
+      assert.deepEqual(worker.started, [`${JOB}.0.0.0/1`])
+    }))
+  }
+
   /** With a slow log, tickets expire before the commands are sent. Without another request, the step could never use the worker again. */
   it('requests a new ticket for a worker that has refused one', async () => await withSite(async (site, start) => {
     const worker = site.port.add(new FakeClusterWorker('w1', 1, () => 100))
--- a/test/cluster/clusterInstance.test.ts
+++ b/test/cluster/clusterInstance.test.ts
@@ -8,7 +8,7 @@
 import { EligibilityPort, type EligibilityOutcome } from '../../src/cluster/workerPort.js'
 import { TOPICS } from '../../src/cluster/recordLog.js'
 import type { ClusterConfiguration } from '../../src/contracts/clusterConfiguration.js'
-import { decodeRecord, encodeRecord, type LeadershipRecord } from '../../src/contracts/clusterRecords.js'
+import { decodeLeadership, encodeRecord } from '../../src/contracts/clusterRecords.js'
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
 import { FakeClusterWorker, FakeWorkerPort } from '../fakes/fakeClusterWorkers.js'
 import { FakeRecordLog } from '../fakes/fakeRecordLog.js'
@@ -185,7 +185,7 @@
     await first.prepareShutdown()
     await new Promise(resolve => setTimeout(resolve, 400))
     const latest = cluster.log.latestValue(TOPICS.leadership, 'scheduler')
-    assert.ok(latest !== undefined && decodeRecord<LeadershipRecord>(latest).resigned)
+    assert.ok(latest !== undefined && decodeLeadership(latest)?.resigned)
   }))
 
   /** A renewal in flight while another instance claims the role can be stored after that claim. An instance that starts then reads only the renewal, because a snapshot holds the latest record of each key. */
--- a/test/soak/soakSite.ts
+++ b/test/soak/soakSite.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import { delay } from '../../src/base/delay.js'
 import { TOPICS, type StoredRecord } from '../../src/cluster/recordLog.js'
-import { decodeRecord, encodeRecord, type LeadershipRecord } from '../../src/contracts/clusterRecords.js'
+import { decodeLeadership, encodeRecord } from '../../src/contracts/clusterRecords.js'
 import { HttpClient } from '../../src/links/httpClient.js'
 import { MAXIMUM_ATTEMPTS, GangSimulator, SLOW_CLOCK_RATE, type ClusterView, type SubmittedStepJob } from '../fakes/fakeCluster.js'
 import { FakeClusterWorker } from '../fakes/fakeClusterWorkers.js'
@@ -110,7 +110,7 @@
   /** The instance that is the active scheduler according to the log, or the first instance if there is none. */
   get activeSchedulerInstance (): InstanceProcess {
     const value = this.log.latestValue(TOPICS.leadership, 'scheduler')
-    const name = value === undefined ? undefined : decodeRecord<LeadershipRecord>(value).instance
+    const name = value === undefined ? undefined : decodeLeadership(value)?.instance
     return this.instances.find(instance => instance.name === name) ?? this.instances[0] as InstanceProcess
   }
 
@@ -233,8 +233,8 @@
       return Buffer.from(JSON.stringify({ ...entry, addr: pathTo(entry.addr) }))
     }
     if (topic !== TOPICS.leadership) return value
-    const record = decodeRecord<LeadershipRecord>(value)
-    return encodeRecord({ ...record, address: pathTo(record.address) })
+    const record = decodeLeadership(value)
+    return record === undefined ? value : encodeRecord({ ...record, address: pathTo(record.address) })
   }
 
   private writeRegistry (): void {
