--- a/test/fuzz/clusterFuzz.test.ts
+++ b/test/fuzz/clusterFuzz.test.ts
@@ -1,8 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { INJECTED_CLUSTER_FAULTS, INJECTED_CRASH_FAULTS, INJECTED_SERVING_FAULTS } from './clusterFaults.js'
+import { INJECTED_CLUSTER_FAULTS, INJECTED_SERVING_FAULTS } from './clusterFaults.js'
 import { fuzzCluster } from './clusterFuzzer.js'
-import { fuzzCrashes } from './crashFuzzer.js'
 import type { TraceOptions } from './fuzzer.js'
 import { fuzzServing } from './servingFuzzer.js'
 
@@ -21,19 +20,6 @@
   // A task on a worker that did not respond counted as in service when another one of its step was moved.
   { seed: 3, runs: 1, firstRun: 82 }
 ]
-const CRASH_CASES: ReadonlyArray<Pick<TraceOptions, 'seed' | 'runs' | 'firstRun'>> = [
-  { seed: 51, runs: 20 },
-  // A run whose start was in flight when its worker crashed counted as much as a confirmed one: an innocent job was given up.
-  { seed: 3, runs: 1, firstRun: 48 },
-  { seed: 1, runs: 1, firstRun: 13 },
-  // The machine of a lost worker had come back before its lease expired, which explained nothing, and the task was started again for ever.
-  { seed: 2, runs: 1, firstRun: 71 },
-  { seed: 6, runs: 1, firstRun: 81 },
-  // A task was started again before it was known that its latest worker had crashed.
-  { seed: 4, runs: 1, firstRun: 64 },
-  { seed: 1, runs: 1, firstRun: 24 },
-  { seed: 7, runs: 1, firstRun: 46 }
-]
 /** Faults that need more runs are only covered by `npm run fuzz:faults`. */
 const MAXIMUM_FAULT_RUNS = 25
 
@@ -69,20 +55,3 @@
     })
   }
 })
-
-describe('fuzzing tasks that crash their workers and capacities that change', () => {
-  for (const { seed, runs, firstRun } of CRASH_CASES) {
-    it(`finds no violation with seed ${seed} in ${runs} runs from run ${firstRun ?? 1}`, async () => {
-      const failure = await fuzzCrashes({ seed, runs, firstRun, shrink: firstRun === undefined })
-      assert.equal(failure, undefined, failure === undefined ? '' : `${failure.problem}\n${failure.trace}`)
-    })
-  }
-
-  for (const { name, checks, seed, runs, injectFault } of INJECTED_CRASH_FAULTS) {
-    if (runs > MAXIMUM_FAULT_RUNS) continue
-    it(`finds the injected fault: ${name} (seed ${seed}, ${runs} runs)`, async () => {
-      const failure = await fuzzCrashes({ seed, runs, shrink: false, injectFault })
-      assert.ok(failure !== undefined && checks.some(check => failure.problem.startsWith(check)), failure?.problem)
-    })
-  }
-})
