--- a/bench/capacityCluster.ts
+++ b/bench/capacityCluster.ts
@@ -26,7 +26,7 @@
 
 function createScheduler (workerCount: number): ClusterScheduler {
   const scheduler = new ClusterScheduler(SILENT_OBSERVER)
-  scheduler.configure({ revision: 1, queues: [QUEUE], maximumBodyBytes: 1000 })
+  scheduler.configure({ revision: 1, queues: [QUEUE], organisations: [], pools: [], maximumBodyBytes: 1000 })
   for (let index = 0; index < workerCount; index += 1) {
     const identity = `worker-${index}`
     scheduler.upsertWorker({ identity, pool: 'pool', address: 'worker:1', failureDomain: 'a', state: 'ready', processorsThousandths: WORKER_PROCESSORS_THOUSANDTHS, memoryMegabytes: 64_000, accelerators: 0, labels: ['a', `r${index >> 3}`], machine: `m-${index}`, processStartedAt: 1 }, 0)
@@ -72,7 +72,7 @@
     const createBacklog = (): ClusterScheduler => {
       const random = new Random(seed)
       const scheduler = createScheduler(BACKLOG_WORKERS)
-      scheduler.configure({ revision: 2, queues: [QUEUE, URGENT_QUEUE].map(queue => ({ ...queue, eligibility: ELIGIBILITY_SETTINGS })), maximumBodyBytes: 1000 })
+      scheduler.configure({ revision: 2, queues: [QUEUE, URGENT_QUEUE].map(queue => ({ ...queue, eligibility: ELIGIBILITY_SETTINGS })), organisations: [], pools: [], maximumBodyBytes: 1000 })
       for (const worker of scheduler.workers.values()) worker.usedProcessors = WORKER_PROCESSORS_THOUSANDTHS - TASK_PROCESSORS_THOUSANDTHS / 2
       for (let index = 0; index < steps; index += 1) {
         const submission = createSubmission(random)
--- a/src/contracts/clusterConfiguration.ts
+++ b/src/contracts/clusterConfiguration.ts
@@ -26,12 +26,43 @@
   readonly name: string
   readonly host: string
   readonly routePrefix: string
+  /** Whether callers without an API key may use the queue; false if absent. */
+  readonly isPublic?: boolean
+}
+
+/** Amounts of resources, in the units of the worker registry. */
+export interface ResourceAmounts {
+  /** Processors in thousandths of a core. */
+  readonly processorsThousandths: number
+  readonly memoryMegabytes: number
+  readonly accelerators: number
+}
+
+/** An organisation whose callers submit jobs. */
+export interface Organisation {
+  readonly name: string
+  /** Keys that identify its callers. */
+  readonly apiKeys: readonly string[]
+  /** Share of the capacity when all is in use, relative to the other organisations; also the number of jobs a second that it may submit. */
+  readonly weight: number
+  /** Resources that its tasks may use at the same time over all workers. An amount of 0 means no limit. */
+  readonly cap: ResourceAmounts
+}
+
+/** A pool of workers. */
+export interface WorkerPool {
+  readonly name: string
+  /** Path at which a worker of the pool responds with 200 while it considers itself healthy; empty if there is none. */
+  readonly healthPath: string
 }
 
 /** One revision of the configuration that operators publish. */
 export interface ClusterConfiguration {
   readonly revision: number
   readonly queues: readonly Queue[]
+  /** Organisations that share the workers; empty if callers are not distinguished. */
+  readonly organisations: readonly Organisation[]
+  readonly pools: readonly WorkerPool[]
   readonly maximumBodyBytes: number
 }
 
--- a/src/contracts/clusterRecords.ts
+++ b/src/contracts/clusterRecords.ts
@@ -21,6 +21,8 @@
   readonly pool: string
   /** Policy of the queue at acceptance; applies while no configuration contains the queue. Absent from records of earlier versions. */
   readonly policy?: Omit<QueuePolicy, 'pool'>
+  /** Name of the organisation that submitted the job; absent if callers are not distinguished. */
+  readonly organisation?: string
   readonly job: StepJob
   /** Unix time of acceptance, in milliseconds; used for ordering and statistics only. */
   readonly acceptedAt: number
--- a/test/cluster/activeScheduler.test.ts
+++ b/test/cluster/activeScheduler.test.ts
@@ -25,6 +25,8 @@
     { name: 'batch', host: 'host', routePrefix: '/b/', pool: 'pool', priority: 1, attempts: 3, stretch: 2, targetMilliseconds: 500 },
     { name: 'restricted', host: 'host', routePrefix: '/a/', pool: 'pool', priority: 0, attempts: 3, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 1, perWorkerMilliseconds: 0, ticketMilliseconds: 2000 } }
   ],
+  organisations: [],
+  pools: [],
   maximumBodyBytes: 100_000
 }
 
--- a/test/cluster/clusterInstance.test.ts
+++ b/test/cluster/clusterInstance.test.ts
@@ -22,6 +22,8 @@
 const CONFIGURATION: ClusterConfiguration = {
   revision: 5,
   queues: [{ name: 'queue', host: 'host', routePrefix: '/q/', pool: 'pool', priority: 0, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 1, perWorkerMilliseconds: 0, ticketMilliseconds: 2000 } }],
+  organisations: [],
+  pools: [],
   maximumBodyBytes: 1000
 }
 
--- a/test/fakes/fakeCluster.ts
+++ b/test/fakes/fakeCluster.ts
@@ -26,6 +26,8 @@
     { name: 'urgent', host: 'host', routePrefix: '/u/', pool: 'pool', priority: 0, attempts: MAXIMUM_ATTEMPTS, stretch: 2, targetMilliseconds: 500 },
     { name: 'batch', host: 'host', routePrefix: '/b/', pool: 'pool', priority: 1, attempts: MAXIMUM_ATTEMPTS, stretch: 2, targetMilliseconds: 500 }
   ],
+  organisations: [],
+  pools: [],
   maximumBodyBytes: 100_000
 }
 
--- a/test/platform/callerServer.test.ts
+++ b/test/platform/callerServer.test.ts
@@ -26,6 +26,8 @@
       configuration: {
         revision: 1,
         queues: [{ name: 'queue', host: 'h', routePrefix: '/q/', pool: 'pool', priority: 0, attempts: 2, stretch: 2, targetMilliseconds: 500, eligibility: { decisionMilliseconds: 1, perWorkerMilliseconds: 0, ticketMilliseconds: 2000 } }],
+        organisations: [],
+        pools: [],
         maximumBodyBytes: 10_000
       },
       jobService: {
