--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -1,7 +1,7 @@
 import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
 import type { ClusterScheduler } from './clusterScheduler.js'
 import type { Step } from './job.js'
-import { tasksFitWhenEmpty, sortByPlacementOrder } from './placementPass.js'
+import { tasksFitNow, tasksFitWhenEmpty, sortByPlacementOrder, URGENT_PRIORITY } from './placementPass.js'
 import { UrgentHeadroom } from './urgentHeadroom.js'
 import type { EligibilityOutcome } from './workerPort.js'
 import type { WorkerState } from './workerState.js'
@@ -18,8 +18,10 @@
 const REFRESH_MARGIN_MILLISECONDS = 400
 /** Pause after a request for a step that failed or returned no workers. */
 const RETRY_PAUSE_MILLISECONDS = 150
-/** Number of non-urgent steps, in placement order, for which tickets are requested before capacity is free. */
-const MAXIMUM_PREFETCHED_STEPS = 12
+/** Time after which a step that needed no request is examined again, in milliseconds. Bounds the processor time that a long backlog takes. */
+const RECHECK_PERIOD_MILLISECONDS = 100
+/** Wait without room on any eligible worker after which workers with free capacity are requested that were not requested before, in milliseconds. */
+const WAIT_BEFORE_EXTENSION_MILLISECONDS = 300
 /** Headroom of zero, for steps that fit only if they ignore the headroom for urgent work. */
 const NO_HEADROOM = new UrgentHeadroom()
 
@@ -79,21 +81,24 @@
     const now = this.now()
     const steps = [...new Set([...this.scheduler.readySteps, ...this.scheduler.departingSteps])]
     sortByPlacementOrder(steps, now)
-    let prefetched = 0
     for (const step of steps) {
       const policy = this.scheduler.policyOf(step.job)
-      if (policy.eligibility === undefined) continue
+      const { eligibility } = step
+      if (policy.eligibility === undefined || eligibility.isRequestPending || now < eligibility.retryNotBefore) continue
       const workers = this.selectWorkers(step, policy, now)
-      if (workers === undefined) continue
-      if (policy.priority > 0) prefetched += 1
-      if (prefetched > MAXIMUM_PREFETCHED_STEPS) return
-      if (workers.length === 0 || step.eligibility.isRequestPending || now < step.eligibility.retryNotBefore) continue
+      if (workers.length === 0) {
+        if (policy.priority !== URGENT_PRIORITY) eligibility.retryNotBefore = now + RECHECK_PERIOD_MILLISECONDS
+        continue
+      }
       yield { step, workers, expectedMilliseconds: policy.eligibility.decisionMilliseconds + workers.length * policy.eligibility.perWorkerMilliseconds }
     }
   }
 
-  /** Returns the workers to request for a step now; undefined if the step can be placed on none of the known workers, so that it does not count as prefetched. */
-  private selectWorkers (step: Step, policy: QueuePolicy, now: number): string[] | undefined {
+  /**
+   * Returns the workers to request for a step now; empty if none is needed. A step is asked for as soon as it is ready, whatever waits before it:
+   * a step that waits for room must not delay the requests of others that find room at once. Tickets are renewed only where the step has room.
+   */
+  private selectWorkers (step: Step, policy: QueuePolicy, now: number): string[] {
     const { tickets, requestedWorkers } = step.eligibility
     // A step of which a run is to be moved may have no waiting task yet.
     const needed = Math.max(1, step.waitingCount)
@@ -103,13 +108,26 @@
     if (!tasksFitWhenEmpty(named, step, needed, this.scheduler.headroom)) {
       const unrequested = [...this.scheduler.workers.values()].filter(worker => !requestedWorkers.has(worker.identity)).filter(isSuitable)
       if (unrequested.length > 0) return selectIdentities([...unrequested, ...named])
-      if (!tasksFitWhenEmpty(named, step, step.specification.gang ? needed : 1, NO_HEADROOM)) return undefined
+      if (!tasksFitWhenEmpty(named, step, step.specification.gang ? needed : 1, NO_HEADROOM)) return []
     }
-    const stale = named.filter(worker => (tickets.get(worker.identity)?.validUntil ?? 0) - REFRESH_MARGIN_MILLISECONDS <= now)
-    if (step.specification.gang) return stale.length > 0 && (step.reservation !== undefined || stale.some(worker => worker.fits(step.specification))) ? selectIdentities(named) : []
-    const valid = named.filter(worker => !stale.includes(worker) && worker.fits(step.specification))
-    if (valid.length > 0) return []
-    return selectIdentities(stale.filter(worker => worker.fits(step.specification)))
+    const isStale = (worker: WorkerState): boolean => (tickets.get(worker.identity)?.validUntil ?? 0) - REFRESH_MARGIN_MILLISECONDS <= now
+    if (!tasksFitNow(named, step, step.specification.gang ? needed : 1)) {
+      if (step.reservation !== undefined && named.some(isStale)) return selectIdentities(named)
+      return this.selectFurtherWorkers(step, named, needed, isSuitable, now)
+    }
+    const withRoom = step.specification.gang ? named : named.filter(worker => worker.fits(step.specification))
+    const isRenewalNeeded = step.specification.gang ? withRoom.some(isStale) : withRoom.every(isStale)
+    return isRenewalNeeded ? selectIdentities(withRoom) : []
+  }
+
+  /** Returns workers with free capacity that were not requested before, for a step that has found no room on its eligible workers for a while. */
+  private selectFurtherWorkers (step: Step, named: readonly WorkerState[], needed: number, isSuitable: (worker: WorkerState) => boolean, now: number): string[] {
+    if (step.waitingSince === undefined || now - step.waitingSince < WAIT_BEFORE_EXTENSION_MILLISECONDS) return []
+    const { requestedWorkers } = step.eligibility
+    const further = [...this.scheduler.workers.values()].filter(worker => !requestedWorkers.has(worker.identity) && isSuitable(worker) && worker.fits(step.specification))
+    if (!step.specification.gang) return selectIdentities(further)
+    // The tickets of a gang must be valid at the same time.
+    return further.length > 0 && tasksFitNow([...further, ...named], step, needed) ? selectIdentities([...further, ...named]) : []
   }
 
   private async send (channel: EligibilityChannel, request: EligibilityRequest): Promise<void> {
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -367,6 +367,16 @@
   return left <= 0
 }
 
+/** Returns true if this many tasks of the step fit into the free capacity of the workers; the headroom for urgent work counts as free. */
+export function tasksFitNow (workers: readonly WorkerState[], step: Step, count: number): boolean {
+  let left = count
+  for (const worker of workers) {
+    left -= Math.max(0, countFittingTasks(worker, step, 0))
+    if (left <= 0) return true
+  }
+  return left <= 0
+}
+
 function countTasksWithin (step: Step, processors: number, memory: number, accelerators: number): number {
   const specification = step.specification
   return Math.min(step.tasks.length, countDemands(processors, processorsOf(specification)), countDemands(memory, specification.memoryMegabytes), countDemands(accelerators, specification.accelerators))
--- a/test/cluster/eligibilityRequester.test.ts
+++ b/test/cluster/eligibilityRequester.test.ts
@@ -91,6 +91,66 @@
     })
   }
 
+  /** A backlog that waits for room must not delay the requests of steps that find room at once. Load: a site full for all but small tasks, with a long backlog. */
+  const BACKLOGS: ReadonlyArray<{ readonly name: string, readonly step: object }> = [
+    { name: 'gangs that wait for room', step: { count: 2, gang: true } },
+    { name: 'large tasks that wait for room', step: { count: 1 } }
+  ]
+  for (const { name, step } of BACKLOGS) {
+    it(`requests workers for a small step behind many ${name}, and does not repeat their requests while there is no room`, async () => {
+      const scheduler = createScheduler()
+      addWorkers(scheduler, ['w1', 'w2'])
+      for (const worker of scheduler.workers.values()) worker.usedProcessors = 900
+      const add = (identity: string, specification: object): void => {
+        scheduler.addJob(identity, { queue: 'queue', pool: 'pool', job: stepJobSchema.parse({ specification: '', steps: [{ processorsThousandths: 1000, ...specification }] }), acceptedAt: Date.now() }, 0)
+      }
+      for (let job = 0; job < 40; job += 1) add(`waiting${job}`, step)
+      add('small', { count: 1, processorsThousandths: 100 })
+      const requests: string[] = []
+      let now = 0
+      const requester = new EligibilityRequester(scheduler, () => [{
+        instance: 'own',
+        request: async (stepName, workers) => {
+          requests.push(stepName)
+          return { kind: 'eligible', workers: workers.map(worker => ({ worker, ticket: 'ticket' })), validMilliseconds: 2500 }
+        }
+      }], () => {}, () => now)
+      for (let round = 0; round < 100; round += 1) {
+        requester.sendRequests()
+        await Promise.resolve()
+        await Promise.resolve()
+        now += 50
+      }
+      assert.ok(requests.includes('small.0.0'))
+      assert.equal(requests.filter(name => name.startsWith('waiting')).length, 40)
+    })
+  }
+
+  /** Otherwise a step waits for the workers that were the freest when it became ready, although others have room by now. */
+  it('requests further workers that have room for a step that finds none on its eligible workers', async () => {
+    const scheduler = createScheduler()
+    addWorkers(scheduler, ['w1'])
+    scheduler.addJob('00000000000000aa', { queue: 'queue', pool: 'pool', job: stepJobSchema.parse({ specification: '', steps: [{ count: 1, processorsThousandths: 1000 }] }), acceptedAt: Date.now() }, 0)
+    const requests: string[][] = []
+    let now = 0
+    const requester = new EligibilityRequester(scheduler, () => [{
+      instance: 'own',
+      request: async (_step, workers) => {
+        requests.push([...workers])
+        return { kind: 'eligible', workers: workers.map(worker => ({ worker, ticket: 'ticket' })), validMilliseconds: 2500 }
+      }
+    }], () => {}, () => now)
+    requester.sendRequests()
+    await Promise.resolve()
+    await Promise.resolve()
+    const [eligible] = scheduler.workers.values()
+    if (eligible !== undefined) eligible.usedProcessors = 1000
+    addWorkers(scheduler, ['w2'])
+    scheduler.place(0)
+    for (now = 100; now < 1000; now += 100) requester.sendRequests()
+    assert.deepEqual(requests, [['w1'], ['w2']])
+  })
+
   for (const { name, step, later, eligible, requests } of CASES) {
     it(name, async () => {
       const scheduler = createScheduler()
