--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -13,6 +13,7 @@
 import { discardTicket, toProgressRecord, type Job, type Task } from './job.js'
 import { JobRetention } from './jobRetention.js'
 import type { PlannedRun } from './placementPass.js'
+import { findEarliestClaims } from './organisations/contestedIdentities.js'
 import { ProgressWriter } from './progressWriter.js'
 import type { PaceChange } from './serving/pacingController.js'
 import type { PendingPace } from './serving/servingSupervisor.js'
@@ -42,6 +43,12 @@
 /** Result of a query for the state of a job. `unsure`: the job may exist although this scheduler has not read it yet. */
 export type JobStateResult = JobState | 'unknown' | 'unsure'
 
+/** State of a job and the organisation that submitted it, if there is one. */
+export interface JobStatus {
+  readonly state: JobStateResult
+  readonly organisation?: string
+}
+
 export interface ActiveSchedulerOptions {
   readonly term: number
   readonly bounds: ClusterBounds
@@ -180,6 +187,12 @@
     return this.areSubmissionsFresh() && !this.unreadableJobs.has(identity) ? 'unknown' : 'unsure'
   }
 
+  /** Returns the state of a job as shown to callers, with the organisation that submitted it. */
+  statusOf (identity: string): JobStatus {
+    const organisation = this.scheduler.jobs.get(identity)?.submission.organisation
+    return { state: this.stateOf(identity), ...(organisation === undefined ? {} : { organisation }) }
+  }
+
   /** Returns the number of jobs of a queue of which no task has started; undefined while that is not known. */
   countWaitingJobs (queue: string): number | undefined {
     const count = this.isActive && this.areSubmissionsFresh() ? this.scheduler.countWaitingJobs(queue) : undefined
@@ -270,7 +283,7 @@
   private applyBufferedSubmissions (progress: ReadonlyMap<string, ProgressRecord>): void {
     const batches = this.bufferedSubmissions ?? []
     this.bufferedSubmissions = undefined
-    for (const batch of batches) this.applySubmissions(batch, progress)
+    for (const batch of [...findEarliestClaims(batches), ...batches]) this.applySubmissions(batch, progress)
   }
 
   /** Fences the writers of former terms. Resolves with false if the role is lost. */
@@ -324,6 +337,7 @@
       this.retention.onStored(key, partition)
       if (isCancelKey(key)) this.onCancel(jobOfCancelKey(key), now)
       else if (!this.scheduler.jobs.has(key) && !this.unreadableJobs.has(key)) this.addJob(key, value, progress.get(key), storedAfter)
+      else this.onCopy(key, value)
     }
     this.requestRound()
   }
@@ -334,6 +348,14 @@
     else this.scheduler.addJob(identity, submission, this.now(), { progress, storedAfter })
   }
 
+  /** Handles another record of a known job, which callers' retries leave in several partitions. */
+  private onCopy (identity: string, value: Uint8Array): void {
+    const job = this.scheduler.jobs.get(identity)
+    const copy = decodeSubmission(value)
+    if (job === undefined || copy === undefined || copy.organisation === job.submission.organisation) return
+    this.logger.warn('the identity of a job was used by another organisation; the later submission is dropped', { job: identity, queue: copy.queue })
+  }
+
   private onCancel (job: string, now: number): void {
     if (this.scheduler.jobs.get(job)?.isFinal !== true) this.logger.info('job cancelled', { job })
     this.scheduler.cancelJob(job, now)
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -5,11 +5,13 @@
 import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
 import { decodeLeadership, encodeRecord, type LeadershipRecord } from '../contracts/clusterRecords.js'
 import type { ClusterSettings } from '../contracts/clusterSettings.js'
-import { ActiveScheduler, type JobStateResult } from './activeScheduler.js'
+import { ActiveScheduler, type JobStateResult, type JobStatus } from './activeScheduler.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
 import { InstanceLinks } from './instanceLinks.js'
 import { JobService, type SchedulerQueries } from './jobService.js'
 import { Leadership, RENEWAL_PERIOD_MILLISECONDS } from './leadership.js'
+import { ApiKeyDirectory } from './organisations/apiKeyDirectory.js'
+import { AccessControl, type ConfigurationSource } from './organisations/accessControl.js'
 import type { Peer } from './peerSet.js'
 import { schedulingCapacityOf } from './schedulingCapacity.js'
 import { TOPICS, type RecordLog, type StoredRecord } from './recordLog.js'
@@ -20,6 +22,8 @@
 const LEADERSHIP_KEY = 'scheduler'
 /** Longest time that a read of leadership or configuration waits for a record, in milliseconds; an unresponsive connection is detected after this time. */
 const READ_WAIT_MILLISECONDS = 1500
+/** Age of the last read of the configuration after which the next one does not wait for a record, in milliseconds; the age of an undisturbed read stays below. */
+const CONFIGURATION_REFRESH_MILLISECONDS = 2 * READ_WAIT_MILLISECONDS
 /** Minimum time between two reads of the worker registry, in milliseconds; its entries change with every heartbeat. Only the active scheduler places tasks by them. */
 const REGISTRY_PERIOD_MILLISECONDS = { active: 300, inactive: 2000 }
 /** Time without a response after which another renewal of the role is sent, in milliseconds; shorter than the time after which others claim it. */
@@ -48,8 +52,9 @@
 }
 
 /** One instance of the cluster: serves callers, and runs the active scheduler while it holds the role. */
-export class ClusterInstance extends DisposableObject implements SchedulerQueries {
+export class ClusterInstance extends DisposableObject implements SchedulerQueries, ConfigurationSource {
   readonly jobService: JobService
+  readonly accessControl: AccessControl
   private readonly incarnation = randomUUID()
   private readonly leadership: Leadership
   private readonly leadershipFollower: TopicFollower
@@ -91,15 +96,16 @@
     this.linkAddress = `${settings.link.host}:${settings.link.port}`
     this.capacity = schedulingCapacityOf(settings)
     this.leadership = new Leadership(settings.instance, this.incarnation, Math.round(RANK_OF_ONE_CORE / this.capacity), random.fraction())
+    this.accessControl = new AccessControl(this, settings.keyRevocation, now)
     this.jobService = this.register(new JobService(log, this, logger, random, now))
     this.links = this.register(new InstanceLinks({ instance: settings.instance, incarnation: this.incarnation, processorShare: settings.processorShare, linkMegabits: settings.linkMegabits }, eligibility, {
-      getJobState: job => this.scheduler?.stateOf(job),
+      getJobStatus: job => this.scheduler?.statusOf(job),
       countWaitingJobs: queue => this.scheduler?.countWaitingJobs(queue),
       onRoleOffer: incarnation => this.onRoleOffer(incarnation),
       onHolderExited: incarnation => this.leadership.onHolderExited(incarnation, this.now())
     }, logger, random, now))
     this.leadershipFollower = this.createFollower(TOPICS.leadership, () => 0, (records, isSnapshot) => this.onLeadership(records, isSnapshot))
-    this.configurationFollower = this.createFollower(platformTopics.configurationTopic, () => 0, records => this.onConfiguration(records))
+    this.configurationFollower = this.createFollower(platformTopics.configurationTopic, () => 0, records => this.onConfiguration(records), CONFIGURATION_REFRESH_MILLISECONDS)
     this.registryFollower = this.createFollower(platformTopics.workerTopic, () => this.scheduler === undefined ? REGISTRY_PERIOD_MILLISECONDS.inactive : REGISTRY_PERIOD_MILLISECONDS.active, (records, isSnapshot) => this.onRegistry(records, isSnapshot))
     this.register(toDisposable(() => this.scheduler?.dispose()))
     metrics.addGauge('acting', '1 while this instance acts as the scheduler', () => this.scheduler === undefined ? 0 : 1)
@@ -128,6 +134,11 @@
     return this.configurationInForce
   }
 
+  /** When the last successful read of the configuration was sent, in milliseconds of the monotonic clock; undefined before the first. */
+  get configurationReadAt (): number | undefined {
+    return this.configurationFollower.lastReadStartedAt
+  }
+
   /** Returns whether this instance runs the active scheduler. */
   isSchedulerActive (): boolean {
     return this.scheduler !== undefined
@@ -148,10 +159,10 @@
     await this.resign(this.links.pickSuccessor(), 'the instance is stopping')
   }
 
-  async getJobState (job: string, timeoutMilliseconds: number): Promise<JobStateResult | undefined> {
-    if (this.scheduler !== undefined) return this.scheduler.stateOf(job)
+  async getJobStatus (job: string, timeoutMilliseconds: number): Promise<JobStatus | undefined> {
+    if (this.scheduler !== undefined) return this.scheduler.statusOf(job)
     const reply = await this.links.queryHolder({ type: 'stateQuestion', job }, timeoutMilliseconds)
-    return reply?.type === 'stateReply' ? reply.state as JobStateResult : undefined
+    return reply?.type === 'stateReply' ? { state: reply.state as JobStateResult, ...(reply.organisation === undefined ? {} : { organisation: reply.organisation }) } : undefined
   }
 
   async countWaitingJobs (queue: string, timeoutMilliseconds: number): Promise<number | undefined> {
@@ -160,10 +171,10 @@
     return reply?.type === 'waitingReply' && reply.waiting >= 0 ? reply.waiting : undefined
   }
 
-  private createFollower (topic: string, periodMilliseconds: () => number, onRecords: (records: readonly StoredRecord[], isSnapshot: boolean) => void): TopicFollower {
+  private createFollower (topic: string, periodMilliseconds: () => number, onRecords: (records: readonly StoredRecord[], isSnapshot: boolean) => void, refreshAfterMilliseconds?: number): TopicFollower {
     return this.register(new TopicFollower(
       this.log,
-      { topic, partition: 0, waitMilliseconds: READ_WAIT_MILLISECONDS, periodMilliseconds },
+      { topic, partition: 0, waitMilliseconds: READ_WAIT_MILLISECONDS, periodMilliseconds, refreshAfterMilliseconds },
       { onRecords, onDidChangeReachability: (reachable, reason) => this.logger.info(reachable ? 'the log can be read again' : 'the log cannot be read', { stream: topic, reason }) },
       this.random, this.now
     ))
@@ -175,12 +186,20 @@
       if (configuration === undefined || configuration.revision <= (this.configurationInForce?.revision ?? -1)) continue
       this.configurationInForce = configuration
       this.logger.info('configuration in force', { revision: configuration.revision, offset: record.offset, count: configuration.queues.length })
+      this.warnOfUnusableKeys(configuration)
     }
     if (this.configurationInForce === undefined) return
     this.startFirstClaimDelay(this.now())
     this.scheduler?.setConfiguration(this.configurationInForce)
   }
 
+  private warnOfUnusableKeys (configuration: ClusterConfiguration): void {
+    const { revision, malformedOrganisations = 0 } = configuration
+    if (malformedOrganisations > 0) this.logger.warn('malformed organisations in the configuration; their keys are unknown', { revision, count: malformedOrganisations })
+    const { organisationsSharingKeys } = new ApiKeyDirectory(configuration)
+    if (organisationsSharingKeys.length > 0) this.logger.warn('organisations list the same key; it identifies none of them', { revision, reason: organisationsSharingKeys.join(', ') })
+  }
+
   /** Starts the delay before the first claim with the configuration, which reaches all instances at the same time, so that the largest claims first. */
   private startFirstClaimDelay (now: number): void {
     if (this.hasNoHolder) this.leadership.onNoRecord(now)
--- a/src/cluster/clusterMetrics.ts
+++ b/src/cluster/clusterMetrics.ts
@@ -1,5 +1,6 @@
 import { build, type Histogram } from 'hdr-histogram-js'
 import { Counter, Gauge, Registry } from 'prom-client'
+import type { RefusalReason } from './organisations/accessControl.js'
 
 /** Percentiles exported for each distribution. */
 const EXPORTED_PERCENTILES = [50, 90, 99, 100]
@@ -10,6 +11,7 @@
 export class ClusterMetrics {
   private readonly registry = new Registry()
   private readonly answersTotal = this.counter('answers_total', 'Answers to callers', ['operation', 'status'])
+  private readonly accessRefusalsTotal = this.counter('access_refusals_total', 'Calls refused for their API key, or because keys were read too long ago', ['reason'])
   private readonly looksTotal = this.counter('looks_total', 'Looks at workers', ['outcome'])
   private readonly startsTotal = this.counter('starts_total', 'Start orders', ['outcome'])
   private readonly runEndsTotal = this.counter('run_ends_total', 'Ends of runs', ['kind'])
@@ -32,6 +34,10 @@
     this.observe(`answer_${operation}`, milliseconds)
   }
 
+  accessRefused (reason: RefusalReason): void {
+    this.accessRefusalsTotal.inc({ reason })
+  }
+
   pollCompleted (outcome: string): void {
     this.looksTotal.inc({ outcome })
   }
--- a/src/cluster/instanceLinks.ts
+++ b/src/cluster/instanceLinks.ts
@@ -24,8 +24,8 @@
 
 /** Answers the queries of other instances and receives the events of links. */
 export interface InstanceLinksObserver {
-  /** Returns the state of a job, if this instance runs the active scheduler. */
-  getJobState (job: string): string | undefined
+  /** Returns the state of a job and its organisation, if this instance runs the active scheduler. */
+  getJobStatus (job: string): { readonly state: string, readonly organisation?: string } | undefined
   /** Returns the number of waiting jobs of a queue, if this instance runs the active scheduler. */
   countWaitingJobs (queue: string): number | undefined
   /** Called when the holder of the role has asked this instance to claim it. */
@@ -136,7 +136,7 @@
   private async onRequest (link: ClusterLink, message: ClusterMessage): Promise<void> {
     switch (message.type) {
       case 'stateQuestion':
-        link.send({ type: 'stateReply', id: message.id, state: this.observer.getJobState(message.job) ?? 'unsure' })
+        link.send({ type: 'stateReply', id: message.id, ...this.observer.getJobStatus(message.job) ?? { state: 'unsure' } })
         return
       case 'waitingQuestion':
         link.send({ type: 'waitingReply', id: message.id, waiting: this.observer.countWaitingJobs(message.queue) ?? -1 })
--- a/src/cluster/jobService.ts
+++ b/src/cluster/jobService.ts
@@ -5,7 +5,8 @@
 import type { Queue, QueuePolicy } from '../contracts/clusterConfiguration.js'
 import { encodeRecord } from '../contracts/clusterRecords.js'
 import { isFinalState, type JobState, type StepJob } from '../contracts/stepJob.js'
-import type { JobStateResult } from './activeScheduler.js'
+import type { JobStatus } from './activeScheduler.js'
+import { mayAccess, UNRESTRICTED_ACCESS, type AccessMode, type CallAccess, type CallerIdentity, type RefusalReason } from './organisations/accessControl.js'
 import type { RecordLog } from './recordLog.js'
 import { SubmissionAppender } from './submissionAppender.js'
 import { cancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
@@ -27,22 +28,37 @@
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterSeconds: number }
   /** The job may be stored; a retry with the same identity submits the same job. */
   | { readonly kind: 'unknown' }
+  /** A job of another organisation has the identity; this one was not stored and will never run. */
+  | { readonly kind: 'identityTaken' }
+  | AccessDenial
+
+/** The caller may not use the queue; nothing was stored or returned. */
+export interface AccessDenial {
+  readonly kind: 'denied'
+  readonly reason: RefusalReason
+}
+
+export type CancelResult = 'cancelled' | 'unknownJob' | 'unavailable' | AccessDenial
+export type StateResult = JobState | 'unknownJob' | 'unavailable' | AccessDenial
 
-export type CancelResult = 'cancelled' | 'unknownJob' | 'unavailable'
-export type StateResult = JobState | 'unknownJob' | 'unavailable'
+/** The organisation that submitted a job; undefined if there is none. */
+interface JobOwner {
+  readonly organisation?: string | undefined
+}
 
 /** Queries that only the active scheduler can answer; they return undefined if it cannot be reached. */
 export interface SchedulerQueries {
-  getJobState (job: string, timeoutMilliseconds: number): Promise<JobStateResult | undefined>
+  getJobStatus (job: string, timeoutMilliseconds: number): Promise<JobStatus | undefined>
   countWaitingJobs (queue: string, timeoutMilliseconds: number): Promise<number | undefined>
 }
 
 /** Serves the job operations of callers: stores submissions and cancellations in the log, and obtains job states and counts from the active scheduler. */
 export class JobService extends DisposableObject {
   private readonly appender: SubmissionAppender
-  /** Jobs that are known to be stored in the log. */
-  private readonly accepted = new BoundedMap<true>(MAXIMUM_CACHED_JOBS)
-  private readonly finalStates = new BoundedMap<JobState>(MAXIMUM_CACHED_JOBS)
+  /** Organisations of the jobs that are known to be stored in the log. */
+  private readonly accepted = new BoundedMap<JobOwner>(MAXIMUM_CACHED_JOBS)
+  private readonly finalStates = new BoundedMap<JobOwner & { readonly state: JobState }>(MAXIMUM_CACHED_JOBS)
+
   constructor (log: RecordLog, private readonly scheduler: SchedulerQueries, private readonly logger: Logger, random: Random, private readonly now: () => number) {
     super()
     this.appender = this.register(new SubmissionAppender(log, random.integerBelow(SUBMISSION_PARTITIONS), (reason, count) => logger.warn('submissions could not be stored', { reason, count }), now))
@@ -59,47 +75,61 @@
   }
 
   /** Stores a job. A retry of a stored job is accepted again. */
-  async submit (identity: string, queue: Queue, job: StepJob, timeLimitMilliseconds: number): Promise<SubmitResult> {
-    if (this.accepted.has(identity)) return { kind: 'accepted' }
+  async submit (identity: string, queue: Queue, job: StepJob, timeLimitMilliseconds: number, access: CallAccess = UNRESTRICTED_ACCESS): Promise<SubmitResult> {
+    const decision = access.check('write')
+    if (decision.kind === 'refused') return deny(decision.reason)
+    const { caller } = decision
+    const known = this.accepted.get(identity)
+    if (known !== undefined) return { kind: mayAccess(caller, known.organisation) ? 'accepted' : 'identityTaken' }
     const startedAt = this.now()
     if (this.appender.isStalled) return this.refuse(identity, 'the log is away')
-    const value = encodeRecord({ queue: queue.name, pool: queue.pool, policy: recordedPolicy(queue), job, acceptedAt: Date.now() })
-    const outcome = await this.appender.append({ key: identity, value }, Math.max(0, timeLimitMilliseconds - RESPONSE_MARGIN_MILLISECONDS))
-    if (outcome === 'refused') return this.refuse(identity, 'the log did not take the job')
+    const owner = caller.organisation === undefined ? {} : { organisation: caller.organisation }
+    const value = encodeRecord({ queue: queue.name, pool: queue.pool, policy: recordedPolicy(queue), ...owner, job, acceptedAt: Date.now() })
+    const outcome = await this.appender.append({ key: identity, value }, Math.max(0, timeLimitMilliseconds - RESPONSE_MARGIN_MILLISECONDS), () => isStillGranted(access, caller))
+    if (outcome === 'refused') return findDenial(access, 'write') ?? this.refuse(identity, 'the log did not take the job')
     if (outcome === 'unknown') {
       this.logger.warn('job of unknown acceptance', { job: identity })
       return { kind: 'unknown' }
     }
-    this.accepted.set(identity, true)
+    this.accepted.set(identity, owner)
     this.logger.info('job accepted', { job: identity, queue: queue.name, durationMilliseconds: Math.round(this.now() - startedAt) })
     return { kind: 'accepted' }
   }
 
   /** Cancels a job; resolves once the cancellation is stored. */
-  async cancel (identity: string, timeLimitMilliseconds: number): Promise<CancelResult> {
+  async cancel (identity: string, timeLimitMilliseconds: number, access: CallAccess = UNRESTRICTED_ACCESS): Promise<CancelResult> {
     const startedAt = this.now()
-    if (!this.accepted.has(identity)) {
-      const state = await this.getState(identity, timeLimitMilliseconds)
-      if (state === 'unknownJob' || state === 'unavailable') return state
+    const decision = access.check('write')
+    if (decision.kind === 'refused') return deny(decision.reason)
+    if (!this.isAcceptedFor(identity, decision.caller)) {
+      const state = await this.getState(identity, timeLimitMilliseconds, access)
+      if (state === 'unknownJob' || state === 'unavailable' || typeof state === 'object') return state
     }
     const left = timeLimitMilliseconds - (this.now() - startedAt) - RESPONSE_MARGIN_MILLISECONDS
     if (this.appender.isStalled || left <= 0) return 'unavailable'
-    const outcome = await this.appender.append({ key: cancelKey(identity), value: CANCEL_VALUE }, left)
+    const outcome = await this.appender.append({ key: cancelKey(identity), value: CANCEL_VALUE }, left, () => isStillGranted(access, decision.caller))
+    if (outcome === 'refused') return findDenial(access, 'write') ?? 'unavailable'
     return outcome === 'stored' ? 'cancelled' : 'unavailable'
   }
 
-  /** Returns the state of a job. */
-  async getState (identity: string, timeLimitMilliseconds: number): Promise<StateResult> {
+  /** Returns the state of a job. The job of another organisation is unknown to the caller. */
+  async getState (identity: string, timeLimitMilliseconds: number, access: CallAccess = UNRESTRICTED_ACCESS): Promise<StateResult> {
+    const before = access.check('read')
+    if (before.kind === 'refused') return deny(before.reason)
     const final = this.finalStates.get(identity)
-    if (final !== undefined) return final
-    const result = await this.queryWithRetries(timeLimitMilliseconds, async timeout => {
-      const state = await this.scheduler.getJobState(identity, timeout)
-      return state === 'unsure' || (state === 'unknown' && this.accepted.has(identity)) ? undefined : state
+    if (final !== undefined) return mayAccess(before.caller, final.organisation) ? final.state : 'unknownJob'
+    const status = await this.queryWithRetries(timeLimitMilliseconds, async timeout => {
+      const reply = await this.scheduler.getJobStatus(identity, timeout)
+      return reply?.state === 'unsure' || (reply?.state === 'unknown' && this.isAcceptedFor(identity, before.caller)) ? undefined : reply
     })
-    if (result === undefined) return this.accepted.has(identity) ? 'pending' : 'unavailable'
-    if (result === 'unknown') return 'unknownJob'
-    if (isFinalState(result as JobState)) this.finalStates.set(identity, result as JobState)
-    return result as JobState
+    // The key may have been withdrawn during the query.
+    const after = access.check('read')
+    if (after.kind === 'refused') return deny(after.reason)
+    if (status === undefined) return this.isAcceptedFor(identity, after.caller) ? 'pending' : 'unavailable'
+    if (status.state === 'unknown') return 'unknownJob'
+    const state = status.state as JobState
+    if (isFinalState(state)) this.finalStates.set(identity, { state, organisation: status.organisation })
+    return mayAccess(after.caller, status.organisation) ? state : 'unknownJob'
   }
 
   /** Returns how many jobs of a queue have no started task; undefined if the active scheduler does not respond in time. */
@@ -110,6 +140,12 @@
     return count
   }
 
+  /** Returns whether this instance has accepted a job that the caller may access. */
+  private isAcceptedFor (identity: string, caller: CallerIdentity): boolean {
+    const owner = this.accepted.get(identity)
+    return owner !== undefined && mayAccess(caller, owner.organisation)
+  }
+
   private refuse (identity: string, reason: string): SubmitResult {
     this.logger.info('job refused', { job: identity, reason })
     return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS }
@@ -128,6 +164,21 @@
   }
 }
 
+function deny (reason: RefusalReason): AccessDenial {
+  return { kind: 'denied', reason }
+}
+
+function findDenial (access: CallAccess, mode: AccessMode): AccessDenial | undefined {
+  const decision = access.check(mode)
+  return decision.kind === 'refused' ? deny(decision.reason) : undefined
+}
+
+/** Returns whether a caller may still write, on behalf of the same organisation. */
+function isStillGranted (access: CallAccess, caller: CallerIdentity): boolean {
+  const decision = access.check('write')
+  return decision.kind === 'granted' && decision.caller.organisation === caller.organisation
+}
+
 function recordedPolicy ({ priority, attempts, stretch, targetMilliseconds, eligibility }: Queue): Omit<QueuePolicy, 'pool'> {
   const policy = { priority, attempts, stretch, targetMilliseconds }
   return eligibility === undefined ? policy : { ...policy, eligibility }
@@ -141,10 +192,6 @@
 
   constructor (private readonly limit: number) {}
 
-  has (key: string): boolean {
-    return this.entries.has(key)
-  }
-
   get (key: string): Value | undefined {
     return this.entries.get(key)
   }
--- a/src/cluster/submissionAppender.ts
+++ b/src/cluster/submissionAppender.ts
@@ -19,6 +19,8 @@
 interface PendingRecord {
   readonly record: KeyedRecord
   readonly deadline: number
+  /** Returns whether the record may still be sent. */
+  readonly mayAppend: () => boolean
   readonly resolve: (outcome: SubmissionOutcome) => void
 }
 
@@ -51,10 +53,13 @@
     return now - this.refusedAt < REFUSAL_VALIDITY_MILLISECONDS || (this.appendingSince !== undefined && now - this.appendingSince > this.stallMilliseconds)
   }
 
-  /** Resolves once the record is stored, the log has refused it, or the timeout has passed. */
-  async append (record: KeyedRecord, timeoutMilliseconds: number): Promise<SubmissionOutcome> {
+  /**
+   * Resolves once the record is stored, the log has refused it, or the timeout has passed. `mayAppend` is called when the record is
+   * about to be sent; the record is refused if it returns false.
+   */
+  async append (record: KeyedRecord, timeoutMilliseconds: number, mayAppend: () => boolean = () => true): Promise<SubmissionOutcome> {
     return await new Promise(resolve => {
-      this.queue.push({ record, resolve, deadline: this.now() + timeoutMilliseconds })
+      this.queue.push({ record, resolve, mayAppend, deadline: this.now() + timeoutMilliseconds })
       if (!this.isAppending) this.appendQueued()
     })
   }
@@ -62,8 +67,12 @@
   private async appendQueued (): Promise<void> {
     this.isAppending = true
     while (this.queue.length > 0 && !this.isDisposed) {
-      const batch = this.queue.splice(0, MAXIMUM_BATCH_RECORDS)
-      await this.appendBatch(batch)
+      const batch = this.queue.splice(0, MAXIMUM_BATCH_RECORDS).filter(pending => {
+        const mayAppend = pending.mayAppend()
+        if (!mayAppend) pending.resolve('refused')
+        return mayAppend
+      })
+      if (batch.length > 0) await this.appendBatch(batch)
     }
     this.isAppending = false
     if (!this.isDisposed) return
--- a/src/cluster/topicFollower.ts
+++ b/src/cluster/topicFollower.ts
@@ -14,6 +14,11 @@
   readonly waitMilliseconds: number
   /** Returns the minimum time from one read to the next, in milliseconds; records that arrive close together share a read. Called after each read. */
   readonly periodMilliseconds: () => number
+  /**
+   * If the last successful read was sent longer ago than this, the next one does not wait for a record, so that its response shows at
+   * once that all records have been received. In milliseconds; never if absent.
+   */
+  readonly refreshAfterMilliseconds?: number
 }
 
 export interface TopicFollowerObserver {
@@ -92,7 +97,9 @@
 
   private async readOnce (from: number): Promise<boolean> {
     const sentAt = this.now()
-    const outcome = await this.log.read(this.options.topic, this.options.partition, from, this.options.waitMilliseconds)
+    const { topic, partition, waitMilliseconds, refreshAfterMilliseconds = Infinity } = this.options
+    const isBehind = sentAt - (this.lastReadStartedAt ?? sentAt) > refreshAfterMilliseconds
+    const outcome = await this.log.read(topic, partition, from, isBehind ? 0 : waitMilliseconds)
     if (this.isDisposed) return false
     switch (outcome.kind) {
       case 'unavailable':
--- a/src/contracts/clusterConfiguration.ts
+++ b/src/contracts/clusterConfiguration.ts
@@ -62,6 +62,8 @@
   readonly queues: readonly Queue[]
   /** Organisations that share the workers; empty if callers are not distinguished. */
   readonly organisations: readonly Organisation[]
+  /** Number of organisations that were left out because their entries are malformed; 0 if absent. */
+  readonly malformedOrganisations?: number
   readonly pools: readonly WorkerPool[]
   readonly maximumBodyBytes: number
 }
--- a/src/contracts/clusterMessages.ts
+++ b/src/contracts/clusterMessages.ts
@@ -10,7 +10,7 @@
   z.object({ type: z.literal('stateQuestion'), id: identifier, job: z.string() }),
   z.object({ type: z.literal('waitingQuestion'), id: identifier, queue: z.string() }),
   z.object({ type: z.literal('eligibilityQuestion'), id: identifier, step: z.string(), workers: z.array(z.string()), timeoutMilliseconds: z.number() }),
-  z.object({ type: z.literal('stateReply'), id: identifier, state: z.string() }),
+  z.object({ type: z.literal('stateReply'), id: identifier, state: z.string(), /** Organisation of the job; absent if it has none, and in replies of earlier versions. */ organisation: z.string().optional() }),
   z.object({ type: z.literal('waitingReply'), id: identifier, waiting: z.number().int() }),
   z.object({ type: z.literal('eligibilityReply'), id: identifier, reason: z.string(), workers: z.array(z.tuple([z.string(), z.string()])), validMilliseconds: z.number() })
 ])
--- a/src/contracts/clusterSettings.ts
+++ b/src/contracts/clusterSettings.ts
@@ -16,6 +16,14 @@
   readonly stateRetentionMilliseconds: number
 }
 
+/** Bounds on the use of API keys that have been withdrawn. */
+export interface KeyRevocation {
+  /** Time from the withdrawal of a key until every instance refuses it. */
+  readonly milliseconds: number
+  /** Whether an instance that cannot read the configuration refuses reads too after that time, not only writes. */
+  readonly appliesToReads: boolean
+}
+
 /** Settings of one instance of the cluster scheduler. */
 export interface ClusterSettings {
   readonly instance: string
@@ -29,4 +37,5 @@
   /** Bandwidth of the instance's own link, in megabits per second. */
   readonly linkMegabits: number
   readonly bounds: ClusterBounds
+  readonly keyRevocation: KeyRevocation
 }
