--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -377,6 +377,26 @@
   })
 })
 
+describe('decodeConfiguration', () => {
+  const valid = { name: 'acme', apiKeys: ['k1'] }
+  const decoded = { name: 'acme', apiKeys: ['k1'], weight: 1, cap: { processorsThousandths: 0, memoryMegabytes: 0, accelerators: 0 } }
+  /** A malformed organisation must neither open the queues nor take the keys of the others away. */
+  const ORGANISATIONS: ReadonlyArray<{ readonly name: string, readonly tenants: unknown, readonly expected: object | undefined }> = [
+    { name: 'no organisations', tenants: undefined, expected: { organisations: [], malformed: undefined } },
+    { name: 'organisations', tenants: [valid], expected: { organisations: [decoded], malformed: undefined } },
+    { name: 'an organisation without a name', tenants: [valid, { apiKeys: ['k2'] }], expected: { organisations: [decoded], malformed: 1 } },
+    { name: 'keys that are no strings', tenants: [valid, { name: 'bolt', apiKeys: [7] }], expected: { organisations: [decoded], malformed: 1 } },
+    { name: 'malformed organisations alone', tenants: [null, 'acme'], expected: { organisations: [], malformed: 2 } },
+    { name: 'organisations that are no list', tenants: { name: 'acme' }, expected: undefined }
+  ]
+  for (const { name, tenants, expected } of ORGANISATIONS) {
+    it(`decodes ${name}`, () => {
+      const configuration = decodeConfiguration(Buffer.from(JSON.stringify({ version: 1, routes: [], tenants, limits: { maxBodyBytes: 1 } })))
+      assert.deepEqual(configuration && { organisations: configuration.organisations, malformed: configuration.malformedOrganisations }, expected)
+    })
+  }
+})
+
 describe('parsePlatformSettings', () => {
   const text = `
 node = "n"
@@ -409,5 +429,10 @@
     assert.deepEqual(settings.cluster.link, { host: '127.0.0.1', port: 7720 })
     assert.equal(settings.cluster.bounds.graceMilliseconds, 6000)
   })
+  const REVOCATIONS: ReadonlyArray<{ readonly name: string, readonly bounds: string, readonly expected: object }> = [
+    { name: 'defaults', bounds: '', expected: { milliseconds: 5000, appliesToReads: false } },
+    { name: 'bounds of the file', bounds: 'revokeMs = 2000\nstrictRevoke = true\n', expected: { milliseconds: 2000, appliesToReads: true } }
+  ]
+  for (const { name, bounds, expected } of REVOCATIONS) it(`reads the revocation of keys from ${name}`, () => assert.deepEqual(parsePlatformSettings('file', text.replace('[platform]', `${bounds}[platform]`)).cluster.keyRevocation, expected))
   it('names the file and the key of a missing setting', () => assert.throws(() => parsePlatformSettings('file.toml', text.replace('holdMaxMs = 6000', '')), /file\.toml: bounds\.holdMaxMs/))
 })
