--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -3,6 +3,8 @@
 import { CrashTracker, type RunLossCause } from './crashTracker.js'
 import { Job, Occurrence, restoreProgress, type Step, type Task } from './job.js'
 import { estimateObjective, LATE_FACTOR } from './objective.js'
+import { findOrigin } from './organisations/organisationLedger.js'
+import { Organisations } from './organisations/organisations.js'
 import { PlacementPass, URGENT_PRIORITY, type PlacementContext, type PlannedRun } from './placementPass.js'
 import { RunReconciler } from './runReconciler.js'
 import { isInService } from './serving/availability.js'
@@ -72,6 +74,8 @@
   private readonly cancelledBeforeAdd = new Set<string>()
   /** Capacity reserved for urgent work. */
   readonly headroom = new UrgentHeadroom()
+  /** Organisations that share the workers. */
+  readonly organisations = new Organisations(this.workers)
   private pendingStops: PendingStop[] = []
   private configuration: ClusterConfiguration | undefined
   private readonly queues = new Map<string, Queue>()
@@ -84,6 +88,7 @@
   constructor (private readonly observer: SchedulerObserver) {
     this.reconciler = new RunReconciler({
       findTask: taskName => this.findTask(taskName),
+      findOrigin: taskName => findOrigin(this.jobs, taskName),
       onRunning: (task, now) => this.onRunning(task, now),
       onEnded: (task, worker, end, now) => this.onEnded(task, worker, end, now),
       onLost: (task, worker, hasProcessExited, isAlone, now) => this.onRunLost(task, worker, hasProcessExited ? 'processRestarted' : 'notListed', isAlone, now),
@@ -96,7 +101,7 @@
     })
     this.serving = new ServingSupervisor(this.workers, {
       stopRun: task => this.stopRun(task),
-      isPlaceable: (task, now) => new PlacementPass([], this.placementContext, now).isPlaceable(task.step)
+      isPlaceable: (task, now) => this.organisations.mayStart(task) && new PlacementPass([], this.placementContext, now).isPlaceable(task.step)
     }, observer)
   }
 
@@ -104,6 +109,7 @@
   configure (configuration: ClusterConfiguration): void {
     if (this.configuration !== undefined && configuration.revision <= this.configuration.revision) return
     this.configuration = configuration
+    this.organisations.configure(configuration.organisations)
     this.queues.clear()
     for (const queue of configuration.queues) this.queues.set(queue.name, queue)
   }
@@ -115,7 +121,7 @@
 
   /** Adds a worker or updates its entry. Returns its state. */
   upsertWorker (entry: WorkerEntry, now: number): WorkerState {
-    const worker = this.workers.get(entry.identity) ?? new WorkerState(entry)
+    const worker = this.workers.get(entry.identity) ?? new WorkerState(entry, this.organisations.ledger)
     const former = worker.entry
     worker.update(entry, now)
     this.workers.set(entry.identity, worker)
@@ -129,7 +135,7 @@
     const worker = this.workers.get(identity)
     if (worker === undefined) return
     worker.isListed = false
-    if (worker.runs.size === 0) this.workers.delete(identity)
+    if (worker.isEmpty) this.workers.delete(identity)
   }
 
   /** Adds a job that is stored in the log. Duplicates are ignored. */
@@ -203,7 +209,7 @@
   /** Places waiting tasks and allocates capacity for their runs. Each run must be recorded before its start command is sent. */
   place (now: number): PlannedRun[] {
     this.crashTracker.discardOldLosses(now)
-    const pass = new PlacementPass([...this.readySteps], this.placementContext, now)
+    const pass = new PlacementPass([...this.readySteps], { ...this.placementContext, caps: this.organisations.createCapGate(now) }, now)
     const planned = pass.run()
     for (const { task } of planned) this.onPlaced(task, now)
     for (const step of this.readySteps) step.waitingSince ??= now
@@ -217,7 +223,7 @@
   beginStart (task: Task, run: number, now: number): boolean {
     if (task.phase !== 'placed' || task.run !== run) return false
     const worker = this.workers.get(task.worker)
-    if (worker === undefined || !worker.isUsable(now) || worker.isOvercommittedBy(task.step.specification)) {
+    if (worker === undefined || !worker.isUsable(now) || worker.isOvercommittedBy(task.step.specification) || !this.organisations.mayStart(task)) {
       this.withdrawRun(task, run)
       return false
     }
@@ -299,6 +305,7 @@
     if (worker === undefined) return
     const isAlone = worker.runs.size === 1
     for (const task of [...worker.runs.values()]) this.onRunLost(task, worker, cause, isAlone, now)
+    worker.setOrphans([])
     if (!worker.isListed) this.workers.delete(identity)
   }
 
@@ -354,7 +361,7 @@
   }
 
   private get placementContext (): PlacementContext {
-    return { workers: this.workers, policyOf: step => this.policyOf(step.job), headroom: this.headroom, pacing: this.serving.pacing, isolatedTasks: this.isolatedTasks }
+    return { workers: this.workers, policyOf: step => this.policyOf(step.job), headroom: this.headroom, pacing: this.serving.pacing, isolatedTasks: this.organisations.withoutCapped(this.isolatedTasks) }
   }
 
   private adoptRestoredRun (task: Task): void {
@@ -367,7 +374,7 @@
   private addUnlistedWorker (task: Task): WorkerState {
     const worker = new WorkerState({
       identity: task.worker, pool: task.step.job.submission.pool, address: '', failureDomain: '', state: 'draining', processorsThousandths: 0, memoryMegabytes: 0, accelerators: 0, labels: [], machine: '', processStartedAt: 0
-    })
+    }, this.organisations.ledger)
     worker.isListed = false
     this.workers.set(task.worker, worker)
     return worker
--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -80,7 +80,14 @@
     const steps = [...new Set([...this.scheduler.readySteps, ...this.scheduler.departingSteps])]
     sortByPlacementOrder(steps, now)
     let prefetched = 0
+    const cappedOrganisations = new Set<string | undefined>()
     for (const step of steps) {
+      // Only the first step of an organisation at its cap needs tickets soon.
+      if (this.scheduler.organisations.isAtCap(step)) {
+        const { organisation } = step.job.submission
+        if (cappedOrganisations.has(organisation)) continue
+        cappedOrganisations.add(organisation)
+      }
       const policy = this.scheduler.policyOf(step.job)
       if (policy.eligibility === undefined) continue
       const workers = this.selectWorkers(step, policy, now)
--- a/src/cluster/jobService.ts
+++ b/src/cluster/jobService.ts
@@ -2,10 +2,11 @@
 import { DisposableObject } from '../base/disposable.js'
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
-import type { Queue, QueuePolicy } from '../contracts/clusterConfiguration.js'
+import type { Organisation, Queue, QueuePolicy } from '../contracts/clusterConfiguration.js'
 import { encodeRecord } from '../contracts/clusterRecords.js'
 import { isFinalState, type JobState, type StepJob } from '../contracts/stepJob.js'
 import type { JobStateResult } from './activeScheduler.js'
+import { exceedsCap } from './organisations/organisationCaps.js'
 import type { RecordLog } from './recordLog.js'
 import { SubmissionAppender } from './submissionAppender.js'
 import { cancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
@@ -58,9 +59,11 @@
     return this.appender.latencyMilliseconds
   }
 
-  /** Stores a job. A retry of a stored job is accepted again. */
-  async submit (identity: string, queue: Queue, job: StepJob, timeLimitMilliseconds: number): Promise<SubmitResult> {
+  /** Stores a job. A retry of a stored job is accepted again. `organisation` is the one that submits it. */
+  async submit (identity: string, queue: Queue, job: StepJob, timeLimitMilliseconds: number, organisation?: Organisation): Promise<SubmitResult> {
     if (this.accepted.has(identity)) return { kind: 'accepted' }
+    const excess = organisation === undefined ? undefined : exceedsCap(job, organisation)
+    if (excess !== undefined) return this.refuse(identity, `the job can never run: ${excess}`)
     const startedAt = this.now()
     if (this.appender.isStalled) return this.refuse(identity, 'the log is away')
     const value = encodeRecord({ queue: queue.name, pool: queue.pool, policy: recordedPolicy(queue), job, acceptedAt: Date.now() })
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -1,6 +1,7 @@
 import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
 import { IsolationPlan } from './isolationPlan.js'
 import type { Step, Task } from './job.js'
+import type { CapGate } from './organisations/organisationCaps.js'
 import { hasTarget, type PacingController } from './serving/pacingController.js'
 import { FAST_WORKER_SPEED, type UrgentHeadroom } from './urgentHeadroom.js'
 import { processorsOf, type WorkerState } from './workerState.js'
@@ -43,6 +44,8 @@
   readonly pacing: PacingController
   /** Tasks whose runs must share their worker with no other runs. */
   readonly isolatedTasks: ReadonlySet<Task>
+  /** Caps of organisations; absent if there are no organisations. */
+  readonly caps?: CapGate
 }
 
 /** A run that must be recorded before its start command is sent. */
@@ -70,12 +73,14 @@
   private readonly headroom: UrgentHeadroom
   private readonly pacing: PacingController
   private readonly isolation: IsolationPlan
+  private readonly caps: CapGate | undefined
 
   constructor (private readonly steps: Step[], context: PlacementContext, private readonly now: number) {
     this.workers = context.workers
     this.policyOf = context.policyOf
     this.headroom = context.headroom
     this.pacing = context.pacing
+    this.caps = context.caps
     this.isolation = new IsolationPlan(context.isolatedTasks, step => this.eligibleWorkers(step).filter(worker => worker.isUsable(now)), now)
   }
 
@@ -83,12 +88,19 @@
     sortByPlacementOrder(this.steps, this.now)
     this.measureFreeProcessors()
     for (const step of this.steps) {
-      if (step.specification.gang) this.placeGang(step)
+      if (this.waitsForCap(step)) step.reservation = undefined
+      else if (step.specification.gang) this.placeGang(step)
       else this.placeTasks(step)
     }
     return this.planned
   }
 
+  /** Returns true if the cap of its organisation has no room for the step. A gang that has not stopped yet waits for its own runs. */
+  private waitsForCap (step: Step): boolean {
+    const count = step.specification.gang ? step.tasks.length : 1
+    return step.waitingCount >= count && this.caps?.admits(step, count) === false
+  }
+
   /** Returns true if a further task of the step could be placed now. */
   isPlaceable (step: Step): boolean {
     return this.candidates(step).length > 0
@@ -121,6 +133,7 @@
     const perWorker = countPerWorker(step)
     for (const task of step.tasks) {
       if (task.phase !== 'waiting' || mustWaitForEvidence(task)) continue
+      if (this.caps?.admits(step, 1) === false) return
       const worker = this.chooseWorker(task, this.isolation.selectFor(task, candidates), perWorker)
       if (worker === undefined && task.crashEvidence.needsIsolation) continue
       if (worker === undefined) return
--- a/src/cluster/runReconciler.ts
+++ b/src/cluster/runReconciler.ts
@@ -1,4 +1,5 @@
 import type { Task } from './job.js'
+import type { RunOrigin } from './organisations/organisationLedger.js'
 import type { EndReport, RunningReport, WorkerReport } from './workerPort.js'
 import type { WorkerState } from './workerState.js'
 
@@ -9,6 +10,8 @@
 export interface RunReconcilerActions {
   /** Returns the task with this name; undefined if there is none. */
   findTask (taskName: string): Task | undefined
+  /** Returns the job and the step of a task; undefined if the job is not known. */
+  findOrigin (taskName: string): RunOrigin | undefined
   /** The worker has listed a run whose start was not confirmed before. */
   onRunning (task: Task, now: number): void
   /** A run has ended. */
@@ -75,24 +78,34 @@
 
   private applyRunning (worker: WorkerState, running: readonly RunningReport[], now: number): void {
     worker.hasOrphanedRuns = false
-    for (const report of running) this.applyRunningRun(worker, report, now)
+    const orphans: RunOrigin[] = []
+    for (const report of running) {
+      if (!this.applyRunningRun(worker, report, now)) continue
+      const origin = this.actions.findOrigin(report.task)
+      if (origin !== undefined) orphans.push(origin)
+    }
+    worker.setOrphans(orphans)
     if (!worker.hasOrphanedRuns) worker.orphanStopTimes.clear()
   }
 
-  private applyRunningRun (worker: WorkerState, { task: taskName, run, checkpoint, percent, load }: RunningReport, now: number): void {
+  /** Returns true if the run is an orphaned one. */
+  private applyRunningRun (worker: WorkerState, { task: taskName, run, checkpoint, percent, load }: RunningReport, now: number): boolean {
     const task = worker.runs.get(taskName)
     if (task === undefined || task.run !== run) {
-      if (!this.isDoneRun(taskName, run)) this.stopOrphanedRun(worker, taskName, run, now)
-      return
+      if (this.isDoneRun(taskName, run)) return false
+      this.stopOrphanedRun(worker, taskName, run, now)
+      return true
     }
     if (checkpoint !== '') task.checkpoint = checkpoint
     task.processStartedAt = worker.processStartedAt
     task.isConfirmed = true
     if (task.phase === 'starting' || task.phase === 'uncertain') this.actions.onRunning(task, now)
     task.reportedLoad = load
-    if (percent === task.percent) return
-    task.percent = percent
-    task.progressedAt = now
+    if (percent !== task.percent) {
+      task.percent = percent
+      task.progressedAt = now
+    }
+    return false
   }
 
   /** Requests the stop of a run that belongs to no task. The worker lists the run until it has stopped. */
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -1,5 +1,6 @@
 import type { JobStep } from '../contracts/stepJob.js'
 import type { Task } from './job.js'
+import type { RunOrigin, UsageListener } from './organisations/organisationLedger.js'
 import type { WorkerEntry } from './workerPort.js'
 
 /** Weight of the latest run in the estimated speed; job estimates are off by up to a factor of two, so the speed averages about ten runs. */
@@ -31,6 +32,8 @@
   isUnresponsive = false
   /** The latest report lists orphaned runs; they use capacity until they have stopped. */
   hasOrphanedRuns = false
+  /** Origins of the orphaned runs in the latest report, as far as they are known. */
+  private orphans: readonly RunOrigin[] = []
   /** Time of the last stop command for each orphaned run, by task and run, in milliseconds of the monotonic clock. */
   readonly orphanStopTimes = new Map<string, number>()
   /** The registry lists the worker. */
@@ -53,7 +56,7 @@
   private consecutiveFailures = 0
   private lastFailedJob = ''
 
-  constructor (public entry: WorkerEntry) {}
+  constructor (public entry: WorkerEntry, private readonly usageListener?: UsageListener) {}
 
   get identity (): string {
     return this.entry.identity
@@ -131,6 +134,18 @@
     this.addUsage(task, -1)
   }
 
+  /** Sets the origins of the orphaned runs that the worker has. */
+  setOrphans (orphans: readonly RunOrigin[]): void {
+    for (const { job, step } of this.orphans) this.usageListener?.onDidChangeUsage(job, step, -1)
+    this.orphans = orphans
+    for (const { job, step } of orphans) this.usageListener?.onDidChangeUsage(job, step, 1)
+  }
+
+  /** True if no run may exist on the worker. */
+  get isEmpty (): boolean {
+    return this.runs.size === 0 && this.orphans.length === 0
+  }
+
   /** Updates the speed and resets the consecutive failures after a successful run. */
   recordSuccess (estimateMilliseconds: number, durationMilliseconds: number): void {
     this.consecutiveFailures = 0
@@ -157,6 +172,7 @@
     this.usedProcessors += sign * processorsOf(step)
     this.usedMemory += sign * step.memoryMegabytes
     this.usedAccelerators += sign * step.accelerators
+    this.usageListener?.onDidChangeUsage(task.step.job, step, sign)
   }
 }
 
