--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -81,7 +81,14 @@
     const now = this.now()
     const steps = [...new Set([...this.scheduler.readySteps, ...this.scheduler.departingSteps])]
     sortByPlacementOrder(steps, now)
+    const cappedOrganisations = new Set<string | undefined>()
     for (const step of steps) {
+      // Only the first step of an organisation at its cap needs tickets soon.
+      if (this.scheduler.organisations.isAtCap(step)) {
+        const { organisation } = step.job.submission
+        if (cappedOrganisations.has(organisation)) continue
+        cappedOrganisations.add(organisation)
+      }
       const policy = this.scheduler.policyOf(step.job)
       const { eligibility } = step
       if (policy.eligibility === undefined || eligibility.isRequestPending || now < eligibility.retryNotBefore) continue
--- a/src/cluster/jobService.ts
+++ b/src/cluster/jobService.ts
@@ -7,6 +7,7 @@
 import { isFinalState, type JobState, type StepJob } from '../contracts/stepJob.js'
 import type { JobStatus } from './activeScheduler.js'
 import { mayAccess, UNRESTRICTED_ACCESS, type AccessMode, type CallAccess, type CallerIdentity, type RefusalReason } from './organisations/accessControl.js'
+import { exceedsCap } from './organisations/organisationCaps.js'
 import type { RecordLog } from './recordLog.js'
 import { SubmissionAppender } from './submissionAppender.js'
 import { cancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
@@ -81,6 +82,8 @@
     const { caller } = decision
     const known = this.accepted.get(identity)
     if (known !== undefined) return { kind: mayAccess(caller, known.organisation) ? 'accepted' : 'identityTaken' }
+    const excess = caller.organisation === undefined || caller.cap === undefined ? undefined : exceedsCap(job, { name: caller.organisation, cap: caller.cap })
+    if (excess !== undefined) return this.refuse(identity, `the job can never run: ${excess}`)
     const startedAt = this.now()
     if (this.appender.isStalled) return this.refuse(identity, 'the log is away')
     const owner = caller.organisation === undefined ? {} : { organisation: caller.organisation }
