--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -13,6 +13,7 @@
 import { discardTicket, toProgressRecord, type Job, type Task } from './job.js'
 import { JobRetention } from './jobRetention.js'
 import type { PlannedRun } from './placementPass.js'
+import type { PreemptedRun } from './preemption/preemptionController.js'
 import { ProgressWriter } from './progressWriter.js'
 import type { PaceChange } from './serving/pacingController.js'
 import type { PendingPace } from './serving/servingSupervisor.js'
@@ -258,6 +259,11 @@
     this.logger.info('run is stopped to be moved to another worker', { task: task.name, count: task.run, worker: worker.identity, reason: `${reason}; the run is at ${task.percent} percent` })
   }
 
+  onDidPreemptRun ({ task, worker, step, reason, unsaved }: PreemptedRun): void {
+    this.metrics.runPreempted(reason, unsaved / 1000)
+    this.logger.info('run is preempted', { task: task.name, count: task.run, worker: worker.identity, code: reason, reason: `by ${step.name}; ${Math.round(unsaved)} core-milliseconds are lost at ${task.percent} percent, ${task.step.specification.checkpointable ? 'with' : 'without'} a checkpoint` })
+  }
+
   private areSubmissionsFresh (): boolean {
     return this.submissionsAge() < MAXIMUM_SUBMISSIONS_AGE_MILLISECONDS
   }
--- a/src/cluster/clusterMetrics.ts
+++ b/src/cluster/clusterMetrics.ts
@@ -19,6 +19,8 @@
   private readonly paceCommandsTotal = this.counter('pace_commands_total', 'Commands that set the pace of a run', ['outcome'])
   private readonly targetCrossingsTotal = this.counter('target_crossings_total', 'Times that the tail latency of a serving task crossed its target', ['direction'])
   private readonly movedRunsTotal = this.counter('moved_runs_total', 'Runs that were stopped to be moved to another worker', [])
+  private readonly preemptionsTotal = this.counter('preemptions_total', 'Runs that were stopped to make room for tasks of another job', ['reason'])
+  private readonly preemptionLossTotal = this.counter('preemption_unsaved_core_seconds_total', 'Unsaved work of preempted runs, in core-seconds', [])
   private readonly takeoversTotal = this.counter('takeovers_total', 'Times that this instance took the scheduler role over', [])
   private readonly durations = new Map<string, Histogram>()
 
@@ -53,6 +55,11 @@
     this.movedRunsTotal.inc()
   }
 
+  runPreempted (reason: string, unsavedCoreSeconds: number): void {
+    this.preemptionsTotal.inc({ reason })
+    this.preemptionLossTotal.inc(unsavedCoreSeconds)
+  }
+
   runEnded (kind: string): void {
     this.runEndsTotal.inc({ kind })
   }
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -4,6 +4,7 @@
 import { Job, Occurrence, restoreProgress, type Step, type Task } from './job.js'
 import { estimateObjective, LATE_FACTOR } from './objective.js'
 import { PlacementPass, URGENT_PRIORITY, type PlacementContext, type PlannedRun } from './placementPass.js'
+import { PreemptionController, type PreemptedRun } from './preemption/preemptionController.js'
 import { RunReconciler } from './runReconciler.js'
 import { isInService } from './serving/availability.js'
 import { ServingSupervisor, type PendingPace, type ServingObserver } from './serving/servingSupervisor.js'
@@ -40,6 +41,8 @@
   onDidIgnoreRunEnd (worker: WorkerState, end: EndReport, task: Task): void
   /** A long-running task does its work now. */
   onDidEnterService (worker: WorkerState, task: Task): void
+  /** A run is stopped so that a task of another job can start. */
+  onDidPreemptRun (preempted: PreemptedRun): void
 }
 
 /** Information about a job in addition to its submission. */
@@ -77,6 +80,9 @@
   private readonly queues = new Map<string, Queue>()
   private readonly reconciler: RunReconciler
   private readonly serving: ServingSupervisor
+  private readonly preemption: PreemptionController
+  /** Largest priority value of a queue. */
+  private lowestPriority = 0
   private readonly crashTracker = new CrashTracker(this.workers, (task, worker, now) => this.onCrash(task, worker, now))
   /** Tasks whose runs are isolated and whose jobs are not finished. */
   private readonly isolatedTasks = new Set<Task>()
@@ -98,6 +104,13 @@
       stopRun: task => this.stopRun(task),
       isPlaceable: (task, now) => new PlacementPass([], this.placementContext, now).isPlaceable(task.step)
     }, observer)
+    this.preemption = new PreemptionController({
+      workers: this.workers,
+      lowestPriority: () => this.lowestPriority,
+      priorityOf: step => this.policyOf(step.job).priority,
+      stopRun: task => this.stopRun(task),
+      onDidPreemptRun: preempted => this.observer.onDidPreemptRun(preempted)
+    })
   }
 
   /** Applies a configuration unless it is older than the current one. */
@@ -106,6 +119,7 @@
     this.configuration = configuration
     this.queues.clear()
     for (const queue of configuration.queues) this.queues.set(queue.name, queue)
+    this.lowestPriority = Math.max(0, ...configuration.queues.map(({ priority }) => priority))
   }
 
   /** Returns the policy of the job's queue or, while the queue is not configured, the policy at the job's acceptance. */
@@ -203,10 +217,10 @@
   /** Places waiting tasks and allocates capacity for their runs. Each run must be recorded before its start command is sent. */
   place (now: number): PlannedRun[] {
     this.crashTracker.discardOldLosses(now)
-    const pass = new PlacementPass([...this.readySteps], this.placementContext, now)
-    const planned = pass.run()
+    const planned = this.preemption.place([...this.readySteps], steps => new PlacementPass(steps, this.placementContext, now).run(), now)
     for (const { task } of planned) this.onPlaced(task, now)
     for (const step of this.readySteps) step.waitingSince ??= now
+    this.preemption.preempt(this.readySteps, () => new PlacementPass([], this.placementContext, now), now)
     return planned
   }
 
@@ -429,6 +443,7 @@
 
   private onEnded (task: Task, worker: WorkerState, end: EndReport, now: number): void {
     this.observer.onDidEndRun(task, worker, end.kind, now - task.startedAt)
+    if (end.kind === 'stopped') this.preemption.onStopped(now - task.stopConfirmedAt)
     const job = task.step.job
     this.markStarted(job)
     if (task.crashEvidence.isSuspect) task.step.hasClearedSuspect = true
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -94,6 +94,11 @@
     return this.candidates(step).length > 0
   }
 
+  /** Returns the workers on which a task of the step could start at a time if they had room. */
+  workersAt (step: Step, time: number): WorkerState[] {
+    return this.eligibleWorkers(step).filter(worker => worker.isUsable(this.now) && !worker.hasIsolatedRun && !this.isolation.isKeptFromOthers(step, worker) && this.ticketOf(step, worker, time) !== undefined)
+  }
+
   private measureFreeProcessors (): void {
     let total = 0
     let used = 0
@@ -200,7 +205,8 @@
     })
   }
 
-  private headroomFor (step: Step, worker: WorkerState): number {
+  /** Returns the processors that a task of the step must leave free on a worker, in thousandths. */
+  headroomFor (step: Step, worker: WorkerState): number {
     if (step.job.isUrgent || step.specification.filler) return 0
     const reserved = this.headroom.reservedOn(worker)
     return reserved === 0 || this.ignoresHeadroom(step) ? 0 : reserved
@@ -245,11 +251,11 @@
     return found
   }
 
-  /** Returns the ticket for a start now; empty if none is required, undefined if there is no valid one. */
-  private ticketOf (step: Step, worker: WorkerState): string | undefined {
+  /** Returns the ticket for a start at a time; empty if none is required, undefined if there is no valid one. */
+  private ticketOf (step: Step, worker: WorkerState, time = this.now): string | undefined {
     if (this.policyOf(step).eligibility === undefined) return ''
     const ticket = step.eligibility.tickets.get(worker.identity)
-    return ticket !== undefined && ticket.validUntil - TICKET_MARGIN_MILLISECONDS > this.now ? ticket.ticket : undefined
+    return ticket !== undefined && ticket.validUntil - TICKET_MARGIN_MILLISECONDS > time ? ticket.ticket : undefined
   }
 
   private chooseWorker (task: Task, candidates: readonly WorkerState[], perWorker: ReadonlyMap<string, number>): WorkerState | undefined {
