--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -5,6 +5,7 @@
 import { estimateObjective, LATE_FACTOR } from './objective.js'
 import { PlacementPass, URGENT_PRIORITY, type PlacementContext, type PlannedRun } from './placementPass.js'
 import { PreemptionController, type PreemptedRun } from './preemption/preemptionController.js'
+import type { OrganisationShares } from './preemption/preemptionPlanner.js'
 import { RunReconciler } from './runReconciler.js'
 import { isInService } from './serving/availability.js'
 import { ServingSupervisor, type PendingPace, type ServingObserver } from './serving/servingSupervisor.js'
@@ -87,7 +88,8 @@
   /** Tasks whose runs are isolated and whose jobs are not finished. */
   private readonly isolatedTasks = new Set<Task>()
 
-  constructor (private readonly observer: SchedulerObserver) {
+  /** `shares`: how organisations share the capacity; absent while they are not distinguished. */
+  constructor (private readonly observer: SchedulerObserver, shares?: OrganisationShares) {
     this.reconciler = new RunReconciler({
       findTask: taskName => this.findTask(taskName),
       onRunning: (task, now) => this.onRunning(task, now),
@@ -110,7 +112,7 @@
       priorityOf: step => this.policyOf(step.job).priority,
       stopRun: task => this.stopRun(task),
       onDidPreemptRun: preempted => this.observer.onDidPreemptRun(preempted)
-    })
+    }, shares)
   }
 
   /** Applies a configuration unless it is older than the current one. */
--- a/src/cluster/preemption/preemptionPlanner.ts
+++ b/src/cluster/preemption/preemptionPlanner.ts
@@ -287,13 +287,15 @@
     return isWorthIt ? { slot, victims, cost } : 'none'
   }
 
+  /** Returns true if the victims may be added. The last one may exceed the loss budget, so that a small site is not left without any. */
   private isWithinBudget (victims: readonly Victim[]): boolean {
     let { unsaved, stops } = this
     for (const victim of victims) {
+      if (victim.unsaved > 0 && unsaved >= this.limits.lossBudget) return false
       unsaved += victim.unsaved
       stops += victim.tasks.length
     }
-    return unsaved <= this.limits.lossBudget && stops <= this.limits.stopBudget
+    return stops <= this.limits.stopBudget
   }
 
   /** Returns victims on a worker that make room for one more task there. */
--- a/test/fuzz/clusterFaults.ts
+++ b/test/fuzz/clusterFaults.ts
@@ -2,6 +2,8 @@
 import { CrashEvidence } from '../../src/cluster/crashEvidence.js'
 import { CrashTracker } from '../../src/cluster/crashTracker.js'
 import type { Task } from '../../src/cluster/job.js'
+import { PreemptionController, type PreemptionHost } from '../../src/cluster/preemption/preemptionController.js'
+import type { Preemption } from '../../src/cluster/preemption/preemptionPlanner.js'
 import { ProgressWriter } from '../../src/cluster/progressWriter.js'
 import { RunReconciler, type RunReconcilerActions } from '../../src/cluster/runReconciler.js'
 import { PacingController } from '../../src/cluster/serving/pacingController.js'
@@ -195,6 +197,23 @@
   }
 ]
 
+/** Faults that only traces with preempted runs can show; found by `fuzzPreemption`. */
+export const INJECTED_PREEMPTION_FAULTS: readonly InjectedClusterFault[] = [
+  {
+    name: 'a start is placed before the stop of the preempted run is confirmed',
+    checks: ['RunsOnce', 'WithinRoom'],
+    seed: 1,
+    runs: 10,
+    injectFault: replaceMethod(PreemptionController, 'apply', (original, self, preemption, now) => {
+      original(preemption, now)
+      const { workers } = self.host as unknown as PreemptionHost
+      for (const { tasks } of (preemption as Preemption).victims) {
+        for (const task of tasks) workers.get(task.worker)?.release(task)
+      }
+    })
+  }
+]
+
 /** Combines several faults into one. */
 function combineFaults (...faults: ReadonlyArray<() => () => void>): () => () => void {
   return () => {
--- a/test/operator/jobHistory.test.ts
+++ b/test/operator/jobHistory.test.ts
@@ -54,6 +54,24 @@
         'completed after 1401 ms, in time (objective 2000 ms)'
       ]
     },
+    {
+      name: 'a run that was preempted',
+      lines: [
+        ACCEPTED,
+        line(20, 'run ordered', STARTED),
+        line(300, 'run is preempted', { ...STARTED, code: 'priority', reason: 'by bb.0.0; 0 core-milliseconds are lost at 40 percent, with a checkpoint' }),
+        line(500, 'run ended', { ...STARTED, code: 'stopped', durationMilliseconds: 480 }),
+        line(900, 'run ordered', { ...STARTED, count: 2 }),
+        line(1300, 'run ended', { ...STARTED, count: 2, code: 'done', durationMilliseconds: 400 }),
+        line(1301, 'job finished', { job: 'aa', code: 'completed', durationMilliseconds: 1301, objectiveMilliseconds: 2000 })
+      ],
+      sentences: [
+        'accepted by entry-1, stored in 12 ms',
+        'run 1 of aa.0.0.0 ended stopped on w1',
+        'run 1 of aa.0.0.0 on w1 was preempted by bb.0.0; 0 core-milliseconds are lost at 40 percent, with a checkpoint',
+        'completed after 1301 ms, in time (objective 2000 ms)'
+      ]
+    },
     {
       name: 'a run that was lost because its worker crashed',
       lines: [
