--- a/test/cluster/organisations/contestedIdentities.test.ts
+++ b/test/cluster/organisations/contestedIdentities.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { findEarliestClaims } from '../../../src/cluster/organisations/contestedIdentities.js'
+import { TOPICS } from '../../../src/cluster/recordLog.js'
 import { encodeRecord } from '../../../src/contracts/clusterRecords.js'
 import { stepJobSchema } from '../../../src/contracts/stepJob.js'
+import { FakeCluster } from '../../fakes/fakeCluster.js'
 
 const job = stepJobSchema.parse({ specification: '', steps: [{ count: 1 }] })
 
@@ -36,6 +38,29 @@
     })
   }
 
+  /** Each scheduler must run the same submission, or a job would be lost to its organisation at a change of scheduler. */
+  for (const partitions of [[0, 1], [1, 0]] as const) {
+    it(`lets successive schedulers keep the first of two submissions, in partitions ${partitions.join(' and ')}`, async () => {
+      const cluster = new FakeCluster(1, { onDidStart () {}, onDidEnd () {}, onDidAcknowledgeEnd () {}, onStep () {} })
+      try {
+        cluster.addWorker()
+        const [first, second] = partitions
+        const [acme] = batchOf({ partition: first, organisation: 'acme', acceptedAt: 1 }).records
+        const [bolt] = batchOf({ partition: second, organisation: 'bolt', acceptedAt: 2 }).records
+        assert.ok(acme !== undefined && bolt !== undefined)
+        cluster.log.append(TOPICS.submissions, first, [acme])
+        cluster.log.append(TOPICS.submissions, second, [bolt])
+        for (let term = 1; term <= 2; term += 1) {
+          cluster.startScheduler()
+          await cluster.advance(2000)
+          assert.equal(cluster.runningSchedulers.at(-1)?.activeScheduler.statusOf('job').organisation, 'acme')
+        }
+      } finally {
+        cluster.dispose()
+      }
+    })
+  }
+
   it('leaves out copies that cannot be decoded', () => {
     const malformed = { partition: 1, records: [{ key: 'job', value: Buffer.from([255, 0, 1]), offset: 0 }] }
     assert.deepEqual(findEarliestClaims([malformed, batchOf({ partition: 0, organisation: 'acme', acceptedAt: 1 })]), [])
--- a/test/cluster/submissionAppender.test.ts
+++ b/test/cluster/submissionAppender.test.ts
@@ -43,6 +43,21 @@
     assert.deepEqual([...results], [['b', 'refused'], ['a', 'stored']])
     assert.equal(log.latestValue(TOPICS.submissions, 'b'), undefined)
   }))
+
+  /** The permission of a record may end while it waits for the append before it. */
+  const PERMISSIONS: ReadonlyArray<{ readonly name: string, readonly mayAppend: boolean, readonly outcome: SubmissionOutcome }> = [
+    { name: 'sends a queued record that may still be sent', mayAppend: true, outcome: 'stored' },
+    { name: 'refuses a queued record that may no longer be sent', mayAppend: false, outcome: 'refused' }
+  ]
+  for (const { name, mayAppend, outcome } of PERMISSIONS) {
+    it(name, async () => await withAppender(async (clock, log, appender) => {
+      const results = new Map<string, SubmissionOutcome>()
+      for (const key of ['a', 'b', 'c']) appender.append({ key, value: Buffer.from(key) }, TIMEOUT_MILLISECONDS, () => key !== 'b' || mayAppend).then(result => results.set(key, result))
+      await clock.tickAsync(100)
+      assert.deepEqual(Object.fromEntries(results), { a: 'stored', b: outcome, c: 'stored' })
+      assert.equal(log.latestValue(TOPICS.submissions, 'b') !== undefined, mayAppend)
+    }))
+  }
 })
 
 async function withAppender (body: (clock: ReturnType<typeof FakeTimers.install>, log: FakeRecordLog, appender: SubmissionAppender) => Promise<void>): Promise<void> {
