--- a/src/cluster/preemption/preemptionController.ts
+++ b/src/cluster/preemption/preemptionController.ts
@@ -8,12 +8,13 @@
 import type { HeldAmounts } from './workerRoom.js'
 
 /** Minimum time from one plan to the next, and from one plan for a step to the next for it, in milliseconds. */
-const PLAN_PERIOD_MILLISECONDS = 40
+const PLAN_PERIOD_MILLISECONDS = 60
 const STEP_PERIOD_MILLISECONDS = 200
 /** Maximum number of steps that one plan examines. */
-const MAXIMUM_STEPS_PER_PLAN = 6
-/** Maximum number of preempted runs that are still being stopped. */
-const MAXIMUM_STOPS_IN_FLIGHT = 48
+const MAXIMUM_STEPS_PER_PLAN = 4
+/** Maximum number of preempted runs that are still being stopped, per worker of the site, and on small sites. */
+const MAXIMUM_STOPS_PER_WORKER = 0.5
+const MINIMUM_STOP_LIMIT = 8
 /** Time for which freed room is held for a step, in milliseconds; longer than a stop takes. */
 const HOLD_MILLISECONDS = 3000
 
@@ -107,7 +108,7 @@
       shares: this.shares,
       stopMilliseconds: this.stops.milliseconds,
       lossBudget: this.budget.remaining,
-      stopBudget: MAXIMUM_STOPS_IN_FLIGHT - this.countStopsInFlight()
+      stopBudget: Math.max(MINIMUM_STOP_LIMIT, MAXIMUM_STOPS_PER_WORKER * this.host.workers.size) - this.countStopsInFlight()
     }, now)
     for (const step of waiting) {
       this.examinedAt.set(step, now)
--- a/src/cluster/preemption/preemptionPlanner.ts
+++ b/src/cluster/preemption/preemptionPlanner.ts
@@ -12,6 +12,8 @@
 const PATIENCE_MILLISECONDS = 1000
 /** Additional worth of a core-second of work for each level of priority that it is more urgent than its victim. */
 const WORTH_PER_PRIORITY = 2
+/** Bound on the relative worth, whatever the number of levels. */
+const MAXIMUM_WORTH = 5
 /** Time in service that a start of a task that lasts is worth, in milliseconds. */
 const SERVICE_HORIZON_MILLISECONDS = 10_000
 /** Use of an organisation relative to its weighted share below which it preempts by share, and above which it is preempted. */
@@ -105,7 +107,7 @@
       if (suitable.length === 0) continue
       if (share === 1 && suitable.some(worker => this.canWait(step, worker))) return undefined
       const search = new VictimSearch(step, suitable.map(worker => this.slotOf(step, worker)), this.gainPerTask(step, share), {
-        taken: this.taken, lossBudget: this.lossBudget, stopBudget: this.stopBudget, worthOf: victim => this.worthOf(step, victim)
+        taken: this.taken, lossBudget: this.lossBudget, stopBudget: this.stopBudget, stopMilliseconds: this.context.stopMilliseconds, worthOf: victim => this.worthOf(step, victim)
       })
       const isCovered = search.useFreeRoom()
       if (isCovered || search.run()) return this.accept(step, search)
@@ -147,7 +149,7 @@
   /** Returns the worth of the step's work relative to that of a victim; 0 if the step must not preempt it. */
   private worthOf (step: Step, victim: Victim): number {
     const levels = victim.priority - this.context.priorityOf(step)
-    if (levels > 0) return 1 + WORTH_PER_PRIORITY * levels
+    if (levels > 0) return Math.min(MAXIMUM_WORTH, 1 + WORTH_PER_PRIORITY * levels)
     return levels === 0 && this.mayPreemptByShare(step, victim) ? 1 + WORTH_PER_PRIORITY : 0
   }
 
@@ -191,6 +193,7 @@
   readonly taken: ReadonlySet<Victim>
   readonly lossBudget: number
   readonly stopBudget: number
+  readonly stopMilliseconds: number
   /** Returns the worth of the step's work relative to that of a victim; 0 for runs that must not be preempted. */
   readonly worthOf: (victim: Victim) => number
 }
@@ -279,6 +282,8 @@
   }
 
   private findChoice (slot: Slot): Choice | 'none' {
+    // Capacity that is idle during a stop is a part of every cost; this spares most searches for work that is late already.
+    if (slot.room.missingCores(this.step, slot.headroom) * this.limits.stopMilliseconds > this.gainPerTask * MAXIMUM_WORTH) return 'none'
     const victims = this.findVictims(slot)
     if (victims === undefined) return 'none'
     const cost = victims.reduce((sum, victim) => sum + victim.cost, 0)
--- a/src/cluster/preemption/workerRoom.ts
+++ b/src/cluster/preemption/workerRoom.ts
@@ -45,6 +45,11 @@
     return processorsOf(specification) + headroom <= processors && specification.memoryMegabytes <= memory && specification.accelerators <= accelerators
   }
 
+  /** Returns the processors that lack for a task of the step, in cores. */
+  missingCores (step: Step, headroom: number): number {
+    return Math.max(0, processorsOf(step.specification) + headroom - this.processors) / 1000
+  }
+
   /** Returns the number of tasks of a victim on the worker. */
   countTasks (victim: Victim): number {
     let count = 0
