--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -10,8 +10,9 @@
 import { ClusterScheduler, type PendingStop, type SchedulerObserver } from './clusterScheduler.js'
 import type { RunLossCause } from './crashTracker.js'
 import { EligibilityRequester, type EligibilityRequestResult, type EligibilityChannel } from './eligibilityRequester.js'
-import { discardTicket, toProgressRecord, type Job, type Task } from './job.js'
+import { discardTicket, toProgressRecord, type Job, type Step, type Task } from './job.js'
 import { JobRetention } from './jobRetention.js'
+import type { OrganisationSummary } from './organisations/organisations.js'
 import type { PlannedRun } from './placementPass.js'
 import { ProgressWriter } from './progressWriter.js'
 import type { PaceChange } from './serving/pacingController.js'
@@ -188,6 +189,11 @@
     return count
   }
 
+  /** Organisations shown as metrics. */
+  get organisations (): OrganisationSummary[] {
+    return this.scheduler.organisations.summarise(this.scheduler.readySteps)
+  }
+
   /** Counts shown as metrics. */
   get counts (): { jobs: number, readySteps: number, workers: number, unrecordedEnds: number } {
     return { jobs: this.scheduler.jobs.size, readySteps: this.scheduler.readySteps.size, workers: this.scheduler.workers.size, unrecordedEnds: this.unrecordedEnds }
@@ -240,6 +246,10 @@
     this.logger.warn('end of a run that the task has no more', { worker: worker.identity, task: task.name, count: end.run, code: end.kind, reason: `the task is ${task.phase} with run ${task.run} on ${task.worker === '' ? 'no worker' : task.worker}` })
   }
 
+  onDidExplainWait (step: Step, reason: string): void {
+    this.logger.info('step waits for its organisation', { task: step.name, count: step.waitingCount, reason })
+  }
+
   onDidEnterService (worker: WorkerState, task: Task): void {
     this.logger.info('task is in service', { task: task.name, count: task.run, worker: worker.identity, durationMilliseconds: Math.round(this.now() - task.startedAt) })
   }
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -10,6 +10,7 @@
 import { InstanceLinks } from './instanceLinks.js'
 import { JobService, type SchedulerQueries } from './jobService.js'
 import { Leadership, RENEWAL_PERIOD_MILLISECONDS } from './leadership.js'
+import type { OrganisationSummary } from './organisations/organisations.js'
 import type { Peer } from './peerSet.js'
 import { schedulingCapacityOf } from './schedulingCapacity.js'
 import { TOPICS, type RecordLog, type StoredRecord } from './recordLog.js'
@@ -110,6 +111,12 @@
     metrics.addGauge('open_steps', 'Steps with tasks that wait for room', () => this.scheduler?.counts.readySteps ?? 0)
     metrics.addGauge('unrecorded_ends', 'Ends of runs that the acting scheduler here knows and the log does not hold', () => this.scheduler?.counts.unrecordedEnds ?? 0)
     metrics.addGauge('workers', 'Workers that the acting scheduler here knows', () => this.scheduler?.counts.workers ?? 0)
+    const addOrganisationGauge = (name: string, help: string, read: (summary: OrganisationSummary) => number): void => {
+      metrics.addGaugeByName(name, help, 'organisation', () => (this.scheduler?.organisations ?? []).map(summary => [summary.name, read(summary)] as const))
+    }
+    addOrganisationGauge('organisation_used_millicores', 'Processors that may be in use, in thousandths of a core', summary => summary.processorsThousandths)
+    addOrganisationGauge('organisation_waiting_tasks', 'Tasks that wait to be placed', summary => summary.waitingTasks)
+    addOrganisationGauge('organisation_tasks_at_cap', 'Tasks that wait for the cap', summary => summary.tasksAtCap)
   }
 
   /** Starts to listen for links and to read the log. */
--- a/src/cluster/clusterMetrics.ts
+++ b/src/cluster/clusterMetrics.ts
@@ -27,6 +27,20 @@
     const gauge: Gauge = new Gauge({ name: `vanillaturn_${name}`, help, registers: [this.registry], collect: (): void => gauge.set(read()) })
   }
 
+  /** Registers a gauge with one value for each name that `read` returns when metrics are scraped. */
+  addGaugeByName (name: string, help: string, label: string, read: () => ReadonlyArray<readonly [name: string, value: number]>): void {
+    const gauge: Gauge = new Gauge({
+      name: `vanillaturn_${name}`,
+      help,
+      labelNames: [label],
+      registers: [this.registry],
+      collect: (): void => {
+        gauge.reset()
+        for (const [labelValue, value] of read()) gauge.set({ [label]: labelValue }, value)
+      }
+    })
+  }
+
   responseSent (operation: string, status: number, milliseconds: number): void {
     this.answersTotal.inc({ operation, status: String(status) })
     this.observe(`answer_${operation}`, milliseconds)
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -40,6 +40,8 @@
   onDidResizeWorker (worker: WorkerState, former: WorkerEntry): void
   /** A worker has reported the end of a run that is no longer the current run of its task. */
   onDidIgnoreRunEnd (worker: WorkerState, end: EndReport, task: Task): void
+  /** A step waits for its organisation, for another reason than before. */
+  onDidExplainWait (step: Step, reason: string): void
   /** A long-running task does its work now. */
   onDidEnterService (worker: WorkerState, task: Task): void
 }
@@ -153,6 +155,7 @@
     const objective = estimateObjective(submission.job, policy)
     job.objectiveAt = now - age + objective
     job.lateUntil = now - age + LATE_FACTOR * objective
+    this.organisations.onDidAddJob(job, now - age)
     if (job.isFinal) {
       // The record does not contain the finishing time.
       job.finishedAt = now
@@ -209,10 +212,12 @@
   /** Places waiting tasks and allocates capacity for their runs. Each run must be recorded before its start command is sent. */
   place (now: number): PlannedRun[] {
     this.crashTracker.discardOldLosses(now)
-    const pass = new PlacementPass([...this.readySteps], { ...this.placementContext, caps: this.organisations.createCapGate(now) }, now)
+    const steps = [...this.readySteps]
+    const pass = new PlacementPass(steps, { ...this.placementContext, caps: this.organisations.createCapGate(now), fairOrder: this.organisations.createFairOrder(steps, now) }, now)
     const planned = pass.run()
     for (const { task } of planned) this.onPlaced(task, now)
     for (const step of this.readySteps) step.waitingSince ??= now
+    for (const { step, text } of this.organisations.explainWaits(this.readySteps, now)) this.observer.onDidExplainWait(step, text)
     return planned
   }
 
--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -78,7 +78,7 @@
   private * selectRequests (): Generator<EligibilityRequest> {
     const now = this.now()
     const steps = [...new Set([...this.scheduler.readySteps, ...this.scheduler.departingSteps])]
-    sortByPlacementOrder(steps, now)
+    sortByPlacementOrder(steps, now, this.scheduler.organisations.createFairOrder(steps, now))
     let prefetched = 0
     const cappedOrganisations = new Set<string | undefined>()
     for (const step of steps) {
--- a/src/cluster/organisations/organisationLedger.ts
+++ b/src/cluster/organisations/organisationLedger.ts
@@ -35,8 +35,7 @@
   private readonly usage = new Map<string, Usage>()
 
   onDidChangeUsage (job: Job, step: JobStep, sign: 1 | -1): void {
-    const name = job.submission.organisation
-    if (name === undefined) return
+    const name = job.submission.organisation ?? ''
     const usage = this.usage.get(name) ?? { ...NO_USAGE }
     const added = resourcesOf(step)
     usage.processorsThousandths += sign * added.processorsThousandths
@@ -50,7 +49,7 @@
     return this.usage.get(organisation) ?? NO_USAGE
   }
 
-  /** Names of the organisations that have had runs. */
+  /** Names of the organisations that have had runs; empty for jobs without an organisation. */
   get organisations (): Iterable<string> {
     return this.usage.keys()
   }
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -2,6 +2,7 @@
 import { IsolationPlan } from './isolationPlan.js'
 import type { Step, Task } from './job.js'
 import type { CapGate } from './organisations/organisationCaps.js'
+import type { FairOrder } from './organisations/organisations.js'
 import { hasTarget, type PacingController } from './serving/pacingController.js'
 import { FAST_WORKER_SPEED, type UrgentHeadroom } from './urgentHeadroom.js'
 import { processorsOf, type WorkerState } from './workerState.js'
@@ -46,6 +47,8 @@
   readonly isolatedTasks: ReadonlySet<Task>
   /** Caps of organisations; absent if there are no organisations. */
   readonly caps?: CapGate
+  /** Fair order of organisations; absent if there are no organisations. */
+  readonly fairOrder?: FairOrder
 }
 
 /** A run that must be recorded before its start command is sent. */
@@ -74,6 +77,7 @@
   private readonly pacing: PacingController
   private readonly isolation: IsolationPlan
   private readonly caps: CapGate | undefined
+  private readonly fairOrder: FairOrder | undefined
 
   constructor (private readonly steps: Step[], context: PlacementContext, private readonly now: number) {
     this.workers = context.workers
@@ -81,11 +85,12 @@
     this.headroom = context.headroom
     this.pacing = context.pacing
     this.caps = context.caps
+    this.fairOrder = context.fairOrder
     this.isolation = new IsolationPlan(context.isolatedTasks, step => this.eligibleWorkers(step).filter(worker => worker.isUsable(now)), now)
   }
 
   run (): PlannedRun[] {
-    sortByPlacementOrder(this.steps, this.now)
+    sortByPlacementOrder(this.steps, this.now, this.fairOrder)
     this.measureFreeProcessors()
     for (const step of this.steps) {
       if (this.waitsForCap(step)) step.reservation = undefined
@@ -332,16 +337,22 @@
 }
 
 /** Classes of work in placement order. */
-const enum PlacementClass { UrgentInTime, UrgentLate, Serving, InTime, Late, Overdue }
+const enum PlacementClass { UrgentInTime, UrgentLate, Serving, InTime, Late, Deferred, Overdue }
 
 /**
  * Sorts steps by placement class, and by objective within a class. Late urgent work precedes all non-urgent work while it still
  * earns a benefit, because it is small and has already waited. Long-running work is missed in each second in which it does not
- * run, however old its job is. Overdue work comes last.
+ * run, however old its job is. Work that a fair order of organisations defers goes before overdue work, which comes last.
  */
-export function sortByPlacementOrder (steps: Step[], now: number): void {
-  const classes = new Map(steps.map(step => [step, placementClassOf(step, now)]))
-  steps.sort((left, right) => (classes.get(left) as PlacementClass) - (classes.get(right) as PlacementClass) || left.job.objectiveAt - right.job.objectiveAt || left.index - right.index)
+export function sortByPlacementOrder (steps: Step[], now: number, fairOrder?: FairOrder): void {
+  const classes = new Map(steps.map(step => [step, fairOrder?.isDeferred(step) === true ? deferredClassOf(step, now) : placementClassOf(step, now)]))
+  const classOf = (step: Step): PlacementClass => classes.get(step) as PlacementClass
+  steps.sort((left, right) => classOf(left) - classOf(right) || left.job.objectiveAt - right.job.objectiveAt || left.index - right.index)
+  fairOrder?.reorder(steps, classOf)
+}
+
+function deferredClassOf (step: Step, now: number): PlacementClass {
+  return Math.max(PlacementClass.Deferred, placementClassOf(step, now))
 }
 
 function placementClassOf ({ job, specification }: Step, now: number): PlacementClass {
--- a/src/operator/jobHistory.ts
+++ b/src/operator/jobHistory.ts
@@ -20,6 +20,7 @@
 ])
 const ELIGIBILITY_MESSAGE = 'eligible workers are known'
 const LOST_RUN_MESSAGE = 'run is lost with its worker; its task waits again'
+const ORGANISATION_WAIT_MESSAGE = 'step waits for its organisation'
 /** Messages that mark the steps in the life cycle of a job. */
 const STEP_MESSAGES: ReadonlySet<string> = new Set(['job accepted', ELIGIBILITY_MESSAGE, 'run ordered', 'run ended', LOST_RUN_MESSAGE, 'job finished'])
 /** Messages about a worker, which explain the outcome of its runs. */
@@ -120,6 +121,7 @@
     if (line.message === 'start was not confirmed') sentences.push(`the start of run ${line.count} of ${line.task} on ${line.worker} was not confirmed: ${line.code}${line.reason === undefined ? '' : `, ${line.reason}`}`)
     if (line.message === 'run is not on its worker; its task waits again') sentences.push(`run ${line.count} of ${line.task} was not on ${line.worker}: ${line.reason}`)
     if (line.message === LOST_RUN_MESSAGE) sentences.push(`run ${line.count} of ${line.task} was lost with ${line.worker}: ${line.code}`)
+    if (line.message === ORGANISATION_WAIT_MESSAGE) sentences.push(`${line.task} ${line.reason}`)
     if (line.message === 'run makes no progress; it is stopped') sentences.push(`run ${line.count} of ${line.task} on ${line.worker} made no progress and was stopped`)
   }
   return sentences
--- a/test/fakes/silentObserver.ts
+++ b/test/fakes/silentObserver.ts
@@ -12,6 +12,7 @@
   onDidRestartWorker () {},
   onDidResizeWorker () {},
   onDidIgnoreRunEnd () {},
+  onDidExplainWait () {},
   onDidEnterService () {},
   onDidChangePace () {},
   onDidCrossTarget () {},
--- a/test/fuzz/clusterFaults.ts
+++ b/test/fuzz/clusterFaults.ts
@@ -1,13 +1,17 @@
 import { ClusterScheduler } from '../../src/cluster/clusterScheduler.js'
 import { CrashEvidence } from '../../src/cluster/crashEvidence.js'
 import { CrashTracker } from '../../src/cluster/crashTracker.js'
-import type { Task } from '../../src/cluster/job.js'
+import type { Step, Task } from '../../src/cluster/job.js'
+import { OrganisationCaps, type CapGate } from '../../src/cluster/organisations/organisationCaps.js'
+import { Organisations } from '../../src/cluster/organisations/organisations.js'
+import { PlacementPass } from '../../src/cluster/placementPass.js'
 import { ProgressWriter } from '../../src/cluster/progressWriter.js'
 import { RunReconciler, type RunReconcilerActions } from '../../src/cluster/runReconciler.js'
 import { PacingController } from '../../src/cluster/serving/pacingController.js'
 import { ServingSupervisor } from '../../src/cluster/serving/servingSupervisor.js'
 import { WorkerSession } from '../../src/cluster/workerSession.js'
 import { WorkerState } from '../../src/cluster/workerState.js'
+import type { Organisation } from '../../src/contracts/clusterConfiguration.js'
 import { WorkersOverPaths } from '../fakes/fakeCluster.js'
 import { replaceMethod, replaceGetter } from './faults.js'
 
@@ -195,6 +199,59 @@
   }
 ]
 
+/** Faults that only traces with caps of organisations can show; found by `fuzzOrganisations`. */
+export const INJECTED_ORGANISATION_FAULTS: readonly InjectedClusterFault[] = [
+  {
+    name: 'runs on a worker that does not respond are not counted against the cap',
+    checks: ['WithinCap', 'LedgerMatches'],
+    seed: 1,
+    runs: 25,
+    injectFault: replaceMethod(ClusterScheduler, 'onPollFailed', (original, self, identity) => {
+      original(identity)
+      const scheduler = self as unknown as ClusterScheduler
+      for (const task of scheduler.workers.get(identity as string)?.runs.values() ?? []) scheduler.organisations.ledger.onDidChangeUsage(task.step.job, task.step.specification, -1)
+    })
+  },
+  {
+    name: 'a successor does not count the orphaned runs of its predecessor against the cap',
+    checks: ['WithinCap'],
+    seed: 1,
+    runs: 25,
+    injectFault: replaceMethod(WorkerState, 'setOrphans', () => {})
+  },
+  {
+    name: 'a successor does not count the restored runs of its predecessor against the cap',
+    checks: ['WithinCap', 'LedgerMatches'],
+    seed: 1,
+    runs: 25,
+    injectFault: replaceMethod(ClusterScheduler, 'adoptRestoredRun', (original, self, restored) => {
+      original(restored)
+      const { step, phase } = restored as Task
+      if (phase === 'uncertain') (self as unknown as ClusterScheduler).organisations.ledger.onDidChangeUsage(step.job, step.specification, -1)
+    })
+  },
+  {
+    name: 'a cap is never lowered by a newer configuration',
+    checks: ['WithinCap'],
+    seed: 1,
+    runs: 25,
+    injectFault: replaceMethod(OrganisationCaps, 'configure', (original, self, organisations) => {
+      const caps = self as unknown as OrganisationCaps
+      original((organisations as Organisation[]).filter(({ name, cap }) => (caps.capOf(name)?.processorsThousandths ?? 0) <= cap.processorsThousandths))
+    })
+  },
+  {
+    name: 'a gang is placed if one of its members fits below the cap',
+    checks: ['WithinCap'],
+    seed: 1,
+    runs: 25,
+    injectFault: combineFaults(
+      replaceMethod(PlacementPass, 'waitsForCap', (_original, self, step) => !(self as unknown as { caps: CapGate }).caps.admits(step as Step, 1)),
+      replaceMethod(Organisations, 'mayStart', () => true)
+    )
+  }
+]
+
 /** Combines several faults into one. */
 function combineFaults (...faults: ReadonlyArray<() => () => void>): () => () => void {
   return () => {
