--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -12,6 +12,7 @@
 import { Leadership, RENEWAL_PERIOD_MILLISECONDS } from './leadership.js'
 import { ApiKeyDirectory } from './organisations/apiKeyDirectory.js'
 import { AccessControl, type ConfigurationSource } from './organisations/accessControl.js'
+import type { OrganisationSummary } from './organisations/organisations.js'
 import type { Peer } from './peerSet.js'
 import { schedulingCapacityOf } from './schedulingCapacity.js'
 import { TOPICS, type RecordLog, type StoredRecord } from './recordLog.js'
@@ -97,7 +98,7 @@
     this.capacity = schedulingCapacityOf(settings)
     this.leadership = new Leadership(settings.instance, this.incarnation, Math.round(RANK_OF_ONE_CORE / this.capacity), random.fraction())
     this.accessControl = new AccessControl(this, settings.keyRevocation, now)
-    this.jobService = this.register(new JobService(log, this, logger, random, now))
+    this.jobService = this.register(new JobService(log, this, logger, random, now, name => this.configurationInForce?.organisations.find(organisation => organisation.name === name)))
     this.links = this.register(new InstanceLinks({ instance: settings.instance, incarnation: this.incarnation, processorShare: settings.processorShare, linkMegabits: settings.linkMegabits }, eligibility, {
       getJobStatus: job => this.scheduler?.statusOf(job),
       countWaitingJobs: queue => this.scheduler?.countWaitingJobs(queue),
@@ -116,6 +117,12 @@
     metrics.addGauge('open_steps', 'Steps with tasks that wait for room', () => this.scheduler?.counts.readySteps ?? 0)
     metrics.addGauge('unrecorded_ends', 'Ends of runs that the acting scheduler here knows and the log does not hold', () => this.scheduler?.counts.unrecordedEnds ?? 0)
     metrics.addGauge('workers', 'Workers that the acting scheduler here knows', () => this.scheduler?.counts.workers ?? 0)
+    const addOrganisationGauge = (name: string, help: string, read: (summary: OrganisationSummary) => number): void => {
+      metrics.addGaugeByName(name, help, 'organisation', () => (this.scheduler?.organisations ?? []).map(summary => [summary.name, read(summary)] as const))
+    }
+    addOrganisationGauge('organisation_used_millicores', 'Processors that may be in use, in thousandths of a core', summary => summary.processorsThousandths)
+    addOrganisationGauge('organisation_waiting_tasks', 'Tasks that wait to be placed', summary => summary.waitingTasks)
+    addOrganisationGauge('organisation_tasks_at_cap', 'Tasks that wait for the cap', summary => summary.tasksAtCap)
   }
 
   /** Starts to listen for links and to read the log. */
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -42,6 +42,8 @@
   onDidResizeWorker (worker: WorkerState, former: WorkerEntry): void
   /** A worker has reported the end of a run that is no longer the current run of its task. */
   onDidIgnoreRunEnd (worker: WorkerState, end: EndReport, task: Task): void
+  /** A step waits for its organisation, for another reason than before. */
+  onDidExplainWait (step: Step, reason: string): void
   /** A long-running task does its work now. */
   onDidEnterService (worker: WorkerState, task: Task): void
   /** A run is stopped so that a task of another job can start. */
@@ -169,6 +171,7 @@
     const objective = estimateObjective(submission.job, policy)
     job.objectiveAt = now - age + objective
     job.lateUntil = now - age + LATE_FACTOR * objective
+    this.organisations.onDidAddJob(job, now - age)
     if (job.isFinal) {
       // The record does not contain the finishing time.
       job.finishedAt = now
@@ -225,11 +228,13 @@
   /** Places waiting tasks and allocates capacity for their runs. Each run must be recorded before its start command is sent. */
   place (now: number): PlannedRun[] {
     this.crashTracker.discardOldLosses(now)
-    const context = { ...this.placementContext, caps: this.organisations.createCapGate(now) }
-    const planned = this.preemption.place([...this.readySteps], steps => new PlacementPass(steps, context, now).run(), now)
+    const steps = [...this.readySteps]
+    const context = { ...this.placementContext, caps: this.organisations.createCapGate(now), fairOrder: this.organisations.createFairOrder(steps, now) }
+    const planned = this.preemption.place(steps, candidates => new PlacementPass(candidates, context, now).run(), now)
     for (const { task } of planned) this.onPlaced(task, now)
     for (const step of this.readySteps) step.waitingSince ??= now
     this.preemption.preempt([...this.readySteps].filter(step => !this.organisations.isAtCap(step)), () => new PlacementPass([], this.placementContext, now), now)
+    for (const { step, text } of this.organisations.explainWaits(this.readySteps, now)) this.observer.onDidExplainWait(step, text)
     return planned
   }
 
--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -80,7 +80,7 @@
   private * selectRequests (): Generator<EligibilityRequest> {
     const now = this.now()
     const steps = [...new Set([...this.scheduler.readySteps, ...this.scheduler.departingSteps])]
-    sortByPlacementOrder(steps, now)
+    sortByPlacementOrder(steps, now, this.scheduler.organisations.createFairOrder(steps, now))
     const cappedOrganisations = new Set<string | undefined>()
     for (const step of steps) {
       // Only the first step of an organisation at its cap needs tickets soon.
--- a/src/cluster/jobService.ts
+++ b/src/cluster/jobService.ts
@@ -2,7 +2,7 @@
 import { DisposableObject } from '../base/disposable.js'
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
-import type { Queue, QueuePolicy } from '../contracts/clusterConfiguration.js'
+import type { Organisation, Queue, QueuePolicy } from '../contracts/clusterConfiguration.js'
 import { encodeRecord } from '../contracts/clusterRecords.js'
 import { isFinalState, type JobState, type StepJob } from '../contracts/stepJob.js'
 import type { JobStatus } from './activeScheduler.js'
@@ -60,7 +60,8 @@
   private readonly accepted = new BoundedMap<JobOwner>(MAXIMUM_CACHED_JOBS)
   private readonly finalStates = new BoundedMap<JobOwner & { readonly state: JobState }>(MAXIMUM_CACHED_JOBS)
 
-  constructor (log: RecordLog, private readonly scheduler: SchedulerQueries, private readonly logger: Logger, random: Random, private readonly now: () => number) {
+  /** `findOrganisation` returns an organisation by name from the configuration in force. */
+  constructor (log: RecordLog, private readonly scheduler: SchedulerQueries, private readonly logger: Logger, random: Random, private readonly now: () => number, private readonly findOrganisation: (name: string) => Organisation | undefined = () => undefined) {
     super()
     this.appender = this.register(new SubmissionAppender(log, random.integerBelow(SUBMISSION_PARTITIONS), (reason, count) => logger.warn('submissions could not be stored', { reason, count }), now))
   }
@@ -82,7 +83,8 @@
     const { caller } = decision
     const known = this.accepted.get(identity)
     if (known !== undefined) return { kind: mayAccess(caller, known.organisation) ? 'accepted' : 'identityTaken' }
-    const excess = caller.organisation === undefined || caller.cap === undefined ? undefined : exceedsCap(job, { name: caller.organisation, cap: caller.cap })
+    const organisation = caller.organisation === undefined ? undefined : this.findOrganisation(caller.organisation)
+    const excess = organisation === undefined ? undefined : exceedsCap(job, organisation)
     if (excess !== undefined) return this.refuse(identity, `the job can never run: ${excess}`)
     const startedAt = this.now()
     if (this.appender.isStalled) return this.refuse(identity, 'the log is away')
--- a/src/cluster/organisations/accessControl.ts
+++ b/src/cluster/organisations/accessControl.ts
@@ -1,4 +1,4 @@
-import type { ClusterConfiguration, Queue, ResourceAmounts } from '../../contracts/clusterConfiguration.js'
+import type { ClusterConfiguration, Queue } from '../../contracts/clusterConfiguration.js'
 import type { KeyRevocation } from '../../contracts/clusterSettings.js'
 import { ApiKeyDirectory } from './apiKeyDirectory.js'
 
@@ -20,8 +20,6 @@
   readonly isUnrestricted: boolean
   /** Organisation of the caller's key; undefined if the call carries no known key. */
   readonly organisation?: string | undefined
-  /** Cap of that organisation. */
-  readonly cap?: ResourceAmounts | undefined
 }
 
 export type AccessDecision =
@@ -81,7 +79,7 @@
       return { kind: 'refused', reason: isStale ? 'stale' : 'unknown' }
     }
     if (isStale && (mode === 'write' || this.revocation.appliesToReads)) return { kind: 'refused', reason: 'stale' }
-    return { kind: 'granted', caller: { isUnrestricted: false, organisation, cap: configuration.organisations.find(({ name }) => name === organisation)?.cap } }
+    return { kind: 'granted', caller: { isUnrestricted: false, organisation } }
   }
 
   /** Whether a key may have been withdrawn longer ago than the revocation time without this instance having read of it. */
