--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -94,7 +94,7 @@
   /** Tasks whose runs are isolated and whose jobs are not finished. */
   private readonly isolatedTasks = new Set<Task>()
 
-  /** `shares`: how organisations share the capacity; absent while they are not distinguished. */
+  /** `shares`: how organisations share the capacity; by default as the configuration weighs them. */
   constructor (private readonly observer: SchedulerObserver, shares?: OrganisationShares) {
     this.reconciler = new RunReconciler({
       findTask: taskName => this.findTask(taskName),
@@ -119,7 +119,7 @@
       priorityOf: step => this.policyOf(step.job).priority,
       stopRun: task => this.stopRun(task),
       onDidPreemptRun: preempted => this.observer.onDidPreemptRun(preempted)
-    }, shares)
+    }, shares ?? this.organisations)
   }
 
   /** Applies a configuration unless it is older than the current one. */
--- a/src/cluster/organisations/organisations.ts
+++ b/src/cluster/organisations/organisations.ts
@@ -71,6 +71,11 @@
     return this.shares.weightedShareOf(organisation)
   }
 
+  /** Returns the organisation of a job; undefined if it has none. */
+  organisationOf (job: Job): string | undefined {
+    return job.submission.organisation
+  }
+
   /** Returns the fair order for one placement pass; undefined if there are no organisations. */
   createFairOrder (steps: readonly Step[], now: number): FairOrder | undefined {
     if (!this.isEnabled) return undefined
