--- a/test/cluster/organisationShares.test.ts
+++ b/test/cluster/organisationShares.test.ts
@@ -1,11 +1,15 @@
 import assert from 'node:assert/strict'
-import { describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
 import { ClusterScheduler } from '../../src/cluster/clusterScheduler.js'
 import type { Organisation } from '../../src/contracts/clusterConfiguration.js'
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
 import { FakeClusterWorker } from '../fakes/fakeClusterWorkers.js'
 import { SILENT_OBSERVER } from '../fakes/silentObserver.js'
 
+// The age of a job, by which jobs are ordered, is measured on the wall clock.
+beforeEach(() => mock.timers.enable({ apis: ['Date'] }))
+afterEach(() => mock.timers.reset())
+
 const CORES = 12
 const QUEUE = { host: 'host', routePrefix: '/q/', pool: 'pool', attempts: 3, stretch: 4, targetMilliseconds: 5000 }
 const QUEUES = [{ ...QUEUE, name: 'urgent', priority: 0 }, { ...QUEUE, name: 'batch', priority: 1 }]
