--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -23,6 +23,8 @@
 import type { WorkerSession } from './workerSession.js'
 import { WorkerSessions } from './workerSessions.js'
 import type { WorkerState } from './workerState.js'
+import type { EjectionChange } from './workers/outlierEjector.js'
+import type { Straggler } from './workers/stragglerDetector.js'
 
 /** Long-poll duration of a read of submissions, and minimum time between two reads. */
 const SUBMISSION_WAIT_MILLISECONDS = 1000
@@ -189,8 +191,8 @@
   }
 
   /** Counts shown as metrics. */
-  get counts (): { jobs: number, readySteps: number, workers: number, unrecordedEnds: number } {
-    return { jobs: this.scheduler.jobs.size, readySteps: this.scheduler.readySteps.size, workers: this.scheduler.workers.size, unrecordedEnds: this.unrecordedEnds }
+  get counts (): { jobs: number, readySteps: number, workers: number, unrecordedEnds: number, ejectedWorkers: number } {
+    return { jobs: this.scheduler.jobs.size, readySteps: this.scheduler.readySteps.size, workers: this.scheduler.workers.size, unrecordedEnds: this.unrecordedEnds, ejectedWorkers: this.scheduler.ejectedCount }
   }
 
   onDidFinishJob (job: Job): void {
@@ -204,8 +206,15 @@
     this.logger.info('run ended', { task: task.name, count: task.run, worker: worker.identity, code: kind, durationMilliseconds: Math.round(durationMilliseconds) })
   }
 
-  onDidQuarantine (worker: WorkerState): void {
-    this.logger.warn('worker gets no work for a while; its runs have failed in a row', { worker: worker.identity })
+  onDidChangeEjection (worker: WorkerState, { kind, cause, reason }: EjectionChange): void {
+    this.metrics.ejectionChanged(kind, cause)
+    if (kind === 'ejected') this.logger.warn('worker is ejected', { worker: worker.identity, count: worker.runs.size, code: cause, reason })
+    else this.logger.info(kind === 'trial' ? 'worker may take one run as a trial' : 'worker is no longer ejected', { worker: worker.identity, code: cause, reason })
+  }
+
+  onWillMoveStraggler (worker: WorkerState, { task, remainingMilliseconds, elsewhereMilliseconds, lostMilliseconds }: Straggler): void {
+    this.metrics.stragglerMoved()
+    this.logger.info('run on a slow worker is stopped to be moved', { task: task.name, count: task.run, worker: worker.identity, reason: `at ${task.percent} percent; ${Math.round(remainingMilliseconds)} ms left there, ${Math.round(elsewhereMilliseconds)} ms elsewhere, ${Math.round(lostMilliseconds)} ms of work lost` })
   }
 
   onDidFindOrphanedRun (worker: WorkerState, task: string, run: number): void {
@@ -482,6 +491,7 @@
     const outcome = await session.start({ task: task.name, run, specification: task.step.job.submission.job.specification, checkpoint: task.checkpoint, ticket })
     if (this.isDisposed) return
     this.metrics.startCommandCompleted(outcome.kind, this.now() - sentAt)
+    this.scheduler.onStartCommandCompleted(worker, outcome, this.now())
     if (outcome.kind !== 'done') this.logger.info('start was not confirmed', { task: task.name, count: run, worker: worker.identity, code: outcome.kind, reason: 'reason' in outcome ? outcome.reason : undefined })
     switch (outcome.kind) {
       case 'done':
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -108,6 +108,7 @@
     metrics.addGauge('scheduling_capacity_cores', 'Work of the acting scheduler that this instance can carry', () => this.capacity)
     metrics.addGauge('jobs', 'Jobs that the acting scheduler here keeps', () => this.scheduler?.counts.jobs ?? 0)
     metrics.addGauge('open_steps', 'Steps with tasks that wait for room', () => this.scheduler?.counts.readySteps ?? 0)
+    metrics.addGauge('ejected_workers', 'Workers that get no work or only a trial run, as the acting scheduler here judges them', () => this.scheduler?.counts.ejectedWorkers ?? 0)
     metrics.addGauge('unrecorded_ends', 'Ends of runs that the acting scheduler here knows and the log does not hold', () => this.scheduler?.counts.unrecordedEnds ?? 0)
     metrics.addGauge('workers', 'Workers that the acting scheduler here knows', () => this.scheduler?.counts.workers ?? 0)
   }
--- a/src/cluster/clusterMetrics.ts
+++ b/src/cluster/clusterMetrics.ts
@@ -19,6 +19,8 @@
   private readonly paceCommandsTotal = this.counter('pace_commands_total', 'Commands that set the pace of a run', ['outcome'])
   private readonly targetCrossingsTotal = this.counter('target_crossings_total', 'Times that the tail latency of a serving task crossed its target', ['direction'])
   private readonly movedRunsTotal = this.counter('moved_runs_total', 'Runs that were stopped to be moved to another worker', [])
+  private readonly ejectionsTotal = this.counter('worker_ejections_total', 'Changes of the ejection of workers', ['change', 'cause'])
+  private readonly movedStragglersTotal = this.counter('moved_stragglers_total', 'Runs that were stopped on a slow worker to be moved to another', [])
   private readonly takeoversTotal = this.counter('takeovers_total', 'Times that this instance took the scheduler role over', [])
   private readonly durations = new Map<string, Histogram>()
 
@@ -53,6 +55,14 @@
     this.movedRunsTotal.inc()
   }
 
+  ejectionChanged (change: string, cause: string): void {
+    this.ejectionsTotal.inc({ change, cause })
+  }
+
+  stragglerMoved (): void {
+    this.movedStragglersTotal.inc()
+  }
+
   runEnded (kind: string): void {
     this.runEndsTotal.inc({ kind })
   }
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -8,9 +8,10 @@
 import { isInService } from './serving/availability.js'
 import { ServingSupervisor, type PendingPace, type ServingObserver } from './serving/servingSupervisor.js'
 import { UrgentHeadroom } from './urgentHeadroom.js'
-import type { EndReport, WorkerEntry, WorkerReport } from './workerPort.js'
+import type { CommandOutcome, EndReport, WorkerEntry, WorkerReport } from './workerPort.js'
 import type { WorkerLossCause } from './workerSession.js'
 import { WorkerState } from './workerState.js'
+import { WorkerSupervisor, type WorkerObserver } from './workers/workerSupervisor.js'
 
 /** Time without progress after which a run counts as stalled; a slow task of 16 s still advances by one percent in a fifth of it. */
 const STALLED_RUN_TIMEOUT_MILLISECONDS = 3500
@@ -21,10 +22,9 @@
 const MAXIMUM_ASSUMED_AGE_MILLISECONDS = 60_000
 
 /** Receives the events of the scheduler. */
-export interface SchedulerObserver extends ServingObserver {
+export interface SchedulerObserver extends ServingObserver, WorkerObserver {
   onDidFinishJob (job: Job): void
   onDidEndRun (task: Task, worker: WorkerState, kind: EndReport['kind'], durationMilliseconds: number): void
-  onDidQuarantine (worker: WorkerState): void
   onDidFindOrphanedRun (worker: WorkerState, task: string, run: number): void
   /** A placed run is not started, because its worker can no longer take it or its capacity is not known well enough. */
   onDidWithdrawRun (worker: WorkerState | undefined, task: Task): void
@@ -77,6 +77,7 @@
   private readonly queues = new Map<string, Queue>()
   private readonly reconciler: RunReconciler
   private readonly serving: ServingSupervisor
+  private readonly supervisor: WorkerSupervisor
   private readonly crashTracker = new CrashTracker(this.workers, (task, worker, now) => this.onCrash(task, worker, now))
   /** Tasks whose runs are isolated and whose jobs are not finished. */
   private readonly isolatedTasks = new Set<Task>()
@@ -87,17 +88,22 @@
       onRunning: (task, now) => this.onRunning(task, now),
       onEnded: (task, worker, end, now) => this.onEnded(task, worker, end, now),
       onLost: (task, worker, hasProcessExited, isAlone, now) => this.onRunLost(task, worker, hasProcessExited ? 'processRestarted' : 'notListed', isAlone, now),
-      onWorkerRestarted: (worker, formerStartedAt) => this.observer.onDidRestartWorker(worker, formerStartedAt),
+      onWorkerRestarted: (worker, formerStartedAt, now) => {
+        this.observer.onDidRestartWorker(worker, formerStartedAt)
+        this.supervisor.onRestarted(worker, now)
+      },
       onIgnoredEnd: (worker, end, task) => this.observer.onDidIgnoreRunEnd(worker, end, task),
       onOrphanedRun: (worker, task, run) => {
         this.observer.onDidFindOrphanedRun(worker, task, run)
         this.pendingStops.push({ worker: worker.identity, task, run })
       }
     })
-    this.serving = new ServingSupervisor(this.workers, {
-      stopRun: task => this.stopRun(task),
-      isPlaceable: (task, now) => new PlacementPass([], this.placementContext, now).isPlaceable(task.step)
-    }, observer)
+    const runActions = {
+      stopRun: (task: Task): void => this.stopRun(task),
+      isPlaceable: (task: Task, now: number): boolean => new PlacementPass([], this.placementContext, now).isPlaceable(task.step)
+    }
+    this.serving = new ServingSupervisor(this.workers, runActions, observer)
+    this.supervisor = new WorkerSupervisor(this.workers, runActions, observer)
   }
 
   /** Applies a configuration unless it is older than the current one. */
@@ -115,7 +121,8 @@
 
   /** Adds a worker or updates its entry. Returns its state. */
   upsertWorker (entry: WorkerEntry, now: number): WorkerState {
-    const worker = this.workers.get(entry.identity) ?? new WorkerState(entry)
+    const soundness = this.supervisor.soundnessOf(entry, now)
+    const worker = this.workers.get(entry.identity) ?? new WorkerState(entry, soundness)
     const former = worker.entry
     worker.update(entry, now)
     this.workers.set(entry.identity, worker)
@@ -217,7 +224,7 @@
   beginStart (task: Task, run: number, now: number): boolean {
     if (task.phase !== 'placed' || task.run !== run) return false
     const worker = this.workers.get(task.worker)
-    if (worker === undefined || !worker.isUsable(now) || worker.isOvercommittedBy(task.step.specification)) {
+    if (worker === undefined || !worker.isUsable() || worker.isOvercommittedBy(task.step.specification)) {
       this.withdrawRun(task, run)
       return false
     }
@@ -264,11 +271,13 @@
       if (task.step.specification.longRunning && isInService(task) && !inService.includes(task)) this.observer.onDidEnterService(worker, task)
     }
     this.serving.onReport(worker, now)
+    this.supervisor.onReport(worker, report, now)
   }
 
-  /** Moves runs away from workers that are about to exit; must be called about every 100 ms. */
+  /** Moves runs away from workers that are about to exit or slow; must be called about every 100 ms. */
   moveDepartingRuns (now: number): void {
     this.serving.onTick(this.workers.values(), now)
+    this.supervisor.onTick(now)
   }
 
   /** Returns the steps that need eligible workers although none of their tasks is waiting: a run is to be moved to another worker. */
@@ -288,9 +297,22 @@
   }
 
   /** Marks a worker as unresponsive after a failed poll. */
-  onPollFailed (identity: string): void {
+  onPollFailed (identity: string, now: number): void {
     const worker = this.workers.get(identity)
-    if (worker !== undefined) worker.isUnresponsive = true
+    if (worker === undefined) return
+    const wasUnresponsive = worker.isUnresponsive
+    worker.isUnresponsive = true
+    if (!wasUnresponsive) this.supervisor.onUnresponsive(worker, now)
+  }
+
+  /** Takes the outcome of a start command as evidence for or against the worker. */
+  onStartCommandCompleted (worker: WorkerState, outcome: CommandOutcome, now: number): void {
+    this.supervisor.onCommandCompleted(worker, outcome, now)
+  }
+
+  /** Number of ejected workers. */
+  get ejectedCount (): number {
+    return this.supervisor.ejectedCount
   }
 
   /** Abandons the runs of a worker whose process has exited or whose leases have all expired. */
@@ -430,14 +452,15 @@
   private onEnded (task: Task, worker: WorkerState, end: EndReport, now: number): void {
     this.observer.onDidEndRun(task, worker, end.kind, now - task.startedAt)
     const job = task.step.job
+    const durationMilliseconds = task.phase === 'running' && task.startedAt > 0 ? now - task.startedAt : 0
+    this.supervisor.onEnded(worker, task, end.kind, durationMilliseconds, now)
     this.markStarted(job)
     if (task.crashEvidence.isSuspect) task.step.hasClearedSuspect = true
     if (end.kind === 'done' && !task.step.specification.longRunning) {
-      worker.recordSuccess(task.step.specification.estimateMilliseconds, task.phase === 'running' && task.startedAt > 0 ? now - task.startedAt : 0)
+      worker.recordSuccess(task.step.specification.estimateMilliseconds, durationMilliseconds)
       this.onDone(task, worker, now)
       return
     }
-    if (end.kind === 'failed' && worker.recordFailure(job.identity, now)) this.observer.onDidQuarantine(worker)
     this.abandonRun(task)
     if (end.kind === 'failed' && !job.isFinal && !task.step.specification.longRunning) this.onFailure(task, now)
   }
--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -97,7 +97,7 @@
     const { tickets, requestedWorkers } = step.eligibility
     // A step of which a run is to be moved may have no waiting task yet.
     const needed = Math.max(1, step.waitingCount)
-    const isSuitable = (worker: WorkerState | undefined): worker is WorkerState => worker !== undefined && worker.entry.pool === policy.pool && worker.isUsable(now) && worker.fitsWhenEmpty(step.specification)
+    const isSuitable = (worker: WorkerState | undefined): worker is WorkerState => worker !== undefined && worker.entry.pool === policy.pool && worker.isUsable() && worker.fitsWhenEmpty(step.specification)
     const named = [...tickets.keys()].map(identity => this.scheduler.workers.get(identity)).filter(isSuitable)
     // Further workers may have reported since the first request, in particular after a takeover.
     if (!tasksFitWhenEmpty(named, step, needed, this.scheduler.headroom)) {
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -35,6 +35,13 @@
 /** Penalty for a worker with another task under which a worker has crashed: apart, the next crash tells which of them causes it. */
 const SUSPECT_NEIGHBOUR_PENALTY = 1
 
+/** Penalties for a worker in full doubt, for urgent and for other work, and for a worker on trial: it comes first. */
+const URGENT_DOUBT_PENALTY = 3
+const BATCH_DOUBT_PENALTY = 1
+const TRIAL_PENALTY = -10
+/** Doubt from which gangs avoid a worker if they can: the members of a gang end together. */
+const DOUBTFUL_FOR_GANGS = 0.4
+
 /** What placement depends on besides the steps. */
 export interface PlacementContext {
   readonly workers: ReadonlyMap<string, WorkerState>
@@ -76,7 +83,7 @@
     this.policyOf = context.policyOf
     this.headroom = context.headroom
     this.pacing = context.pacing
-    this.isolation = new IsolationPlan(context.isolatedTasks, step => this.eligibleWorkers(step).filter(worker => worker.isUsable(now)), now)
+    this.isolation = new IsolationPlan(context.isolatedTasks, step => this.eligibleWorkers(step).filter(worker => worker.isUsable()), now)
   }
 
   run (): PlannedRun[] {
@@ -98,7 +105,7 @@
     let total = 0
     let used = 0
     for (const worker of this.workers.values()) {
-      if (!worker.isUsable(this.now)) continue
+      if (!worker.isUsable()) continue
       total += worker.entry.processorsThousandths
       used += worker.usedProcessors
       this.maximumFreeProcessors.urgent = Math.max(this.maximumFreeProcessors.urgent, worker.freeProcessors)
@@ -137,8 +144,9 @@
       return
     }
     const candidates = this.selectInTime(step, this.isolation.selectForGang(step, this.candidates(step)))
-    const groups = step.specification.sameRack ? groupByRack(candidates) : groupBySpeed(candidates, step.job.isUrgent)
-    for (const group of [...groups, candidates]) {
+    const sound = candidates.filter(worker => worker.soundness.doubt(this.now) < DOUBTFUL_FOR_GANGS)
+    const groups = step.specification.sameRack ? groupByRack(sound) : groupBySpeed(sound, step.job.isUrgent)
+    for (const group of [...groups, sound, candidates]) {
       const chosen = this.chooseForGang(step, group)
       if (chosen === undefined) continue
       step.reservation = undefined
@@ -193,9 +201,9 @@
   private candidates (step: Step): WorkerState[] {
     const urgent = step.job.isUrgent
     return this.eligibleWorkers(step).filter(worker => {
-      if (!worker.isUsable(this.now) || !worker.fits(step.specification, this.headroomFor(step, worker))) return false
+      if (!worker.isUsable() || !worker.fits(step.specification, this.headroomFor(step, worker))) return false
       if (!urgent && this.reservedWorkers.has(worker.identity)) return false
-      if (worker.hasIsolatedRun || this.isolation.isKeptFromOthers(step, worker)) return false
+      if (!worker.soundness.admits(step) || worker.hasIsolatedRun || this.isolation.isKeptFromOthers(step, worker)) return false
       return this.ticketOf(step, worker) !== undefined
     })
   }
@@ -258,7 +266,7 @@
     let best: WorkerState | undefined
     let bestScore = Infinity
     for (const worker of candidates) {
-      if (!worker.fits(specification, this.headroomFor(step, worker))) continue
+      if (!worker.soundness.admits(step, task) || !worker.fits(specification, this.headroomFor(step, worker))) continue
       if (specification.maximumPerWorker > 0 && (perWorker.get(worker.identity) ?? 0) >= specification.maximumPerWorker) continue
       const score = this.scoreOf(step, worker) + (worker.identity === movedFrom ? MOVED_FROM_PENALTY : 0) + (task.crashEvidence.isSuspect && worker.suspects.size > 0 ? SUSPECT_NEIGHBOUR_PENALTY : 0)
       if (score >= bestScore) continue
@@ -276,7 +284,13 @@
     if (specification.filler) return rackPenalty - (worker.freeProcessors - worker.fillerProcessors) / processors + this.disturbancePenalty(step, worker)
     const remainingShare = (worker.freeProcessors - processorsOf(specification)) / processors
     const speedWeight = step.job.isUrgent ? URGENT_SPEED_WEIGHT : BATCH_SPEED_WEIGHT
-    return remainingShare - speedWeight * worker.speed + rackPenalty + this.interferencePenalty(step, worker)
+    return remainingShare - speedWeight * worker.speed + rackPenalty + this.interferencePenalty(step, worker) + this.doubtPenalty(step, worker)
+  }
+
+  /** Returns the penalty for a worker whose soundness is in doubt. A worker on trial comes first for the one run that it admits. */
+  private doubtPenalty (step: Step, { soundness }: WorkerState): number {
+    if (soundness.phase === 'trial') return TRIAL_PENALTY
+    return (step.job.isUrgent ? URGENT_DOUBT_PENALTY : BATCH_DOUBT_PENALTY) * soundness.doubt(this.now)
   }
 
   /** Returns the penalty for filler work on a worker whose serving tasks it would disturb. */
@@ -303,6 +317,7 @@
     task.beginRun(run, worker.identity, worker.processStartedAt)
     if (task.step.specification.filler) task.pacePercent = this.pacing.initialPaceOn(worker, this.now)
     worker.allocate(task)
+    worker.soundness.onAssigned(task)
     this.planned.push({ task, run, worker, ticket })
   }
 }
--- a/src/cluster/runReconciler.ts
+++ b/src/cluster/runReconciler.ts
@@ -16,7 +16,7 @@
   /** A worker does not list a run that was placed there, and the run can no longer start. `hasProcessExited`: it was placed on a former process of the worker. `isAlone`: the worker had no other run. */
   onLost (task: Task, worker: WorkerState, hasProcessExited: boolean, isAlone: boolean, now: number): void
   /** A worker reports a new process under its identity. */
-  onWorkerRestarted (worker: WorkerState, formerStartedAt: number): void
+  onWorkerRestarted (worker: WorkerState, formerStartedAt: number, now: number): void
   /** A worker has reported the end of a run that is no longer the current run of its unfinished task. */
   onIgnoredEnd (worker: WorkerState, end: EndReport, task: Task): void
   /** The worker lists a run that belongs to no task. */
@@ -32,7 +32,7 @@
     // A delayed report of a former process: a later poll has already reached the current process.
     if (report.processStartedAt !== worker.processStartedAt && sentAt < worker.processSeenAt) return false
     const isFirst = !worker.hasReported
-    if (!isFirst && report.processStartedAt !== worker.processStartedAt) this.onWorkerRestarted(worker, report.processStartedAt)
+    if (!isFirst && report.processStartedAt !== worker.processStartedAt) this.onWorkerRestarted(worker, report.processStartedAt, now)
     worker.processStartedAt = report.processStartedAt
     worker.processSeenAt = Math.max(worker.processSeenAt, sentAt)
     worker.hasReported = true
@@ -53,13 +53,13 @@
   }
 
   /** Resets the end counters, because a new process numbers its ends from 1. Keeps the runs: some may have been started on the new process before its first report, and that report shows which exist. */
-  private onWorkerRestarted (worker: WorkerState, startedAt: number): void {
+  private onWorkerRestarted (worker: WorkerState, startedAt: number, now: number): void {
     const formerStartedAt = worker.processStartedAt
     worker.processStartedAt = startedAt
     worker.processedEnd = 0
     worker.recordedEnd = 0
     worker.acknowledgedEnd = 0
-    this.actions.onWorkerRestarted(worker, formerStartedAt)
+    this.actions.onWorkerRestarted(worker, formerStartedAt, now)
   }
 
   private applyEnd (worker: WorkerState, end: EndReport, now: number): void {
--- a/src/cluster/workerSessions.ts
+++ b/src/cluster/workerSessions.ts
@@ -118,14 +118,14 @@
     const worker = this.scheduler.workers.get(identity)
     if (worker === undefined) return
     if (!worker.isUnresponsive) this.logger.warn('worker does not answer', { worker: identity, reason, count: worker.runs.size })
-    this.scheduler.onPollFailed(identity)
+    this.scheduler.onPollFailed(identity, this.now())
   }
 
   private onWorkerLost (identity: string, cause: WorkerLossCause): void {
     const worker = this.scheduler.workers.get(identity)
     if (worker === undefined) return
     this.logger.info('nothing can run on a worker any more', { worker: identity, count: worker.runs.size, code: cause })
-    this.scheduler.onPollFailed(identity)
+    this.scheduler.onPollFailed(identity, this.now())
     this.scheduler.onWorkerLost(identity, cause, this.now())
     this.closeIfUnknown(identity)
     this.options.onDidChange()
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -1,16 +1,13 @@
 import type { JobStep } from '../contracts/stepJob.js'
 import type { Task } from './job.js'
 import type { WorkerEntry } from './workerPort.js'
+import { WorkerSoundness } from './workers/workerSoundness.js'
 
 /** Weight of the latest run in the estimated speed; job estimates are off by up to a factor of two, so the speed averages about ten runs. */
 const SPEED_LEARNING_RATE = 0.12
 /** Bounds of a single observation of speed, as a factor; job estimates are often far off. */
 const MINIMUM_OBSERVED_SPEED = 0.2
 const MAXIMUM_OBSERVED_SPEED = 4
-/** Number of consecutive failed runs of different jobs after which a worker is quarantined. */
-const FAILURES_BEFORE_QUARANTINE = 2
-/** Duration of a quarantine; about the duration of the worker faults observed. */
-const QUARANTINE_MILLISECONDS = 4000
 
 /** State of one worker as seen by the active scheduler: its capacity, the runs that may exist there, and its speed and failures. */
 export class WorkerState {
@@ -39,7 +36,6 @@
   drainEndsAt = Infinity
   /** Speed relative to the estimates of the tasks. */
   speed = 1
-  quarantinedUntil = 0
   /** Number of the latest end of a run that was processed; workers number their ends, see `EndReport`. */
   processedEnd = 0
   /** Number of the latest end whose effect is in the log. */
@@ -50,10 +46,8 @@
   processStartedAt = 0
   /** Time at which the latest poll that reached this process was sent, in milliseconds of the monotonic clock. */
   processSeenAt = -Infinity
-  private consecutiveFailures = 0
-  private lastFailedJob = ''
 
-  constructor (public entry: WorkerEntry) {}
+  constructor (public entry: WorkerEntry, readonly soundness = new WorkerSoundness()) {}
 
   get identity (): string {
     return this.entry.identity
@@ -94,8 +88,8 @@
   }
 
   /** Returns true if new runs may be placed on the worker. */
-  isUsable (now: number): boolean {
-    return this.hasReported && !this.isUnresponsive && !this.hasOrphanedRuns && this.isListed && this.entry.state === 'ready' && now >= this.quarantinedUntil
+  isUsable (): boolean {
+    return this.hasReported && !this.isUnresponsive && !this.hasOrphanedRuns && this.isListed && this.entry.state === 'ready' && this.soundness.phase !== 'ejected'
   }
 
   /** Returns true if a task of the step fits and leaves `headroom` thousandths of a processor free. */
@@ -131,25 +125,14 @@
     this.addUsage(task, -1)
   }
 
-  /** Updates the speed and resets the consecutive failures after a successful run. */
+  /** Updates the speed after a successful run. A passing slowness leaves it unchanged. */
   recordSuccess (estimateMilliseconds: number, durationMilliseconds: number): void {
-    this.consecutiveFailures = 0
-    if (estimateMilliseconds === 0 || durationMilliseconds <= 0) return
+    if (this.soundness.phase !== 'none' || estimateMilliseconds === 0 || durationMilliseconds <= 0) return
     const observed = Math.min(MAXIMUM_OBSERVED_SPEED, Math.max(MINIMUM_OBSERVED_SPEED, estimateMilliseconds / durationMilliseconds))
     // The errors of estimates are multiplicative, so the logarithms are averaged.
     this.speed *= (observed / this.speed) ** SPEED_LEARNING_RATE
   }
 
-  /** Counts a failed run. Returns true if the worker is quarantined. */
-  recordFailure (job: string, now: number): boolean {
-    if (job === this.lastFailedJob) return false
-    this.lastFailedJob = job
-    this.consecutiveFailures += 1
-    if (this.consecutiveFailures < FAILURES_BEFORE_QUARANTINE) return false
-    this.quarantinedUntil = now + QUARANTINE_MILLISECONDS
-    return true
-  }
-
   private addUsage (task: Task, sign: 1 | -1): void {
     const step = task.step.specification
     if (task.step.job.isUrgent) this.urgentProcessors += sign * processorsOf(step)
