--- a/src/cluster/workers/outlierEjector.ts
+++ b/src/cluster/workers/outlierEjector.ts
@@ -33,7 +33,7 @@
 
   get ejectedCount (): number {
     let count = 0
-    for (const { soundness } of this.workers.values()) count += soundness.phase === 'none' ? 0 : 1
+    for (const { soundness, isListed } of this.workers.values()) count += soundness.phase === 'none' || !isListed ? 0 : 1
     return count
   }
 
--- a/src/operator/jobHistory.ts
+++ b/src/operator/jobHistory.ts
@@ -120,6 +120,7 @@
     if (line.message === 'start was not confirmed') sentences.push(`the start of run ${line.count} of ${line.task} on ${line.worker} was not confirmed: ${line.code}${line.reason === undefined ? '' : `, ${line.reason}`}`)
     if (line.message === 'run is not on its worker; its task waits again') sentences.push(`run ${line.count} of ${line.task} was not on ${line.worker}: ${line.reason}`)
     if (line.message === LOST_RUN_MESSAGE) sentences.push(`run ${line.count} of ${line.task} was lost with ${line.worker}: ${line.code}`)
+    if (line.message === 'run on a slow worker is stopped to be moved') sentences.push(`run ${line.count} of ${line.task} was moved away from ${line.worker}, which was slow: ${line.reason}`)
     if (line.message === 'run makes no progress; it is stopped') sentences.push(`run ${line.count} of ${line.task} on ${line.worker} made no progress and was stopped`)
   }
   return sentences
--- a/test/fuzz/clusterFaults.ts
+++ b/test/fuzz/clusterFaults.ts
@@ -8,6 +8,7 @@
 import { ServingSupervisor } from '../../src/cluster/serving/servingSupervisor.js'
 import { WorkerSession } from '../../src/cluster/workerSession.js'
 import { WorkerState } from '../../src/cluster/workerState.js'
+import { OutlierEjector } from '../../src/cluster/workers/outlierEjector.js'
 import { WorkersOverPaths } from '../fakes/fakeCluster.js'
 import { replaceMethod, replaceGetter } from './faults.js'
 
@@ -29,6 +30,20 @@
 }
 
 export const INJECTED_CLUSTER_FAULTS: readonly InjectedClusterFault[] = [
+  {
+    name: 'any share of the workers is ejected',
+    checks: ['EjectedShare'],
+    seed: 1,
+    runs: 33,
+    injectFault: replaceMethod(OutlierEjector, 'hasRoom', () => true)
+  },
+  {
+    name: 'an ejected worker gets no trial',
+    checks: ['SoundWorkersReturn'],
+    seed: 1,
+    runs: 6,
+    injectFault: replaceMethod(OutlierEjector, 'beginTrial', () => {})
+  },
   {
     name: 'placements are started before they are recorded',
     checks: ['RunsOnce', 'WithinRoom'],
--- a/test/fuzz/clusterOracle.ts
+++ b/test/fuzz/clusterOracle.ts
@@ -8,6 +8,9 @@
 const CRASHES_WITHOUT_LIMIT = 3
 const FORBIDDEN_START_AFTER_CRASHES = 3
 
+/** Largest number of workers that may be ejected at one time: less than a third of four. */
+const LARGEST_EJECTED_COUNT = 1
+
 /** End of a run, as recorded by its worker. */
 interface RecordedEnd {
   readonly worker: string
@@ -109,6 +112,8 @@
       if (!this.expectedStates(job).includes(String(state))) this.addProblem(`NoJobLost: ${job.identity} is ${state} in the final state`)
     }
     this.checkNoRunLeft(cluster)
+    const ejected = scheduler?.activeScheduler.counts.ejectedWorkers ?? 0
+    if (ejected > 0) this.addProblem(`SoundWorkersReturn: ${ejected} workers are still ejected in the final state`)
   }
 
   /** Checks that no worker has a run left. */
@@ -136,6 +141,8 @@
   private checkStates (cluster: FakeCluster): void {
     for (const { process, activeScheduler, term } of cluster.runningSchedulers) {
       if (process.isPaused) continue
+      const { ejectedWorkers } = activeScheduler.counts
+      if (ejectedWorkers > LARGEST_EJECTED_COUNT) this.addProblem(`EjectedShare: scheduler ${term} has ejected ${ejectedWorkers} workers`)
       for (const job of cluster.jobs) {
         if (activeScheduler.stateOf(job.identity) !== 'completed') continue
         this.reportedCompleted.add(job.identity)
--- a/test/operator/jobHistory.test.ts
+++ b/test/operator/jobHistory.test.ts
@@ -54,6 +54,24 @@
         'completed after 1401 ms, in time (objective 2000 ms)'
       ]
     },
+    {
+      name: 'a run that was moved away from a slow worker',
+      lines: [
+        ACCEPTED,
+        line(20, 'run ordered', STARTED),
+        line(2000, 'run on a slow worker is stopped to be moved', { ...STARTED, reason: 'at 10 percent; 9000 ms left there, 2500 ms elsewhere, 0 ms of work lost' }),
+        line(2300, 'run ended', { ...STARTED, code: 'stopped', durationMilliseconds: 2280 }),
+        line(2350, 'run ordered', { ...STARTED, worker: 'w2', count: 2 }),
+        line(3200, 'run ended', { ...STARTED, worker: 'w2', count: 2, code: 'done', durationMilliseconds: 850 }),
+        line(3201, 'job finished', { job: 'aa', code: 'completed', durationMilliseconds: 3201, objectiveMilliseconds: 2000 })
+      ],
+      sentences: [
+        'accepted by entry-1, stored in 12 ms',
+        'run 1 of aa.0.0.0 ended stopped on w1',
+        'run 1 of aa.0.0.0 was moved away from w1, which was slow: at 10 percent; 9000 ms left there, 2500 ms elsewhere, 0 ms of work lost',
+        'completed after 3201 ms, late (objective 2000 ms)'
+      ]
+    },
     {
       name: 'a run that was lost because its worker crashed',
       lines: [
