--- a/src/cluster/workers/paceObserver.ts
+++ b/src/cluster/workers/paceObserver.ts
@@ -9,7 +9,7 @@
 /** Progress to be expected between two reports from which a pace is derived, in percent; reports state whole percents. */
 const MINIMUM_EXPECTED_PERCENT = 10
 /** Pace relative to the expected one below which a run is slow, and above which it is usual. */
-const SLOW_PACE = 0.4
+const SLOW_PACE = 0.3
 const USUAL_PACE = 0.6
 
 /** Progress of a run in an earlier report, with the worker's clock in milliseconds. */
@@ -46,6 +46,7 @@
       if (interval < MINIMUM_INTERVAL_MILLISECONDS || expected < MINIMUM_EXPECTED_PERCENT || percent >= 100) continue
       const progress = percent - earlier.percent
       this.samples.set(task, { run, percent, clockMilliseconds, rate: progress / interval })
+      if (progress > 0) this.runTimes.recordOfStep(task.step, worker.identity, 100 * interval * worker.speed / progress)
       hasChanged = this.setPace(worker, task, progress / expected, now) || hasChanged
     }
     return hasChanged
@@ -54,6 +55,7 @@
   /** Takes the run time of a completed run into account. */
   onDone (worker: WorkerState, task: Task, durationMilliseconds: number, now: number): void {
     if (!hasPace(task) || task.run !== 1) return
+    this.runTimes.recordOfStep(task.step, worker.identity, durationMilliseconds * worker.speed)
     this.setPace(worker, task, this.runTimes.expectedMilliseconds(task.step) / worker.speed / durationMilliseconds, now)
   }
 
--- a/src/cluster/workers/runTimes.ts
+++ b/src/cluster/workers/runTimes.ts
@@ -6,9 +6,9 @@
 const HIGHEST_RATIO = 1000
 /** Number of runs of a kind after which its distribution is replaced by a new one, so that it follows changes of the load. */
 const RUNS_PER_DISTRIBUTION = 1000
-/** Number of runs from which a distribution is relied upon. */
+/** Number of runs from which the distribution of a kind, and of workers from which that of a step, is relied upon. */
 const MINIMUM_RUNS_OF_KIND = 20
-const MINIMUM_RUNS_OF_STEP = 3
+const MINIMUM_WORKERS_OF_STEP = 5
 
 /** Distribution of the ratio of run time to estimate for one kind of work. */
 class KindTimes {
@@ -36,8 +36,8 @@
  */
 export class RunTimes {
   private readonly kinds = new Map<string, KindTimes>()
-  /** Ratios of the ended runs of each step, in ascending order. */
-  private readonly steps = new WeakMap<Step, number[]>()
+  /** Latest ratio that each worker has shown for a step; a step whose tasks share one slow worker is not taken for a long one. */
+  private readonly steps = new WeakMap<Step, Map<string, number>>()
 
   /** Records the run time of a task that was not resumed from a checkpoint, on a worker that is not itself in doubt. */
   recordEnd ({ step }: Task, milliseconds: number): void {
@@ -48,15 +48,20 @@
     let times = this.kinds.get(kind)
     if (times === undefined) this.kinds.set(kind, times = new KindTimes())
     times.record(ratio)
-    const ratios = this.steps.get(step)
-    if (ratios === undefined) this.steps.set(step, [ratio])
-    else ratios.splice(ratios.findLastIndex(other => other <= ratio) + 1, 0, ratio)
+  }
+
+  /** Records the run time of a task as its progress or its end on a worker shows it. */
+  recordOfStep (step: Step, worker: string, milliseconds: number): void {
+    const estimate = step.specification.estimateMilliseconds
+    if (estimate <= 0 || milliseconds <= 0) return
+    const ratios = this.steps.get(step) ?? new Map<string, number>()
+    this.steps.set(step, ratios.set(worker, milliseconds / estimate))
   }
 
   /** Returns the expected run time of a task of the step; 0 if its job states no estimate. */
   expectedMilliseconds (step: Step): number {
     const ratios = this.steps.get(step)
-    const ratio = ratios !== undefined && ratios.length >= MINIMUM_RUNS_OF_STEP ? ratios[ratios.length >> 1] : this.kinds.get(kindOf(step))?.median
+    const ratio = ratios !== undefined && ratios.size >= MINIMUM_WORKERS_OF_STEP ? medianOf(ratios.values()) : this.kinds.get(kindOf(step))?.median
     return step.specification.estimateMilliseconds * (ratio ?? 1)
   }
 }
@@ -66,6 +71,11 @@
   return specification.gang ? `${job.submission.queue}/gang` : job.submission.queue
 }
 
+function medianOf (values: Iterable<number>): number | undefined {
+  const sorted = [...values].sort((left, right) => left - right)
+  return sorted[sorted.length >> 1]
+}
+
 function createHistogram (): Histogram {
   return build({ bitBucketSize: 32, highestTrackableValue: HIGHEST_RATIO * RATIO_UNIT, numberOfSignificantValueDigits: 2 })
 }
--- a/src/cluster/workers/workerSoundness.ts
+++ b/src/cluster/workers/workerSoundness.ts
@@ -1,4 +1,4 @@
-import type { Step, Task } from '../job.js'
+import type { Job, Step, Task } from '../job.js'
 
 /**
  * Why a worker is in doubt. `failing`: its runs fail more often than elsewhere. `slow`: its runs progress much more slowly than expected.
@@ -24,10 +24,10 @@
 /** The same for flapping: a worker that flaps is away for seconds at a time. */
 const FLAPPING_HALF_LIFE_MILLISECONDS = 15_000
 
-/** Evidence of a run that progresses slowly: nine of ten runs on a slow worker do, one of twenty on a sound one. */
-const SLOW_RUN_EVIDENCE = Math.log(0.9 / 0.05)
-/** Evidence of a run that progresses as expected. */
-const USUAL_RUN_EVIDENCE = Math.log(0.1 / 0.95)
+/** Evidence of a job whose runs progress slowly: nine of ten do on a slow worker, one of twenty on a sound one. Tasks of one job share the error of its estimate. */
+const SLOW_JOB_EVIDENCE = Math.log(0.9 / 0.05)
+/** Evidence of a job whose runs progress as expected. */
+const USUAL_JOB_EVIDENCE = Math.log(0.1 / 0.95)
 /** Time for which the pace of a run counts, in milliseconds; two long polls. */
 const PACE_VALIDITY_MILLISECONDS = 4000
 
@@ -80,7 +80,7 @@
     flapping: new Evidence(FLAPPING_HALF_LIFE_MILLISECONDS)
   }
 
-  /** Latest pace of each recent run. A run counts once, because a task with a long tail is slow in all its reports. */
+  /** Latest pace of each recent run. */
   private readonly paces = new Map<Task, { readonly pace: RunPace, readonly at: number }>()
   private readonly returned = new Evidence(RETURN_HALF_LIFE_MILLISECONDS)
 
@@ -98,18 +98,22 @@
 
   /** Returns the evidence that the worker slows all its runs down, and whether most of the slow ones are stalled. */
   paceEvidence (now: number): { readonly evidence: number, readonly cause: 'slow' | 'stalled' } {
-    let evidence = 0
     let slow = 0
     let stalled = 0
+    /** Slow runs less usual runs, by job. */
+    const balances = new Map<Job, number>()
     for (const [task, { pace, at }] of this.paces) {
       if (now - at > PACE_VALIDITY_MILLISECONDS) {
         this.paces.delete(task)
         continue
       }
-      evidence += pace === 'usual' ? USUAL_RUN_EVIDENCE : SLOW_RUN_EVIDENCE
+      const { job } = task.step
+      balances.set(job, (balances.get(job) ?? 0) + (pace === 'usual' ? -1 : 1))
       if (pace !== 'usual') slow += 1
       if (pace === 'stalled') stalled += 1
     }
+    let evidence = 0
+    for (const balance of balances.values()) evidence += balance > 0 ? SLOW_JOB_EVIDENCE : USUAL_JOB_EVIDENCE
     return { evidence: Math.max(0, evidence), cause: 2 * stalled > slow ? 'stalled' : 'slow' }
   }
 
--- a/src/cluster/workers/workerSupervisor.ts
+++ b/src/cluster/workers/workerSupervisor.ts
@@ -8,9 +8,9 @@
 import { WorkerSoundness } from './workerSoundness.js'
 
 /** Share of runs that fail on an unsound worker. */
-const UNSOUND_FAILURE_SHARE = 0.5
+const UNSOUND_FAILURE_SHARE = 0.6
 /** Bounds of the share of runs of a queue that fail on sound workers. */
-const MINIMUM_FAILURE_SHARE = 0.03
+const MINIMUM_FAILURE_SHARE = 0.05
 const MAXIMUM_FAILURE_SHARE = 0.4
 /** Number of runs as which the initial assumption about the failure share counts, and number of runs over which the share is learned. */
 const ASSUMED_RUNS = 50
