--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -9,6 +9,7 @@
 import type { ClusterMetrics } from './clusterMetrics.js'
 import { ClusterScheduler, type PendingStop, type SchedulerObserver } from './clusterScheduler.js'
 import type { RunLossCause } from './crashTracker.js'
+import { DemandLog } from './demand/demandLog.js'
 import { EligibilityRequester, type EligibilityRequestResult, type EligibilityChannel } from './eligibilityRequester.js'
 import { discardTicket, toProgressRecord, type Job, type Task } from './job.js'
 import { JobRetention } from './jobRetention.js'
@@ -19,6 +20,7 @@
 import { TOPICS, type KeyedRecord, type RecordLog, type StoredRecord } from './recordLog.js'
 import { isCancelKey, jobOfCancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
 import { TopicFollower } from './topicFollower.js'
+import type { HeadroomState } from './urgentHeadroom.js'
 import type { EndReport, WorkerEntry, WorkerPort } from './workerPort.js'
 import type { WorkerSession } from './workerSession.js'
 import { WorkerSessions } from './workerSessions.js'
@@ -89,6 +91,7 @@
   /** Finished jobs whose submission was deleted from the log and whose progress must be deleted as well. */
   private readonly evictedKeys: string[] = []
   private readonly retention: JobRetention
+  private readonly demandLog: DemandLog
   /** Jobs whose recorded progress is malformed. Without it, tasks that have ended would run again. */
   private readonly unreadableJobs = new Set<string>()
   /** Submissions that were read before the progress of their jobs; undefined once the progress has been read. */
@@ -115,6 +118,7 @@
       onSuperseded: options.onSuperseded
     }, metrics, logger, now))
     this.retention = this.register(new JobRetention(log, logger))
+    this.demandLog = new DemandLog(this.scheduler.headroom, logger)
     this.eligibilityRequester = new EligibilityRequester(this.scheduler, options.eligibilityChannels, result => this.onEligibilityResult(result), now)
     this.submissionFollowers = Array.from({ length: SUBMISSION_PARTITIONS }, (_, partition) => this.register(new TopicFollower(
       log,
@@ -193,6 +197,11 @@
     return { jobs: this.scheduler.jobs.size, readySteps: this.scheduler.readySteps.size, workers: this.scheduler.workers.size, unrecordedEnds: this.unrecordedEnds }
   }
 
+  /** Demand of urgent work, its forecast and the headroom, shown as metrics. */
+  get headroom (): HeadroomState {
+    return this.scheduler.headroom.state
+  }
+
   onDidFinishJob (job: Job): void {
     this.metrics.jobFinished(job.state)
     this.logger.info('job finished', { job: job.identity, code: job.state, reason: job.reason, queue: job.submission.queue, durationMilliseconds: Math.round(this.now() - job.acceptedAt), objectiveMilliseconds: Math.round(job.objectiveAt - job.acceptedAt) })
@@ -341,7 +350,8 @@
 
   private onTick (): void {
     const now = this.now()
-    this.scheduler.observeLoad()
+    this.scheduler.observeLoad(now)
+    this.demandLog.onSample(now)
     this.scheduler.openDueOccurrences(now, Date.now())
     this.scheduler.moveDepartingRuns(now)
     for (const task of this.scheduler.stopStalledRuns(now)) this.logger.warn('run makes no progress; it is stopped', { task: task.name, worker: task.worker, count: task.run, reason: `${task.percent} percent` })
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -109,6 +109,10 @@
     metrics.addGauge('jobs', 'Jobs that the acting scheduler here keeps', () => this.scheduler?.counts.jobs ?? 0)
     metrics.addGauge('open_steps', 'Steps with tasks that wait for room', () => this.scheduler?.counts.readySteps ?? 0)
     metrics.addGauge('unrecorded_ends', 'Ends of runs that the acting scheduler here knows and the log does not hold', () => this.scheduler?.counts.unrecordedEnds ?? 0)
+    metrics.addGauge('urgent_demand_thousandths', 'Processors that urgent work uses or waits for', () => this.scheduler?.headroom.demand ?? 0)
+    metrics.addGauge('urgent_forecast_thousandths', 'Forecast of the demand of urgent work half a second ahead', () => this.scheduler?.headroom.forecast.value ?? 0)
+    metrics.addGauge('urgent_forecast_error_thousandths', 'Mean error of the latest forecasts of the demand of urgent work', () => this.scheduler?.headroom.forecast.error ?? 0)
+    metrics.addGauge('urgent_headroom_thousandths', 'Processors reserved for urgent work against other work that lasts a second', () => this.scheduler?.headroom.reserved ?? 0)
     metrics.addGauge('workers', 'Workers that the acting scheduler here knows', () => this.scheduler?.counts.workers ?? 0)
   }
 
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -188,9 +188,9 @@
     return count
   }
 
-  /** Samples the capacity that urgent work uses; must be called every 100 ms. */
-  observeLoad (): void {
-    this.headroom.observe(this.workers.values())
+  /** Samples the demand of urgent work; must be called every 100 ms. */
+  observeLoad (now: number): void {
+    this.headroom.observe(this.workers.values(), this.readySteps, now)
   }
 
   /** Opens the occurrences of recurring jobs that are due. `unixMilliseconds` is the wall clock time. */
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -202,7 +202,7 @@
 
   private headroomFor (step: Step, worker: WorkerState): number {
     if (step.job.isUrgent || step.specification.filler) return 0
-    const reserved = this.headroom.reservedOn(worker)
+    const reserved = this.headroom.reservedOn(worker, step.specification.estimateMilliseconds / worker.speed)
     return reserved === 0 || this.ignoresHeadroom(step) ? 0 : reserved
   }
 
