--- a/src/cluster/leadership.ts
+++ b/src/cluster/leadership.ts
@@ -27,6 +27,8 @@
   private latest: LeadershipRecord | undefined
   /** When the latest record was read or, without one, when the log was first found to hold none. */
   private latestReadAt: number | undefined
+  /** When it was first known that the log holds no renewal after the latest record, in milliseconds of the monotonic clock. */
+  private silenceKnownAt: number | undefined
   private holderExitedAt: number | undefined
   private supersededTerm = 0
   private nextClaimAt = -Infinity
@@ -59,6 +61,7 @@
     const changed = this.latest?.incarnation !== record.incarnation || this.latest.resigned !== record.resigned
     this.latest = record
     this.latestReadAt = now
+    this.silenceKnownAt = undefined
     // A renewal shows that the holder is still running: connections may be refused because of a network failure.
     this.holderExitedAt = undefined
     this.isOffered = false
@@ -93,9 +96,12 @@
   /**
    * Returns whether this instance should claim the role. `logReadStartedAt` is when the latest successful read of the log was sent:
    * missing renewals prove nothing about the holder while the log cannot be read. `logLatencyMilliseconds` is the latency of an append.
+   * All instances learn of the silence of a holder when their long-poll reads end, at about the same time, so the delays that keep
+   * their claims apart begin there.
    */
-  shouldClaim (now: number, logReadStartedAt: number | undefined, logLatencyMilliseconds: number): boolean {
+  shouldClaim (now: number, logReadStartedAt: number | undefined, logLatencyMilliseconds: number, logReadCompletedAt = logReadStartedAt): boolean {
     if (this.isHeldHere || this.latestReadAt === undefined || logReadStartedAt === undefined || now < this.nextClaimAt) return false
+    if (logReadStartedAt >= this.latestReadAt) this.silenceKnownAt ??= logReadCompletedAt
     const claimDelay = this.rank * RANK_STEP_MILLISECONDS + this.jitter * JITTER_LATENCY_FACTOR * logLatencyMilliseconds
     if (this.latest === undefined) return now >= this.latestReadAt + FIRST_CLAIM_DELAY_MILLISECONDS + claimDelay
     if (this.latest.resigned) {
@@ -103,7 +109,8 @@
       const delay = successor === this.instance ? 0 : claimDelay + (successor === '' ? 0 : SUCCESSOR_HEAD_START_MILLISECONDS + JITTER_LATENCY_FACTOR * logLatencyMilliseconds)
       return now >= this.latestReadAt + delay
     }
-    const hasTimedOut = now >= this.latestReadAt + RENEWAL_TIMEOUT_MILLISECONDS + RENEWAL_TIMEOUT_LATENCY_FACTOR * logLatencyMilliseconds + claimDelay
+    const timesOutAt = Math.max(this.latestReadAt + RENEWAL_TIMEOUT_MILLISECONDS + RENEWAL_TIMEOUT_LATENCY_FACTOR * logLatencyMilliseconds, this.silenceKnownAt ?? -Infinity)
+    const hasTimedOut = now >= timesOutAt + claimDelay
     if (!hasTimedOut && this.isOffered) return true
     if (!hasTimedOut) return this.holderExitedAt !== undefined && now >= this.holderExitedAt + CLAIM_DELAY_AFTER_EXIT_MILLISECONDS + claimDelay
     return logReadStartedAt >= this.latestReadAt
--- a/test/cluster/leadership.test.ts
+++ b/test/cluster/leadership.test.ts
@@ -74,6 +74,25 @@
     assert.equal(leadership.shouldClaim(30, 25, 0), false)
   })
 
+  /** The holder goes silent. The long-poll reads of all instances are sent at its last renewal and end 1.5 s later; more of them follow. */
+  const SILENT_HOLDER: ReadonlyArray<{ readonly name: string, readonly rank: number, readonly claimsAt: number }> = [
+    { name: 'a large instance', rank: 6, claimsAt: 1700 },
+    { name: 'an instance of half its capacity, after the claim of the large one can be read', rank: 12, claimsAt: 1900 },
+    { name: 'a small instance', rank: 16, claimsAt: 2000 }
+  ]
+  for (const { name, rank, claimsAt } of SILENT_HOLDER) {
+    it(`claims in the order of capacity after a long-poll read: ${name}`, () => {
+      const leadership = new Leadership('instance', 'own', rank, 0)
+      leadership.onRecord(HELD, 0)
+      const claims: number[] = []
+      for (let now = 0; now <= 2000; now += 50) {
+        const completedReads = Math.floor(now / 1500)
+        if (completedReads > 0 && leadership.shouldClaim(now, (completedReads - 1) * 1500, 0, completedReads * 1500)) claims.push(now)
+      }
+      assert.equal(claims[0], claimsAt)
+    })
+  }
+
   it('waits after a claim that was not stored', () => {
     const leadership = new Leadership('instance', 'own', RANK, 0)
     leadership.onRecord(HELD, 0)
