--- a/test/cluster/placementPass.test.ts
+++ b/test/cluster/placementPass.test.ts
@@ -82,6 +82,28 @@
     })
   }
 
+  /** On the rise of a swing of urgent demand, more is reserved against a long task than against a short one, at times more than the task leaves free. */
+  const LONG_TASKS: ReadonlyArray<{ readonly name: string, readonly cores: number, readonly estimateMilliseconds: number, readonly placed: readonly string[] }> = [
+    { name: 'places a short task before the crest', cores: 3, estimateMilliseconds: 400, placed: ['fast'] },
+    { name: 'does not place a long task that would lie over the crest', cores: 3, estimateMilliseconds: 4000, placed: [] },
+    { name: 'places a task that could never run beside the crest', cores: 7, estimateMilliseconds: 4000, placed: ['fast'] }
+  ]
+  for (const { name, cores, estimateMilliseconds, placed } of LONG_TASKS) {
+    it(`${name} of a swing of urgent demand`, () => {
+      const scheduler = createSite([{ name: 'fast', cores: 10, speed: 1 / 0.9 }])
+      const worker = scheduler.workers.get('fast')
+      assert.ok(worker)
+      for (let time = 0; time <= 680; time += 1) {
+        worker.urgentProcessors = 2500 * (1 + 0.55 * Math.sin(2 * Math.PI * time / 170))
+        scheduler.observeLoad(0)
+      }
+      worker.urgentProcessors = 0
+      worker.usedProcessors = cores === 3 ? 3800 : 0
+      add(scheduler, 'batch', { processorsThousandths: 1000 * cores, estimateMilliseconds })
+      assert.deepEqual(place(scheduler), placed)
+    })
+  }
+
   /** A burst of urgent work fits on the fast workers although batch work fills the site. */
   it('reserves capacity on fast workers for the usual amount of urgent work', () => {
     const scheduler = createSite([{ name: 'fast', cores: 10, speed: 1.5 }])
