--- a/src/cluster/organisations/organisationShares.ts
+++ b/src/cluster/organisations/organisationShares.ts
@@ -26,7 +26,7 @@
   private activeWeight = 0
   /** Whether the waiting work may need more room than is free. */
   isRoomShort = false
-  /** Steps that go after others of their class, because their organisation has its share. */
+  /** Steps that go after others of their class, because their organisation has its share, and the share that each of them builds on. */
   private readonly stepsBeyondShare = new Map<Step, number>()
 
   constructor (private readonly ledger: OrganisationLedger) {}
--- a/src/cluster/preemption/preemptionController.ts
+++ b/src/cluster/preemption/preemptionController.ts
@@ -57,7 +57,7 @@
   private readonly stops = new StopEstimator()
   private plannedAt = -Infinity
 
-  /** `shares` is absent while organisations are not distinguished. */
+  /** `shares` tells the organisations of jobs and what they use; without it, runs are preempted by priority only. */
   constructor (private readonly host: PreemptionHost, private readonly shares?: OrganisationShares) {}
 
   /** Handles the end of a run that was stopped, `milliseconds` after its worker had confirmed the stop. */
