--- a/test/soak/workerStandin.ts
+++ b/test/soak/workerStandin.ts
@@ -17,6 +17,12 @@
     return Buffer.from(JSON.stringify({ service: pool, addr: this.hostAndPort, zone: failureDomain, state, room: resources, labels, born: processStartedAt, sequence }))
   }
 
+  /** Simulates a crash and an immediate restart of the worker's process. Nothing that was sent to the former process reaches the new one. */
+  restart (): void {
+    this.replaceProcess()
+    this.worker.restart()
+  }
+
   protected override async handle ({ url, headers, body }: StandinRequest): Promise<StandinResponse> {
     const { worker } = this
     if (headers.get('vanillaturn-target-instance') !== worker.identity) return MISDIRECTED
