--- a/src/cluster/topicFollower.ts
+++ b/src/cluster/topicFollower.ts
@@ -31,7 +31,7 @@
   onDidChangeReachability (reachable: boolean, reason: string): void
 }
 
-/** Reads one partition of a keyed topic continuously, starting from its snapshot. */
+/** Reads one partition of a keyed topic continuously, starting from its snapshot. After a failure, reads do not wait for records until one succeeds. */
 export class TopicFollower extends DisposableObject {
   private next: number | undefined
   private failures = 0
@@ -98,7 +98,8 @@
   private async readOnce (from: number): Promise<boolean> {
     const sentAt = this.now()
     const { topic, partition, waitMilliseconds, refreshAfterMilliseconds = Infinity } = this.options
-    const isBehind = sentAt - (this.lastReadStartedAt ?? sentAt) > refreshAfterMilliseconds
+    // While reads fail, a read that waits would take longer to time out, and its response would come later than necessary.
+    const isBehind = this.failures > 0 || sentAt - (this.lastReadStartedAt ?? sentAt) > refreshAfterMilliseconds
     const outcome = await this.log.read(topic, partition, from, isBehind ? 0 : waitMilliseconds)
     if (this.isDisposed) return false
     switch (outcome.kind) {
