--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -1,4 +1,5 @@
 import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
+import { ChannelHealth } from './channelHealth.js'
 import type { ClusterScheduler } from './clusterScheduler.js'
 import type { Step } from './job.js'
 import { tasksFitNow, tasksFitWhenEmpty, sortByPlacementOrder, URGENT_PRIORITY } from './placementPass.js'
@@ -53,6 +54,7 @@
 /** Requests eligible workers and their tickets for the active scheduler, in placement order of the steps and through the channels of all instances. */
 export class EligibilityRequester {
   private readonly busyInstances = new Set<string>()
+  private readonly health = new ChannelHealth()
 
   constructor (
     private readonly scheduler: ClusterScheduler,
@@ -64,9 +66,11 @@
   /** Sends requests on all free channels. */
   sendRequests (): void {
     const channels = this.channels()
-    const free = channels.filter(channel => !this.busyInstances.has(channel.instance))
+    const isFree = ({ instance }: EligibilityChannel): boolean => !this.busyInstances.has(instance)
+    const free = this.health.selectUsable(channels, isFree, this.now())
     if (free.length === 0) return
-    let remainingLongRequests = Math.max(1, Math.floor(channels.length * (1 - SHORT_REQUEST_CHANNEL_SHARE))) - (channels.length - free.length)
+    const busyCount = channels.length - channels.filter(isFree).length
+    let remainingLongRequests = Math.max(1, Math.floor(channels.length * (1 - SHORT_REQUEST_CHANNEL_SHARE))) - busyCount
     for (const request of this.selectRequests()) {
       const isLong = request.expectedMilliseconds >= LONG_REQUEST_MILLISECONDS
       if (isLong && remainingLongRequests <= 0) continue
@@ -144,6 +148,7 @@
     const sentAt = this.now()
     const outcome = await channel.request(request.step.name, request.workers, request.expectedMilliseconds + RESPONSE_SLACK_MILLISECONDS)
     this.busyInstances.delete(channel.instance)
+    this.health.onOutcome(channel.instance, outcome.kind === 'failed', this.now())
     eligibility.isRequestPending = false
     if (outcome.kind === 'failed') {
       eligibility.retryNotBefore = this.now() + RETRY_PAUSE_MILLISECONDS
--- a/test/cluster/eligibilityRequester.test.ts
+++ b/test/cluster/eligibilityRequester.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { ClusterScheduler } from '../../src/cluster/clusterScheduler.js'
-import { EligibilityRequester } from '../../src/cluster/eligibilityRequester.js'
+import { EligibilityRequester, type EligibilityChannel } from '../../src/cluster/eligibilityRequester.js'
 import { stepJobSchema } from '../../src/contracts/stepJob.js'
 import { FakeClusterWorker } from '../fakes/fakeClusterWorkers.js'
 import { SILENT_OBSERVER } from '../fakes/silentObserver.js'
@@ -151,6 +151,39 @@
     assert.deepEqual(requests, [['w1'], ['w2']])
   })
 
+  /** Otherwise a step that waits alone is requested through the same instance for ever. A request to a silent instance fails after its timeout. */
+  const FAILING: ReadonlyArray<{ readonly name: string, readonly failing: readonly string[], readonly timeoutMilliseconds: number, readonly used: readonly string[] }> = [
+    { name: 'the last instance refuses', failing: ['c'], timeoutMilliseconds: 0, used: ['c', 'b'] },
+    { name: 'the last instance is silent', failing: ['c'], timeoutMilliseconds: 700, used: ['c', 'b'] },
+    { name: 'all instances but the own one are silent', failing: ['b', 'c'], timeoutMilliseconds: 700, used: ['c', 'b', 'own'] },
+    { name: 'all instances fail', failing: ['own', 'b', 'c'], timeoutMilliseconds: 0, used: ['c', 'b', 'own', 'c', 'b', 'own'] }
+  ]
+  for (const { name, failing, timeoutMilliseconds, used } of FAILING) {
+    it(`requests workers through another instance when ${name}`, async () => {
+      const scheduler = createScheduler()
+      addWorkers(scheduler, ['w1'])
+      scheduler.addJob('00000000000000aa', { queue: 'queue', pool: 'pool', job: stepJobSchema.parse({ specification: '', steps: [{ count: 1, processorsThousandths: 1000 }] }), acceptedAt: Date.now() }, 0)
+      let now = 0
+      const channelsUsed: string[] = []
+      const channels = ['own', 'b', 'c'].map((instance): EligibilityChannel => ({
+        instance,
+        request: async (_step, workers) => {
+          channelsUsed.push(instance)
+          if (!failing.includes(instance)) return { kind: 'eligible', workers: workers.map(worker => ({ worker, ticket: 'ticket' })), validMilliseconds: 2500 }
+          now += timeoutMilliseconds
+          return { kind: 'failed', reason: 'failed' }
+        }
+      }))
+      const requester = new EligibilityRequester(scheduler, () => channels, () => {}, () => now)
+      for (let request = 0; request < used.length; request += 1) {
+        requester.sendRequests()
+        await new Promise(resolve => setImmediate(resolve))
+        now += 160
+      }
+      assert.deepEqual(channelsUsed, used)
+    })
+  }
+
   for (const { name, step, later, eligible, requests } of CASES) {
     it(name, async () => {
       const scheduler = createScheduler()
