--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -2,7 +2,8 @@
 import { ChannelHealth } from './channelHealth.js'
 import type { ClusterScheduler } from './clusterScheduler.js'
 import type { Step } from './job.js'
-import { tasksFitNow, tasksFitWhenEmpty, sortByPlacementOrder, URGENT_PRIORITY } from './placementPass.js'
+import { sortByPlacementOrder, URGENT_PRIORITY } from './placementPass.js'
+import { remainingPerWorker, tasksFitNow, tasksFitWhenEmpty } from './stepFit.js'
 import { UrgentHeadroom } from './urgentHeadroom.js'
 import type { EligibilityOutcome } from './workerPort.js'
 import type { WorkerState } from './workerState.js'
@@ -126,7 +127,8 @@
       if (step.reservation !== undefined && named.some(isStale)) return selectIdentities(named)
       return this.selectFurtherWorkers(step, named, needed, isSuitable, now)
     }
-    const withRoom = step.specification.gang ? named : named.filter(worker => worker.fits(step.specification))
+    const remaining = remainingPerWorker(step)
+    const withRoom = step.specification.gang ? named : named.filter(worker => worker.fits(step.specification) && remaining(worker) > 0)
     const isRenewalNeeded = step.specification.gang ? withRoom.some(isStale) : withRoom.every(isStale)
     return isRenewalNeeded ? selectIdentities(withRoom) : []
   }
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -4,6 +4,7 @@
 import type { CapGate } from './organisations/organisationCaps.js'
 import type { FairOrder } from './organisations/organisations.js'
 import { hasTarget, type PacingController } from './serving/pacingController.js'
+import { countFittingTasks, countFittingTasksWhenEmpty, countPerWorker, remainingPerWorker, tasksFitWhenEmpty } from './stepFit.js'
 import { FAST_WORKER_SPEED, type UrgentHeadroom } from './urgentHeadroom.js'
 import { processorsOf, type WorkerState } from './workerState.js'
 
@@ -178,16 +179,10 @@
 
   private chooseForGang (step: Step, candidates: readonly WorkerState[]): WorkerState[] | undefined {
     const chosen: WorkerState[] = []
-    const perWorker = new Map<string, number>()
-    const specification = step.specification
-    const limit = specification.maximumPerWorker === 0 ? Infinity : specification.maximumPerWorker
+    const remaining = remainingPerWorker(step)
     for (const worker of [...candidates].sort((left, right) => right.freeProcessors - left.freeProcessors)) {
-      let fitting = countFittingTasks(worker, step, this.headroomFor(step, worker))
-      while (fitting > 0 && chosen.length < step.tasks.length && (perWorker.get(worker.identity) ?? 0) < limit) {
-        chosen.push(worker)
-        perWorker.set(worker.identity, (perWorker.get(worker.identity) ?? 0) + 1)
-        fitting -= 1
-      }
+      const fitting = Math.min(remaining(worker), countFittingTasks(worker, step, this.headroomFor(step, worker)))
+      for (let count = 0; count < fitting && chosen.length < step.tasks.length; count += 1) chosen.push(worker)
       if (chosen.length === step.tasks.length) return chosen
     }
     return undefined
@@ -201,10 +196,11 @@
     // Workers that are already reserved come first, so that free capacity accumulates on the same workers.
     eligible.sort((left, right) => Number(previous.has(right.identity)) - Number(previous.has(left.identity)) || remainingWork(left) - remainingWork(right))
     const reservation = new Set<string>()
+    const remaining = remainingPerWorker(step)
     let members = 0
     for (const worker of eligible) {
       reservation.add(worker.identity)
-      members += countFittingTasksWhenEmpty(worker, step, this.ignoresHeadroom(step) ? 0 : this.headroom.reservedOnEmpty(worker))
+      members += Math.min(remaining(worker), countFittingTasksWhenEmpty(worker, step, this.ignoresHeadroom(step) ? 0 : this.headroom.reservedOnEmpty(worker)))
       if (members >= step.tasks.length) break
     }
     step.reservation = reservation
@@ -368,54 +364,6 @@
   return job.isUrgent ? PlacementClass.UrgentInTime : PlacementClass.InTime
 }
 
-function countPerWorker (step: Step): Map<string, number> {
-  const counts = new Map<string, number>()
-  if (step.specification.maximumPerWorker === 0) return counts
-  for (const task of step.tasks) {
-    if (task.hasRun) counts.set(task.worker, (counts.get(task.worker) ?? 0) + 1)
-  }
-  return counts
-}
-
-/** Returns the number of tasks of the step that fit into the free capacity of a worker. */
-function countFittingTasks (worker: WorkerState, step: Step, headroom: number): number {
-  return countTasksWithin(step, worker.freeProcessors - headroom, worker.freeMemory, worker.entry.accelerators - worker.usedAccelerators)
-}
-
-/** Returns the number of tasks of the step that would fit on the worker beside the headroom if it were empty. */
-function countFittingTasksWhenEmpty (worker: WorkerState, step: Step, headroom: number): number {
-  return Math.max(0, countTasksWithin(step, worker.entry.processorsThousandths - headroom, worker.entry.memoryMegabytes, worker.entry.accelerators))
-}
-
-/** Returns true if this many tasks of the step would fit on the workers beside the headroom for urgent work if they were empty. */
-export function tasksFitWhenEmpty (workers: readonly WorkerState[], step: Step, count: number, headroom: UrgentHeadroom): boolean {
-  let left = count
-  for (const worker of workers) {
-    left -= countFittingTasksWhenEmpty(worker, step, step.job.isUrgent ? 0 : headroom.reservedOnEmpty(worker))
-    if (left <= 0) return true
-  }
-  return left <= 0
-}
-
-/** Returns true if this many tasks of the step fit into the free capacity of the workers; the headroom for urgent work counts as free. */
-export function tasksFitNow (workers: readonly WorkerState[], step: Step, count: number): boolean {
-  let left = count
-  for (const worker of workers) {
-    left -= Math.max(0, countFittingTasks(worker, step, 0))
-    if (left <= 0) return true
-  }
-  return left <= 0
-}
-
-function countTasksWithin (step: Step, processors: number, memory: number, accelerators: number): number {
-  const specification = step.specification
-  return Math.min(step.tasks.length, countDemands(processors, processorsOf(specification)), countDemands(memory, specification.memoryMegabytes), countDemands(accelerators, specification.accelerators))
-}
-
-function countDemands (available: number, demand: number): number {
-  return demand === 0 ? Infinity : Math.floor(available / demand)
-}
-
 /** Returns the estimated remaining work of a worker, in thousandths of a core times milliseconds. */
 function remainingWork (worker: WorkerState): number {
   let work = 0
