--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -4,7 +4,6 @@
 import type { Step } from './job.js'
 import { sortByPlacementOrder, URGENT_PRIORITY } from './placementPass.js'
 import { remainingPerWorker, tasksFitNow, tasksFitWhenEmpty } from './stepFit.js'
-import { UrgentHeadroom } from './urgentHeadroom.js'
 import type { EligibilityOutcome } from './workerPort.js'
 import type { WorkerState } from './workerState.js'
 
@@ -24,8 +23,6 @@
 const RECHECK_PERIOD_MILLISECONDS = 100
 /** Wait without room on any eligible worker after which workers with free capacity are requested that were not requested before, in milliseconds. */
 const WAIT_BEFORE_EXTENSION_MILLISECONDS = 300
-/** Headroom of zero, for steps that fit only if they ignore the headroom for urgent work. */
-const NO_HEADROOM = new UrgentHeadroom()
 
 /** Channel to the eligibility service through one instance. The service handles one request per channel at a time. */
 export interface EligibilityChannel {
@@ -120,7 +117,8 @@
     if (!tasksFitWhenEmpty(named, step, needed, this.scheduler.headroom)) {
       const unrequested = [...this.scheduler.workers.values()].filter(worker => !requestedWorkers.has(worker.identity)).filter(isSuitable)
       if (unrequested.length > 0) return selectIdentities([...unrequested, ...named])
-      if (!tasksFitWhenEmpty(named, step, step.specification.gang ? needed : 1, NO_HEADROOM)) return []
+      // A step may ignore the headroom if it could never be placed otherwise.
+      if (!tasksFitWhenEmpty(named, step, step.specification.gang ? needed : 1)) return []
     }
     const isStale = (worker: WorkerState): boolean => (tickets.get(worker.identity)?.validUntil ?? 0) - REFRESH_MARGIN_MILLISECONDS <= now
     if (!tasksFitNow(named, step, step.specification.gang ? needed : 1)) {
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -189,12 +189,17 @@
   }
 
   private reserve (step: Step): void {
+    const previous = step.reservation ?? new Set<string>()
+    step.reservation = undefined
     if (this.reservationCount >= MAXIMUM_RESERVATIONS) return
-    const eligible = this.eligibleWorkers(step).filter(worker => worker.fitsWhenEmpty(step.specification) && !this.reservedWorkers.has(worker.identity))
+    const fitting = this.eligibleWorkers(step).filter(worker => worker.fitsWhenEmpty(step.specification))
+    // A gang that its workers cannot hold together would keep them from other work for ever.
+    if (!tasksFitWhenEmpty(fitting, step, step.tasks.length)) return
+    const eligible = fitting.filter(worker => !this.reservedWorkers.has(worker.identity))
     if (eligible.length === 0) return
-    const previous = step.reservation ?? new Set<string>()
+    const isUsable = (worker: WorkerState): boolean => worker.isUsable(this.now)
     // Workers that are already reserved come first, so that free capacity accumulates on the same workers.
-    eligible.sort((left, right) => Number(previous.has(right.identity)) - Number(previous.has(left.identity)) || remainingWork(left) - remainingWork(right))
+    eligible.sort((left, right) => Number(isUsable(right)) - Number(isUsable(left)) || Number(previous.has(right.identity)) - Number(previous.has(left.identity)) || remainingWork(left) - remainingWork(right))
     const reservation = new Set<string>()
     const remaining = remainingPerWorker(step)
     let members = 0
--- a/src/cluster/stepFit.ts
+++ b/src/cluster/stepFit.ts
@@ -30,12 +30,12 @@
   return Math.max(0, countTasksWithin(step, worker.entry.processorsThousandths - headroom, worker.entry.memoryMegabytes, worker.entry.accelerators))
 }
 
-/** Returns true if this many tasks of the step would fit on the workers beside the headroom for urgent work if they were empty. */
-export function tasksFitWhenEmpty (workers: readonly WorkerState[], step: Step, count: number, headroom: UrgentHeadroom): boolean {
+/** Returns true if this many tasks of the step would fit on the workers, beside the headroom for urgent work if there is one, if they were empty. */
+export function tasksFitWhenEmpty (workers: readonly WorkerState[], step: Step, count: number, headroom?: UrgentHeadroom): boolean {
   const remaining = remainingPerWorker(step)
   let left = count
   for (const worker of workers) {
-    left -= Math.min(remaining(worker), countFittingTasksWhenEmpty(worker, step, step.job.isUrgent ? 0 : headroom.reservedOnEmpty(worker)))
+    left -= Math.min(remaining(worker), countFittingTasksWhenEmpty(worker, step, step.job.isUrgent ? 0 : headroom?.reservedOnEmpty(worker) ?? 0))
     if (left <= 0) return true
   }
   return left <= 0
--- a/test/cluster/placementPass.test.ts
+++ b/test/cluster/placementPass.test.ts
@@ -132,4 +132,30 @@
     for (const worker of scheduler.workers.values()) worker.usedProcessors = 0
     assert.deepEqual(place(scheduler, 3), ['w1', 'w1', 'w2', 'w2'])
   })
+
+  /** Otherwise a gang that can run nowhere keeps all its workers from other work for ever. */
+  const UNPLACEABLE: ReadonlyArray<{ readonly name: string, readonly step: object }> = [
+    { name: 'is wider than all workers', step: { count: 5 } },
+    { name: 'needs more workers than there are, because each takes only one of its tasks', step: { count: 3, maximumPerWorker: 1 } },
+    { name: 'needs a label that too few workers have', step: { count: 3, requiredLabel: 'w1' } }
+  ]
+  for (const { name, step } of UNPLACEABLE) {
+    it(`reserves no workers for a gang that ${name}`, () => {
+      const scheduler = createSite([{ name: 'w1', cores: 2, speed: 1 }, { name: 'w2', cores: 2, speed: 1 }])
+      for (const worker of scheduler.workers.values()) scheduler.upsertWorker({ ...worker.entry, labels: [worker.identity] }, 0)
+      add(scheduler, 'batch', { gang: true, ...step })
+      add(scheduler, 'batch', { count: 4 }, 1)
+      assert.deepEqual(place(scheduler, 2), ['w1', 'w1', 'w2', 'w2'])
+    })
+  }
+
+  /** Capacity that accumulates on a worker without responses is of no use to the gang. */
+  it('reserves workers that respond before one that does not', () => {
+    const scheduler = createSite([{ name: 'w1', cores: 2, speed: 1 }, { name: 'w2', cores: 2, speed: 1 }, { name: 'w3', cores: 2, speed: 1 }])
+    for (const worker of scheduler.workers.values()) worker.usedProcessors = worker.identity === 'w1' ? 0 : 1000
+    scheduler.onPollFailed('w1')
+    add(scheduler, 'batch', { count: 4, gang: true })
+    add(scheduler, 'batch', { count: 4 }, 1)
+    assert.deepEqual(place(scheduler, 2), [])
+  })
 })
