--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -4,7 +4,7 @@
 import type { CapGate } from './organisations/organisationCaps.js'
 import type { FairOrder } from './organisations/organisations.js'
 import { hasTarget, type PacingController } from './serving/pacingController.js'
-import { countFittingTasks, countFittingTasksWhenEmpty, countPerWorker, remainingPerWorker, tasksFitWhenEmpty } from './stepFit.js'
+import { countFittingTasks, countFittingTasksOnceEnded, countPerWorker, remainingPerWorker, tasksFitOnceEnded, tasksFitWhenEmpty } from './stepFit.js'
 import { FAST_WORKER_SPEED, type UrgentHeadroom } from './urgentHeadroom.js'
 import { processorsOf, type WorkerState } from './workerState.js'
 
@@ -192,9 +192,9 @@
     const previous = step.reservation ?? new Set<string>()
     step.reservation = undefined
     if (this.reservationCount >= MAXIMUM_RESERVATIONS) return
-    const fitting = this.eligibleWorkers(step).filter(worker => worker.fitsWhenEmpty(step.specification))
+    const fitting = this.eligibleWorkers(step).filter(worker => countFittingTasksOnceEnded(worker, step, 0) > 0)
     // A gang that its workers cannot hold together would keep them from other work for ever.
-    if (!tasksFitWhenEmpty(fitting, step, step.tasks.length)) return
+    if (!tasksFitOnceEnded(fitting, step, step.tasks.length)) return
     const eligible = fitting.filter(worker => !this.reservedWorkers.has(worker.identity))
     if (eligible.length === 0) return
     const isUsable = (worker: WorkerState): boolean => worker.isUsable(this.now)
@@ -205,7 +205,7 @@
     let members = 0
     for (const worker of eligible) {
       reservation.add(worker.identity)
-      members += Math.min(remaining(worker), countFittingTasksWhenEmpty(worker, step, this.ignoresHeadroom(step) ? 0 : this.headroom.reservedOnEmpty(worker)))
+      members += Math.min(remaining(worker), countFittingTasksOnceEnded(worker, step, this.ignoresHeadroom(step) ? 0 : this.headroom.reservedOnEmpty(worker)))
       if (members >= step.tasks.length) break
     }
     step.reservation = reservation
--- a/src/cluster/stepFit.ts
+++ b/src/cluster/stepFit.ts
@@ -26,10 +26,30 @@
 }
 
 /** Returns the number of tasks of the step that would fit on the worker beside the headroom if it were empty. */
-export function countFittingTasksWhenEmpty (worker: WorkerState, step: Step, headroom: number): number {
+function countFittingTasksWhenEmpty (worker: WorkerState, step: Step, headroom: number): number {
   return Math.max(0, countTasksWithin(step, worker.entry.processorsThousandths - headroom, worker.entry.memoryMegabytes, worker.entry.accelerators))
 }
 
+/** Returns the number of tasks of the step that fit on the worker once all its runs have ended but those of tasks that last. */
+export function countFittingTasksOnceEnded (worker: WorkerState, step: Step, headroom: number): number {
+  let { processorsThousandths, memoryMegabytes, accelerators } = worker.entry
+  for (const { step: { specification } } of worker.runs.values()) {
+    if (!specification.longRunning) continue
+    processorsThousandths -= processorsOf(specification)
+    memoryMegabytes -= specification.memoryMegabytes
+    accelerators -= specification.accelerators
+  }
+  return Math.max(0, countTasksWithin(step, processorsThousandths - headroom, memoryMegabytes, accelerators))
+}
+
+/** Returns true if this many tasks of the step fit on the workers once all runs have ended but those of tasks that last. */
+export function tasksFitOnceEnded (workers: readonly WorkerState[], step: Step, count: number): boolean {
+  const remaining = remainingPerWorker(step)
+  let left = count
+  for (const worker of workers) left -= Math.min(remaining(worker), countFittingTasksOnceEnded(worker, step, 0))
+  return left <= 0
+}
+
 /** Returns true if this many tasks of the step would fit on the workers, beside the headroom for urgent work if there is one, if they were empty. */
 export function tasksFitWhenEmpty (workers: readonly WorkerState[], step: Step, count: number, headroom?: UrgentHeadroom): boolean {
   const remaining = remainingPerWorker(step)
--- a/test/cluster/placementPass.test.ts
+++ b/test/cluster/placementPass.test.ts
@@ -149,6 +149,28 @@
     })
   }
 
+  /** Tasks that last never make room for the gang. */
+  it('reserves no workers for a gang that does not fit beside tasks that last', () => {
+    const scheduler = createSite([{ name: 'w1', cores: 2, speed: 1 }, { name: 'w2', cores: 2, speed: 1 }, { name: 'w3', cores: 2, speed: 1 }])
+    add(scheduler, 'batch', { count: 4, longRunning: true })
+    assert.equal(place(scheduler).length, 4)
+    add(scheduler, 'batch', { count: 4, gang: true })
+    add(scheduler, 'batch', { count: 2 }, 1)
+    assert.equal(place(scheduler, 2).length, 2)
+  })
+
+  it('reserves the workers on which fewer tasks last', () => {
+    const scheduler = createSite([{ name: 'w1', cores: 2, speed: 1 }, { name: 'w2', cores: 2, speed: 1 }, { name: 'w3', cores: 2, speed: 1 }])
+    add(scheduler, 'batch', { count: 2, longRunning: true })
+    assert.deepEqual(place(scheduler), ['w1', 'w1'])
+    for (const task of scheduler.workers.get('w1')?.runs.values() ?? []) task.percent = 100
+    add(scheduler, 'batch', { count: 1, estimateMilliseconds: 500 })
+    assert.deepEqual(place(scheduler), ['w2'])
+    add(scheduler, 'batch', { count: 4, gang: true })
+    add(scheduler, 'batch', { count: 1 }, 1)
+    assert.deepEqual(place(scheduler, 2), [])
+  })
+
   /** Capacity that accumulates on a worker without responses is of no use to the gang. */
   it('reserves workers that respond before one that does not', () => {
     const scheduler = createSite([{ name: 'w1', cores: 2, speed: 1 }, { name: 'w2', cores: 2, speed: 1 }, { name: 'w3', cores: 2, speed: 1 }])
