--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -531,6 +531,7 @@
         break
       case 'refused':
         if (outcome.reason === 'ticket') discardTicket(task.step, worker.identity)
+        if (outcome.reason === 'unhealthy' || outcome.reason === 'room') worker.recordRefusal(this.now())
         this.scheduler.onStartOutcome(task, run, 'notStarted', this.now())
         break
       default:
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -12,6 +12,8 @@
 const FAILURES_BEFORE_QUARANTINE = 2
 /** Duration of a quarantine; about the duration of the worker faults observed. */
 const QUARANTINE_MILLISECONDS = 4000
+/** Time for which a worker gets no work after it has refused a start, in milliseconds. A worker that refuses all starts has the most room, so that it would be chosen again and again. */
+const REFUSAL_PAUSE_MILLISECONDS = 1000
 
 /** State of one worker as seen by the active scheduler: its capacity, the runs that may exist there, and its speed and failures. */
 export class WorkerState {
@@ -165,6 +167,11 @@
     return true
   }
 
+  /** Lets the worker get no work for a while, because it has refused a start that it should have had room for. */
+  recordRefusal (now: number): void {
+    this.quarantinedUntil = Math.max(this.quarantinedUntil, now + REFUSAL_PAUSE_MILLISECONDS)
+  }
+
   private addUsage (task: Task, sign: 1 | -1): void {
     const step = task.step.specification
     if (task.step.job.isUrgent) this.urgentProcessors += sign * processorsOf(step)
