--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -263,16 +263,12 @@
 
   /** Handles the outcome of a start command. */
   onStartOutcome (task: Task, run: number, outcome: 'started' | 'notStarted' | 'uncertain', now: number): void {
-    if (task.run !== run || task.phase !== 'starting') return
-    if (outcome === 'uncertain') {
-      task.phase = 'uncertain'
-      return
-    }
-    if (outcome === 'notStarted') {
-      this.abandonRun(task)
-      return
-    }
-    this.onRunning(task, now)
+    if (task.run !== run) return
+    // A run that is being stopped needs no stop if it was not started; a worker that refuses all commands would never confirm one.
+    if (outcome === 'notStarted' && (task.phase === 'starting' || task.phase === 'stopping')) this.abandonRun(task)
+    if (task.phase !== 'starting') return
+    if (outcome === 'uncertain') task.phase = 'uncertain'
+    else this.onRunning(task, now)
   }
 
   /** Handles the confirmation of a stop: a poll sent later shows whether the run still exists. */
