--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -10,7 +10,7 @@
 import { ClusterScheduler, type PendingStop, type SchedulerObserver } from './clusterScheduler.js'
 import type { RunLossCause } from './crashTracker.js'
 import { EligibilityRequester, type EligibilityRequestResult, type EligibilityChannel } from './eligibilityRequester.js'
-import { discardTicket, toProgressRecord, type Job, type Step, type Task } from './job.js'
+import { toProgressRecord, type Job, type Step, type Task } from './job.js'
 import { JobRetention } from './jobRetention.js'
 import type { OrganisationSummary } from './organisations/organisations.js'
 import { findEarliestClaims } from './organisations/contestedIdentities.js'
@@ -19,6 +19,7 @@
 import { ProgressWriter } from './progressWriter.js'
 import type { PaceChange } from './serving/pacingController.js'
 import type { PendingPace } from './serving/servingSupervisor.js'
+import { applyStartRefusal } from './startRefusal.js'
 import { TOPICS, type KeyedRecord, type RecordLog, type StoredRecord } from './recordLog.js'
 import { isCancelKey, jobOfCancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
 import { TopicFollower } from './topicFollower.js'
@@ -530,8 +531,7 @@
         await this.resolveUncertainStart(session, task, run)
         break
       case 'refused':
-        if (outcome.reason === 'ticket') discardTicket(task.step, worker.identity)
-        if (outcome.reason === 'unhealthy' || outcome.reason === 'room') worker.recordRefusal(this.now())
+        applyStartRefusal(task.step, worker, outcome, this.now())
         this.scheduler.onStartOutcome(task, run, 'notStarted', this.now())
         break
       default:
