--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -1,8 +1,9 @@
 import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
+import { ChannelHealth } from './channelHealth.js'
 import type { ClusterScheduler } from './clusterScheduler.js'
 import type { Step } from './job.js'
-import { tasksFitNow, tasksFitWhenEmpty, sortByPlacementOrder, URGENT_PRIORITY } from './placementPass.js'
-import { UrgentHeadroom } from './urgentHeadroom.js'
+import { sortByPlacementOrder, URGENT_PRIORITY } from './placementPass.js'
+import { remainingPerWorker, tasksFitNow, tasksFitWhenEmpty } from './stepFit.js'
 import type { EligibilityOutcome } from './workerPort.js'
 import type { WorkerState } from './workerState.js'
 
@@ -22,8 +23,6 @@
 const RECHECK_PERIOD_MILLISECONDS = 100
 /** Wait without room on any eligible worker after which workers with free capacity are requested that were not requested before, in milliseconds. */
 const WAIT_BEFORE_EXTENSION_MILLISECONDS = 300
-/** Headroom of zero, for steps that fit only if they ignore the headroom for urgent work. */
-const NO_HEADROOM = new UrgentHeadroom()
 
 /** Channel to the eligibility service through one instance. The service handles one request per channel at a time. */
 export interface EligibilityChannel {
@@ -53,6 +52,7 @@
 /** Requests eligible workers and their tickets for the active scheduler, in placement order of the steps and through the channels of all instances. */
 export class EligibilityRequester {
   private readonly busyInstances = new Set<string>()
+  private readonly health = new ChannelHealth()
 
   constructor (
     private readonly scheduler: ClusterScheduler,
@@ -64,9 +64,11 @@
   /** Sends requests on all free channels. */
   sendRequests (): void {
     const channels = this.channels()
-    const free = channels.filter(channel => !this.busyInstances.has(channel.instance))
+    const isFree = ({ instance }: EligibilityChannel): boolean => !this.busyInstances.has(instance)
+    const free = this.health.selectUsable(channels, isFree, this.now())
     if (free.length === 0) return
-    let remainingLongRequests = Math.max(1, Math.floor(channels.length * (1 - SHORT_REQUEST_CHANNEL_SHARE))) - (channels.length - free.length)
+    const busyCount = channels.length - channels.filter(isFree).length
+    let remainingLongRequests = Math.max(1, Math.floor(channels.length * (1 - SHORT_REQUEST_CHANNEL_SHARE))) - busyCount
     for (const request of this.selectRequests()) {
       const isLong = request.expectedMilliseconds >= LONG_REQUEST_MILLISECONDS
       if (isLong && remainingLongRequests <= 0) continue
@@ -115,14 +117,16 @@
     if (!tasksFitWhenEmpty(named, step, needed, this.scheduler.headroom)) {
       const unrequested = [...this.scheduler.workers.values()].filter(worker => !requestedWorkers.has(worker.identity)).filter(isSuitable)
       if (unrequested.length > 0) return selectIdentities([...unrequested, ...named])
-      if (!tasksFitWhenEmpty(named, step, step.specification.gang ? needed : 1, NO_HEADROOM)) return []
+      // A step may ignore the headroom if it could never be placed otherwise.
+      if (!tasksFitWhenEmpty(named, step, step.specification.gang ? needed : 1)) return []
     }
     const isStale = (worker: WorkerState): boolean => (tickets.get(worker.identity)?.validUntil ?? 0) - REFRESH_MARGIN_MILLISECONDS <= now
     if (!tasksFitNow(named, step, step.specification.gang ? needed : 1)) {
       if (step.reservation !== undefined && named.some(isStale)) return selectIdentities(named)
       return this.selectFurtherWorkers(step, named, needed, isSuitable, now)
     }
-    const withRoom = step.specification.gang ? named : named.filter(worker => worker.fits(step.specification))
+    const remaining = remainingPerWorker(step)
+    const withRoom = step.specification.gang ? named : named.filter(worker => worker.fits(step.specification) && remaining(worker) > 0)
     const isRenewalNeeded = step.specification.gang ? withRoom.some(isStale) : withRoom.every(isStale)
     return isRenewalNeeded ? selectIdentities(withRoom) : []
   }
@@ -144,6 +148,7 @@
     const sentAt = this.now()
     const outcome = await channel.request(request.step.name, request.workers, request.expectedMilliseconds + RESPONSE_SLACK_MILLISECONDS)
     this.busyInstances.delete(channel.instance)
+    this.health.onOutcome(channel.instance, outcome.kind === 'failed', this.now())
     eligibility.isRequestPending = false
     if (outcome.kind === 'failed') {
       eligibility.retryNotBefore = this.now() + RETRY_PAUSE_MILLISECONDS
