--- a/src/links/httpServer.ts
+++ b/src/links/httpServer.ts
@@ -11,6 +11,10 @@
 const ACCEPT_QUIET_TIMEOUT_MILLISECONDS = 200
 /** Longest time spent on accepting the backlog of connections before the server stops listening. */
 const BACKLOG_TIMEOUT_MILLISECONDS = 2000
+/** Largest number of connections that wait to be accepted. */
+const BACKLOG_CONNECTIONS = 511
+/** Shortest time that a connection without a request stays open after the server stops listening. */
+const MINIMUM_IDLE_MILLISECONDS = 200
 
 /** HTTP server with a graceful shutdown that aborts no request in flight. */
 export class HttpServer extends DisposableObject {
@@ -46,7 +50,7 @@
   async listen (host: string, port: number): Promise<number> {
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject)
-      this.server.listen({ host, port, exclusive: true }, () => {
+      this.server.listen({ host, port, exclusive: true, backlog: BACKLOG_CONNECTIONS }, () => {
         this.server.off('error', reject)
         resolve()
       })
@@ -74,9 +78,7 @@
     const startedAt = performance.now()
     const latest = Math.min(deadline - LINGER_TIMEOUT_MILLISECONDS, startedAt + BACKLOG_TIMEOUT_MILLISECONDS)
     await this.waitForAcceptPause(Math.min(latest, startedAt + ACCEPT_QUIET_TIMEOUT_MILLISECONDS), async () => { await delay(ACCEPT_QUIET_MILLISECONDS) })
-    // The event loop accepts one connection per iteration.
-    await nextIteration()
-    await this.waitForAcceptPause(latest, async () => { await nextIteration() })
+    await this.acceptBacklog(latest)
     // `close` of node:http also destroys idle connections, and requests that have already arrived on them.
     SocketServer.prototype.close.call(this.server)
   }
@@ -90,10 +92,13 @@
     await this.stopListening(deadline)
     this.isDeferring = false
     for (const handle of this.deferredRequests.splice(0)) handle()
-    const closeAt = deadline - LINGER_TIMEOUT_MILLISECONDS
-    await this.waitUntilClosed(Math.min(closeAt, performance.now() + this.server.keepAliveTimeout))
+    const drainingAt = performance.now()
+    const closeAt = Math.max(deadline - LINGER_TIMEOUT_MILLISECONDS, Math.min(deadline, drainingAt + MINIMUM_IDLE_MILLISECONDS))
+    await this.waitUntilClosed(Math.min(closeAt, drainingAt + this.server.keepAliveTimeout))
+    await readArrivedRequests()
     for (const connection of this.connections.values()) connection.closeIfIdle()
     await this.waitUntilClosed(closeAt)
+    await readArrivedRequests()
     for (const connection of this.connections.values()) connection.closeUnlessResponding()
     await this.waitUntilClosed(deadline)
     let abortedRequests = 0
@@ -110,6 +115,20 @@
     }
   }
 
+  /**
+   * Accepts connections until none is left, at the latest at `latest`. After a pause of the process `latest` may have passed
+   * already; the connections that were waiting then are accepted nevertheless.
+   */
+  private async acceptBacklog (latest: number): Promise<void> {
+    // The event loop accepts one connection per iteration, and timers run before it does.
+    await nextIteration()
+    let accepted = -1
+    for (let iterations = 0; accepted !== this.acceptedConnections && (iterations < BACKLOG_CONNECTIONS || performance.now() < latest); iterations += 1) {
+      accepted = this.acceptedConnections
+      await nextIteration()
+    }
+  }
+
   private async waitUntilClosed (time: number): Promise<void> {
     const remaining = time - performance.now()
     if (this.connections.size > 0 && remaining > 0) await delay(remaining, this.allClosed.signal)
@@ -140,3 +159,9 @@
     if (!response.destroyed) this.handler(request, response)
   }
 }
+
+/** Lets the event loop read what has arrived. After a pause of the process, timers run before it does. */
+async function readArrivedRequests (): Promise<void> {
+  // A connection that was accepted in this iteration is read in the next one.
+  for (let iterations = 0; iterations < 2; iterations += 1) await nextIteration()
+}
--- a/test/links/httpServer.test.ts
+++ b/test/links/httpServer.test.ts
@@ -8,6 +8,8 @@
 const GET = 'GET / HTTP/1.1\r\nhost: h\r\n\r\n'
 const SHUTDOWN_TIMEOUT_MILLISECONDS = 30_000
 const KEEP_ALIVE_MILLISECONDS = 5000
+/** Less than the time in which connections are usually closed, as after a pause of the process. */
+const LATE_SHUTDOWN_MILLISECONDS = 1000
 const LARGE_BYTES = 4_000_000
 
 /** A server with connected clients. The test completes the responses explicitly. */
@@ -177,6 +179,56 @@
       assert.equal(await drained, 0)
     }
   },
+  {
+    name: 'requests on connections that are not accepted yet, late after a pause of the process',
+    run: async fixture => {
+      fixture.onRequest = (_request, response) => { response.end('ok') }
+      const callers = Array.from({ length: 50 }, () => fixture.connect())
+      for (const caller of callers) caller.write(GET)
+      const drained = fixture.drain(LATE_SHUTDOWN_MILLISECONDS)
+      for (const caller of callers) await assertClosedAfter(caller, [200])
+      assert.equal(await drained, 0)
+    }
+  },
+  {
+    name: 'the first request of a connection that was accepted late after a pause of the process',
+    run: async fixture => {
+      const clock = new PausedClock()
+      try {
+        const caller = fixture.connect()
+        const drained = fixture.drain(LATE_SHUTDOWN_MILLISECONDS)
+        await untilTrue(() => !caller.socket.connecting && !fixture.server.isListening)
+        await clock.settle()
+        caller.write(GET)
+        await fixture.waitForRequests(1)
+        fixture.respondToAll()
+        await assertClosedAfter(caller, [200])
+        assert.equal(await drained, 0)
+      } finally {
+        clock.uninstall()
+      }
+    }
+  },
+  {
+    name: 'a request that arrived during a pause of the process that outlasted the keep-alive timeout',
+    run: async fixture => {
+      const caller = await fixture.connectIdle()
+      await fixture.server.stopListening(performance.now() + SHUTDOWN_TIMEOUT_MILLISECONDS)
+      const clock = new PausedClock()
+      try {
+        const drained = fixture.drain()
+        await clock.settle()
+        caller.write(GET)
+        await clock.advance(KEEP_ALIVE_MILLISECONDS, KEEP_ALIVE_MILLISECONDS)
+        await fixture.waitForRequests(1)
+        fixture.respondToAll()
+        await assertClosedAfter(caller, [200])
+        assert.equal(await drained, 0)
+      } finally {
+        clock.uninstall()
+      }
+    }
+  },
   {
     name: 'the request of a client that reconnects after a response that was pending when the shutdown started',
     run: async fixture => {
