--- a/src/links/httpServer.ts
+++ b/src/links/httpServer.ts
@@ -33,7 +33,7 @@
     this.server = createServer((request, response) => { this.onRequest(request, response) })
     this.server.on('connection', socket => { this.onConnection(socket) })
     // If 'timeout' has a listener, node:http doesn't close idle connections itself.
-    this.server.on('timeout', socket => { this.connections.get(socket)?.close() })
+    this.server.on('timeout', async socket => { await this.closeAfterKeepAlive(socket) })
     this.register(toDisposable(() => {
       this.server.closeAllConnections()
       this.server.close()
@@ -134,6 +134,12 @@
     if (this.connections.size > 0 && remaining > 0) await delay(remaining, this.allClosed.signal)
   }
 
+  /** Closes a connection after the keep-alive timeout, unless a request arrived during a pause of the process. */
+  private async closeAfterKeepAlive (socket: Socket): Promise<void> {
+    await readArrivedRequests()
+    this.connections.get(socket)?.closeIfIdle()
+  }
+
   private onConnection (socket: Socket): void {
     this.acceptedConnections += 1
     this.connections.set(socket, new HttpConnection(socket))
--- a/test/links/httpServer.test.ts
+++ b/test/links/httpServer.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { describe, it } from 'node:test'
 import { HttpServer } from '../../src/links/httpServer.js'
 import { PausedClock } from '../fakes/pausedClock.js'
@@ -390,6 +391,29 @@
 ]
 
 describe('HttpServer', () => {
+  /** Guards against discarding a request that arrived while the process was paused: after the pause, the timer runs before the socket is read. */
+  it('responds to a request that arrived before the keep-alive timeout was noticed, and closes an idle connection', { timeout: 20_000 }, async () => {
+    const fixture = new Fixture()
+    const sockets: Socket[] = []
+    fixture.onRequest = request => { sockets.push(request.socket) }
+    fixture.port = await fixture.server.listen('127.0.0.1', 0)
+    const caller = await fixture.connectIdle()
+    try {
+      caller.write(GET)
+      sockets[0]?.emit('timeout')
+      await fixture.waitForRequests(1)
+      fixture.respondToAll()
+      await untilTrue(() => caller.received.endsWith('ok'))
+      assert.equal(caller.ended, 'no')
+      sockets[0]?.emit('timeout')
+      await untilTrue(() => caller.ended !== 'no')
+      assert.deepEqual([caller.statuses, caller.ended], [[200], 'orderly'])
+    } finally {
+      caller.socket.destroy()
+      fixture.server.dispose()
+    }
+  })
+
   for (const [title, cases] of [['drain completes', COMPLETED_REQUESTS], ['drain', TERMINATION]] as const) {
     for (const { name, run } of cases) {
       it(`${title}: ${name}`, { timeout: 20_000 }, async () => {
