--- a/src/operator/jobHistory.ts
+++ b/src/operator/jobHistory.ts
@@ -55,7 +55,7 @@
 export function explainHistory (log: readonly LogLine[], job: string): string[] | undefined {
   const history = selectHistory(log, job)
   if (history.length === 0) return undefined
-  const sentences = [...explainAcceptance(history), ...explainWaits(history, job), ...explainRuns(history), ...explainService(history.filter(line => isAboutJob(line, job)), log), ...explainEnd(history)]
+  const sentences = [...explainAcceptance(history), ...explainRefusedCalls(history), ...explainWaits(history, job), ...explainRuns(history), ...explainService(history.filter(line => isAboutJob(line, job)), log), ...explainEnd(history)]
   return sentences.length > 0 ? sentences : ['the log has lines about the job, but none of its decisions']
 }
 
@@ -77,6 +77,17 @@
   return isAccepted ? sentences : [...sentences, 'never accepted: the job did not run']
 }
 
+/** Reports the calls about a job that were refused for their API key, grouped by instance and reason: a caller may ask for a state often. */
+function explainRefusedCalls (history: readonly LogLine[]): string[] {
+  const counts = new Map<string, number>()
+  for (const { message, process, reason } of history) {
+    if (message !== 'call refused') continue
+    const refusal = `refused by ${process}: ${reason ?? 'no reason is logged'}`
+    counts.set(refusal, (counts.get(refusal) ?? 0) + 1)
+  }
+  return [...counts].map(([refusal, count]) => `${count === 1 ? 'a call was' : `${count} calls were`} ${refusal}`)
+}
+
 /** Reports long waits between the steps of a job during which none of its tasks ran, and the concurrent changes. */
 function explainWaits (history: readonly LogLine[], job: string): string[] {
   const sentences: string[] = []
--- a/test/operator/jobHistory.test.ts
+++ b/test/operator/jobHistory.test.ts
@@ -19,6 +19,26 @@
       lines: [line(0, 'job refused', { job: 'aa', reason: 'the log is away' }), line(1000, 'job refused', { job: 'aa', reason: 'the log did not take the job' }, 'entry-2')],
       sentences: ['refused by entry-1: the log is away; nothing was stored', 'refused by entry-2: the log did not take the job; nothing was stored', 'never accepted: the job did not run', 'no end is logged']
     },
+    {
+      name: 'a job whose calls were refused for their key',
+      lines: [
+        line(0, 'call refused', { queue: 'orders', job: 'aa', reason: 'the API key is not known' }),
+        line(400, 'call refused', { queue: 'orders', job: 'aa', reason: 'the API key is not known' }),
+        line(900, 'call refused', { queue: 'orders', job: 'aa', reason: 'the API keys were read too long ago' }, 'entry-2'),
+        line(950, 'call refused', { queue: 'orders', reason: 'the call carries no API key' }),
+        line(960, 'call refused', { queue: 'orders', job: 'bb', reason: 'the call carries no API key' })
+      ],
+      sentences: ['never accepted: the job did not run', '2 calls were refused by entry-1: the API key is not known', 'a call was refused by entry-2: the API keys were read too long ago', 'no end is logged']
+    },
+    {
+      name: 'a job that was accepted after calls with another key',
+      lines: [
+        line(0, 'call refused', { queue: 'orders', job: 'aa', reason: 'the call carries no API key' }),
+        line(500, 'job accepted', { job: 'aa', durationMilliseconds: 12 }),
+        line(900, 'job finished', { job: 'aa', code: 'completed', durationMilliseconds: 400, objectiveMilliseconds: 900 })
+      ],
+      sentences: ['accepted by entry-1, stored in 12 ms', 'a call was refused by entry-1: the call carries no API key', 'completed after 400 ms, in time (objective 900 ms)']
+    },
     {
       name: 'a job that waited while the log was unavailable',
       lines: [
