--- a/test/links/httpServer.test.ts
+++ b/test/links/httpServer.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { describe, it } from 'node:test'
 import { HttpServer } from '../../src/links/httpServer.js'
 import { PausedClock } from '../fakes/pausedClock.js'
@@ -8,6 +9,8 @@
 const GET = 'GET / HTTP/1.1\r\nhost: h\r\n\r\n'
 const SHUTDOWN_TIMEOUT_MILLISECONDS = 30_000
 const KEEP_ALIVE_MILLISECONDS = 5000
+/** Less than the time in which connections are usually closed, as after a pause of the process. */
+const LATE_SHUTDOWN_MILLISECONDS = 1000
 const LARGE_BYTES = 4_000_000
 
 /** A server with connected clients. The test completes the responses explicitly. */
@@ -177,6 +180,56 @@
       assert.equal(await drained, 0)
     }
   },
+  {
+    name: 'requests on connections that are not accepted yet, late after a pause of the process',
+    run: async fixture => {
+      fixture.onRequest = (_request, response) => { response.end('ok') }
+      const callers = Array.from({ length: 50 }, () => fixture.connect())
+      for (const caller of callers) caller.write(GET)
+      const drained = fixture.drain(LATE_SHUTDOWN_MILLISECONDS)
+      for (const caller of callers) await assertClosedAfter(caller, [200])
+      assert.equal(await drained, 0)
+    }
+  },
+  {
+    name: 'the first request of a connection that was accepted late after a pause of the process',
+    run: async fixture => {
+      const clock = new PausedClock()
+      try {
+        const caller = fixture.connect()
+        const drained = fixture.drain(LATE_SHUTDOWN_MILLISECONDS)
+        await untilTrue(() => !caller.socket.connecting && !fixture.server.isListening)
+        await clock.settle()
+        caller.write(GET)
+        await fixture.waitForRequests(1)
+        fixture.respondToAll()
+        await assertClosedAfter(caller, [200])
+        assert.equal(await drained, 0)
+      } finally {
+        clock.uninstall()
+      }
+    }
+  },
+  {
+    name: 'a request that arrived during a pause of the process that outlasted the keep-alive timeout',
+    run: async fixture => {
+      const caller = await fixture.connectIdle()
+      await fixture.server.stopListening(performance.now() + SHUTDOWN_TIMEOUT_MILLISECONDS)
+      const clock = new PausedClock()
+      try {
+        const drained = fixture.drain()
+        await clock.settle()
+        caller.write(GET)
+        await clock.advance(KEEP_ALIVE_MILLISECONDS, KEEP_ALIVE_MILLISECONDS)
+        await fixture.waitForRequests(1)
+        fixture.respondToAll()
+        await assertClosedAfter(caller, [200])
+        assert.equal(await drained, 0)
+      } finally {
+        clock.uninstall()
+      }
+    }
+  },
   {
     name: 'the request of a client that reconnects after a response that was pending when the shutdown started',
     run: async fixture => {
@@ -338,6 +391,29 @@
 ]
 
 describe('HttpServer', () => {
+  /** Guards against discarding a request that arrived while the process was paused: after the pause, the timer runs before the socket is read. */
+  it('responds to a request that arrived before the keep-alive timeout was noticed, and closes an idle connection', { timeout: 20_000 }, async () => {
+    const fixture = new Fixture()
+    const sockets: Socket[] = []
+    fixture.onRequest = request => { sockets.push(request.socket) }
+    fixture.port = await fixture.server.listen('127.0.0.1', 0)
+    const caller = await fixture.connectIdle()
+    try {
+      caller.write(GET)
+      sockets[0]?.emit('timeout')
+      await fixture.waitForRequests(1)
+      fixture.respondToAll()
+      await untilTrue(() => caller.received.endsWith('ok'))
+      assert.equal(caller.ended, 'no')
+      sockets[0]?.emit('timeout')
+      await untilTrue(() => caller.ended !== 'no')
+      assert.deepEqual([caller.statuses, caller.ended], [[200], 'orderly'])
+    } finally {
+      caller.socket.destroy()
+      fixture.server.dispose()
+    }
+  })
+
   for (const [title, cases] of [['drain completes', COMPLETED_REQUESTS], ['drain', TERMINATION]] as const) {
     for (const { name, run } of cases) {
       it(`${title}: ${name}`, { timeout: 20_000 }, async () => {
