--- a/src/cluster/jobService.ts
+++ b/src/cluster/jobService.ts
@@ -18,6 +18,8 @@
 const QUERY_TIMEOUT_MILLISECONDS = 1500
 /** Delay before a query is retried, in milliseconds. */
 const QUERY_RETRY_DELAY_MILLISECONDS = 80
+/** Longest wait for the active scheduler to tell whether a job that is to be refused is stored already, in milliseconds. */
+const CONFIRMATION_TIMEOUT_MILLISECONDS = 400
 /** Number of accepted jobs, and of final states, that an instance caches. */
 const MAXIMUM_CACHED_JOBS = 20_000
 /** Time after which a refused caller should retry, in seconds: callers wait a few seconds in total, and the log may recover at any moment. */
@@ -85,7 +87,7 @@
     if (known !== undefined) return { kind: mayAccess(caller, known.organisation) ? 'accepted' : 'identityTaken' }
     const organisation = caller.organisation === undefined ? undefined : this.findOrganisation(caller.organisation)
     const excess = organisation === undefined ? undefined : exceedsCap(job, organisation)
-    if (excess !== undefined) return this.refuse(identity, `the job can never run: ${excess}`)
+    if (excess !== undefined) return await this.refuseUnlessStored(identity, access, () => this.refuse(identity, `the job can never run: ${excess}`))
     const startedAt = this.now()
     if (this.appender.isStalled) return this.refuse(identity, 'the log is away')
     const owner = caller.organisation === undefined ? {} : { organisation: caller.organisation }
@@ -151,6 +153,24 @@
     return owner !== undefined && mayAccess(caller, owner.organisation)
   }
 
+  /** Refuses a job unless it is stored, by another instance or before its cap was lowered. If that cannot be known, the result is `unknown`. */
+  private async refuseUnlessStored (identity: string, access: CallAccess, refuse: () => SubmitResult): Promise<SubmitResult> {
+    const known = this.accepted.get(identity)
+    if (known !== undefined) return this.confirmStored(identity, known, access)
+    const status = await this.scheduler.getJobStatus(identity, CONFIRMATION_TIMEOUT_MILLISECONDS)
+    if (status === undefined || status.state === 'unsure') return { kind: 'unknown' }
+    return status.state === 'unknown' ? refuse() : this.confirmStored(identity, status, access)
+  }
+
+  /** Accepts the retry of a stored job. The key of the caller may have been withdrawn during a wait. */
+  private confirmStored (identity: string, { organisation }: JobOwner, access: CallAccess): SubmitResult {
+    const decision = access.check('write')
+    if (decision.kind === 'refused') return deny(decision.reason)
+    if (!mayAccess(decision.caller, organisation)) return { kind: 'identityTaken' }
+    this.accepted.set(identity, organisation === undefined ? {} : { organisation })
+    return { kind: 'accepted' }
+  }
+
   private refuse (identity: string, reason: string): SubmitResult {
     this.logger.info('job refused', { job: identity, reason })
     return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS }
