--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
 import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
-import { decodeProgress, decodeSubmission, encodeRecord, type ProgressRecord } from '../contracts/clusterRecords.js'
+import { decodeSubmission, encodeRecord, type ProgressRecord } from '../contracts/clusterRecords.js'
 import type { ClusterBounds } from '../contracts/clusterSettings.js'
 import type { JobState } from '../contracts/stepJob.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
@@ -16,6 +16,7 @@
 import { findEarliestClaims } from './organisations/contestedIdentities.js'
 import type { PlannedRun } from './placementPass.js'
 import type { PreemptedRun } from './preemption/preemptionController.js'
+import { readProgress } from './progressReader.js'
 import { ProgressWriter } from './progressWriter.js'
 import type { PaceChange } from './serving/pacingController.js'
 import type { PendingPace } from './serving/servingSupervisor.js'
@@ -99,7 +100,7 @@
   private readonly evictedKeys: string[] = []
   private readonly retention: JobRetention
   /** Jobs whose recorded progress is malformed. Without it, tasks that have ended would run again. */
-  private readonly unreadableJobs = new Set<string>()
+  private unreadableJobs: ReadonlySet<string> = new Set()
   /** Submissions that were read before the progress of their jobs; undefined once the progress has been read. */
   private bufferedSubmissions: SubmissionBatch[] | undefined = []
 
@@ -146,8 +147,9 @@
     for (const entry of entries) this.setWorker(entry)
     // Every job that the former scheduler has placed or finished was accepted before it was fenced, so a later read returns all of them.
     if (!await this.fenceFormerSchedulers()) return
-    const [progress] = await Promise.all([this.readProgress(), ...this.submissionFollowers.map(async follower => await this.loadSubmissions(follower))])
+    const [{ records: progress, unreadableJobs }] = await Promise.all([readProgress(this.log, this.options.term, this.logger, this.abort.signal), ...this.submissionFollowers.map(async follower => await this.loadSubmissions(follower))])
     if (this.isDisposed) return
+    this.unreadableJobs = unreadableJobs
     this.applyBufferedSubmissions(progress)
     this.isActive = true
     for (const follower of this.submissionFollowers) follower.follow()
@@ -309,31 +311,6 @@
     return outcome === 'stored'
   }
 
-  /** Reads all progress from the log; complete only once the writers of former terms are fenced. */
-  private async readProgress (): Promise<Map<string, ProgressRecord>> {
-    const found = new Map<string, ProgressRecord>()
-    while (!this.isDisposed) {
-      const outcome = await this.log.snapshot(TOPICS.progress, 0)
-      if (outcome.kind === 'snapshot') {
-        for (const record of outcome.records) {
-          if (record.value === undefined) continue
-          const progress = decodeProgress(record.value)
-          if (progress !== undefined) {
-            found.set(record.key, progress)
-            continue
-          }
-          this.unreadableJobs.add(record.key)
-          this.logger.error('malformed progress; its job is left alone', { term: this.options.term, job: record.key, offset: record.offset })
-        }
-        this.logger.info('progress of former schedulers was read', { term: this.options.term, offset: outcome.end, count: found.size })
-        return found
-      }
-      this.logger.warn('progress cannot be read', { term: this.options.term, reason: outcome.reason })
-      await delay(TICK_MILLISECONDS, this.abort.signal)
-    }
-    return found
-  }
-
   private async loadSubmissions (follower: TopicFollower): Promise<void> {
     while (!this.isDisposed && !await follower.loadSnapshot()) await delay(TICK_MILLISECONDS, this.abort.signal)
   }
