--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -3,9 +3,12 @@
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
 import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
+import type { AdmissionReply, OrganisationBacklog } from '../contracts/clusterMessages.js'
 import { decodeSubmission, encodeRecord, type ProgressRecord } from '../contracts/clusterRecords.js'
 import type { ClusterBounds } from '../contracts/clusterSettings.js'
 import type { JobState } from '../contracts/stepJob.js'
+import { AdmissionController, MEASURE_PERIOD_MILLISECONDS } from './admission/admissionController.js'
+import type { AdmissionQuestion } from './admission/submissionAdmission.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
 import { ClusterScheduler, type PendingStop, type SchedulerObserver } from './clusterScheduler.js'
 import type { RunLossCause } from './crashTracker.js'
@@ -61,6 +64,8 @@
   readonly registryReadAt: () => number | undefined
   /** Returns the channels to the eligibility service through all reachable instances. */
   readonly eligibilityChannels: () => readonly EligibilityChannel[]
+  /** Called with the backlog of the organisations that wait for room. */
+  readonly onBacklog: (organisations: OrganisationBacklog[]) => void
   /** Called when the role has passed to another instance. */
   readonly onSuperseded: () => void
 }
@@ -81,6 +86,7 @@
 /** The scheduler of the cluster during one term: follows submissions, places tasks, records progress, and sends commands to workers. */
 export class ActiveScheduler extends DisposableObject implements SchedulerObserver {
   private readonly scheduler: ClusterScheduler
+  private readonly admission: AdmissionController
   private readonly writer: ProgressWriter
   private readonly eligibilityRequester: EligibilityRequester
   private readonly submissionFollowers: TopicFollower[]
@@ -116,6 +122,7 @@
     super()
     this.startedAt = now()
     this.scheduler = new ClusterScheduler(this)
+    this.admission = new AdmissionController(this.scheduler, options.onBacklog)
     this.writer = this.register(new ProgressWriter(log, options.term, reason => logger.warn('progress could not be recorded; the append is repeated', { term: options.term, reason }), now))
     this.sessions = this.register(new WorkerSessions(this.scheduler, workers, {
       term: options.term,
@@ -155,6 +162,7 @@
     for (const follower of this.submissionFollowers) follower.follow()
     for (const worker of this.scheduler.workers.values()) this.sessions.open(worker)
     this.registerInterval(() => this.onTick(), TICK_MILLISECONDS)
+    this.registerInterval(() => this.admission.onTick(this.now()), MEASURE_PERIOD_MILLISECONDS)
     this.registerInterval(() => this.deleteFinishedJobs(), EVICTION_PERIOD_MILLISECONDS)
     const unfinished = [...this.scheduler.jobs.values()].filter(job => !job.isFinal)
     const restored = unfinished.filter(job => progress.has(job.identity)).length
@@ -197,6 +205,11 @@
     return { state: this.stateOf(identity), ...(organisation === undefined ? {} : { organisation }) }
   }
 
+  /** Decides on a job that an instance would refuse, unless it is stored already or may be. */
+  decideAdmission (question: AdmissionQuestion): AdmissionReply {
+    return this.admission.answer(question, this.statusOf(question.job), this.now())
+  }
+
   /** Returns the number of jobs of a queue of which no task has started; undefined while that is not known. */
   countWaitingJobs (queue: string): number | undefined {
     const count = this.isActive && this.areSubmissionsFresh() ? this.scheduler.countWaitingJobs(queue) : undefined
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -3,9 +3,12 @@
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
 import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
+import type { AdmissionReply, OrganisationBacklog } from '../contracts/clusterMessages.js'
 import { decodeLeadership, encodeRecord, type LeadershipRecord } from '../contracts/clusterRecords.js'
 import type { ClusterSettings } from '../contracts/clusterSettings.js'
 import { ActiveScheduler, type JobStateResult, type JobStatus } from './activeScheduler.js'
+import { RefusalLog } from './admission/refusalLog.js'
+import { SubmissionAdmission, type AdmissionQuestion } from './admission/submissionAdmission.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
 import { InstanceLinks } from './instanceLinks.js'
 import { JobService, type SchedulerQueries } from './jobService.js'
@@ -56,6 +59,7 @@
 export class ClusterInstance extends DisposableObject implements SchedulerQueries, ConfigurationSource {
   readonly jobService: JobService
   readonly accessControl: AccessControl
+  private readonly admission: SubmissionAdmission
   private readonly incarnation = randomUUID()
   private readonly leadership: Leadership
   private readonly leadershipFollower: TopicFollower
@@ -97,11 +101,14 @@
     this.linkAddress = `${settings.link.host}:${settings.link.port}`
     this.capacity = schedulingCapacityOf(settings)
     this.leadership = new Leadership(settings.instance, this.incarnation, Math.round(RANK_OF_ONE_CORE / this.capacity), random.fraction())
+    this.admission = new SubmissionAdmission(async (question, timeout) => await this.askAdmission(question, timeout), now)
     this.accessControl = new AccessControl(this, settings.keyRevocation, now)
-    this.jobService = this.register(new JobService(log, this, logger, random, now, name => this.configurationInForce?.organisations.find(organisation => organisation.name === name)))
+    this.jobService = this.register(new JobService(log, this, logger, random, now, name => this.configurationInForce?.organisations.find(organisation => organisation.name === name), { admission: this.admission, refusals: new RefusalLog(logger, metrics, now) }))
     this.links = this.register(new InstanceLinks({ instance: settings.instance, incarnation: this.incarnation, processorShare: settings.processorShare, linkMegabits: settings.linkMegabits }, eligibility, {
       getJobStatus: job => this.scheduler?.statusOf(job),
       countWaitingJobs: queue => this.scheduler?.countWaitingJobs(queue),
+      decideAdmission: question => this.scheduler?.decideAdmission(question),
+      onBacklogSummary: summary => this.admission.onSummary(summary),
       onRoleOffer: incarnation => this.onRoleOffer(incarnation),
       onHolderExited: incarnation => this.leadership.onHolderExited(incarnation, this.now())
     }, logger, random, now))
@@ -178,6 +185,18 @@
     return reply?.type === 'waitingReply' && reply.waiting >= 0 ? reply.waiting : undefined
   }
 
+  private async askAdmission (question: AdmissionQuestion, timeoutMilliseconds: number): Promise<AdmissionReply | undefined> {
+    if (this.scheduler !== undefined) return this.scheduler.decideAdmission(question)
+    const reply = await this.links.queryHolder({ type: 'admissionQuestion', ...question }, timeoutMilliseconds)
+    return reply?.type === 'admissionReply' ? reply : undefined
+  }
+
+  /** Sends the backlog of the organisations to all instances, also this one. */
+  private onBacklog (term: number, organisations: OrganisationBacklog[]): void {
+    this.admission.onSummary({ term, organisations })
+    this.links.sendBacklog({ type: 'backlogSummary', term, organisations })
+  }
+
   private createFollower (topic: string, periodMilliseconds: () => number, onRecords: (records: readonly StoredRecord[], isSnapshot: boolean) => void, refreshAfterMilliseconds?: number): TopicFollower {
     return this.register(new TopicFollower(
       this.log,
@@ -357,6 +376,7 @@
       renewedAt: () => this.renewedAt,
       registryReadAt: () => this.registryFollower.lastReadStartedAt,
       eligibilityChannels: () => this.links.eligibilityChannels(),
+      onBacklog: organisations => this.onBacklog(term, organisations),
       onSuperseded: () => this.onSuperseded(scheduler)
     }, this.metrics, this.logger, this.random, this.now)
     this.scheduler = scheduler
--- a/src/cluster/clusterMetrics.ts
+++ b/src/cluster/clusterMetrics.ts
@@ -4,6 +4,10 @@
 
 /** Percentiles exported for each distribution. */
 const EXPORTED_PERCENTILES = [50, 90, 99, 100]
+/** Number of organisations that refused submissions are counted for by name. */
+const MAXIMUM_NAMED_ORGANISATIONS = 10
+/** Name under which the others are counted. */
+const OTHER_ORGANISATIONS = '(others)'
 /** Highest duration that distributions record, in milliseconds; longer ones count as this one. */
 const HIGHEST_MILLISECONDS = 600_000
 
@@ -12,6 +16,8 @@
   private readonly registry = new Registry()
   private readonly answersTotal = this.counter('answers_total', 'Answers to callers', ['operation', 'status'])
   private readonly accessRefusalsTotal = this.counter('access_refusals_total', 'Calls refused for their API key, or because keys were read too long ago', ['reason'])
+  private readonly submissionRefusalsTotal = this.counter('submission_refusals_total', 'Submissions refused because their organisation cannot have them served', ['organisation', 'cause'])
+  private readonly namedOrganisations = new Set<string>()
   private readonly looksTotal = this.counter('looks_total', 'Looks at workers', ['outcome'])
   private readonly startsTotal = this.counter('starts_total', 'Start orders', ['outcome'])
   private readonly runEndsTotal = this.counter('run_ends_total', 'Ends of runs', ['kind'])
@@ -54,6 +60,11 @@
     this.accessRefusalsTotal.inc({ reason })
   }
 
+  submissionRefused (organisation: string, cause: string): void {
+    if (this.namedOrganisations.size < MAXIMUM_NAMED_ORGANISATIONS) this.namedOrganisations.add(organisation)
+    this.submissionRefusalsTotal.inc({ organisation: this.namedOrganisations.has(organisation) ? organisation : OTHER_ORGANISATIONS, cause })
+  }
+
   pollCompleted (outcome: string): void {
     this.looksTotal.inc({ outcome })
   }
--- a/src/cluster/instanceLinks.ts
+++ b/src/cluster/instanceLinks.ts
@@ -2,10 +2,11 @@
 import { DisposableObject, toDisposable } from '../base/disposable.js'
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
-import type { ClusterMessage, ClusterRequest, ClusterReply } from '../contracts/clusterMessages.js'
+import type { AdmissionReply, BacklogSummary, ClusterMessage, ClusterRequest, ClusterReply } from '../contracts/clusterMessages.js'
 import type { LeadershipRecord } from '../contracts/clusterRecords.js'
 import type { SocketAddress } from '../contracts/clusterSettings.js'
 import { ClusterLink, ClusterLinkServer, openClusterLink } from '../links/clusterLink.js'
+import type { AdmissionQuestion } from './admission/submissionAdmission.js'
 import type { EligibilityChannel } from './eligibilityRequester.js'
 import { PeerSet, type Peer } from './peerSet.js'
 import { schedulingCapacityOf, type InstanceResources } from './schedulingCapacity.js'
@@ -28,6 +29,10 @@
   getJobStatus (job: string): { readonly state: string, readonly organisation?: string } | undefined
   /** Returns the number of waiting jobs of a queue, if this instance runs the active scheduler. */
   countWaitingJobs (queue: string): number | undefined
+  /** Returns the decision on a job that another instance would refuse, if this instance runs the active scheduler. */
+  decideAdmission (question: AdmissionQuestion): AdmissionReply | undefined
+  /** Called when the active scheduler has sent the backlog of the organisations. */
+  onBacklogSummary (summary: BacklogSummary): void
   /** Called when the holder of the role has asked this instance to claim it. */
   onRoleOffer (incarnation: string): void
   /** Called when the process that held the role has exited: its address refuses connections, or another process responds there. */
@@ -73,6 +78,13 @@
     return await this.holderLink?.link.sendRequest(request, timeoutMilliseconds)
   }
 
+  /** Sends the backlog of the organisations to the linked instances. */
+  sendBacklog (summary: BacklogSummary): void {
+    for (const { link, readsBacklog } of this.peers) {
+      if (readsBacklog) link.send(summary)
+    }
+  }
+
   /** Returns the peer that should take the role over from this instance; undefined if no peer has a link. */
   pickSuccessor (): Peer | undefined {
     return this.peers.pickSuccessor()
@@ -106,6 +118,7 @@
     this.sendHello(link)
     link.onDidReceive(message => {
       if (message.type === 'roleOffer') this.observer.onRoleOffer(message.incarnation)
+      else if (message.type === 'backlogSummary') this.observer.onBacklogSummary(message)
       else if (message.type !== 'hello') this.onRequest(link, message)
       else if (message.incarnation !== holder.incarnation) this.observer.onHolderExited(holder.incarnation)
     })
@@ -121,7 +134,7 @@
     link.onDidReceive(message => {
       if (message.type === 'hello') {
         instance = message.instance
-        this.peers.add({ instance, link, capacity: schedulingCapacityOf(message) })
+        this.peers.add({ instance, link, capacity: schedulingCapacityOf(message), readsBacklog: message.readsBacklog })
       } else this.onRequest(link, message)
     })
     link.onDidClose(() => {
@@ -130,7 +143,7 @@
   }
 
   private sendHello (link: ClusterLink): void {
-    link.send({ type: 'hello', ...this.identity })
+    link.send({ type: 'hello', ...this.identity, readsBacklog: true })
   }
 
   private async onRequest (link: ClusterLink, message: ClusterMessage): Promise<void> {
@@ -141,6 +154,9 @@
       case 'waitingQuestion':
         link.send({ type: 'waitingReply', id: message.id, waiting: this.observer.countWaitingJobs(message.queue) ?? -1 })
         return
+      case 'admissionQuestion':
+        link.send({ type: 'admissionReply', id: message.id, ...this.observer.decideAdmission(message) ?? { state: 'unsure', refusal: 'none', returnMilliseconds: 0 } })
+        return
       case 'eligibilityQuestion': {
         const outcome = await this.eligibility.query(message.step, message.workers, message.timeoutMilliseconds)
         link.send({
--- a/src/cluster/jobService.ts
+++ b/src/cluster/jobService.ts
@@ -6,6 +6,9 @@
 import { encodeRecord } from '../contracts/clusterRecords.js'
 import { isFinalState, type JobState, type StepJob } from '../contracts/stepJob.js'
 import type { JobStatus } from './activeScheduler.js'
+import type { RefusalCause } from './admission/admissionDecision.js'
+import type { RefusalLog } from './admission/refusalLog.js'
+import type { SubmissionAdmission } from './admission/submissionAdmission.js'
 import { mayAccess, UNRESTRICTED_ACCESS, type AccessMode, type CallAccess, type CallerIdentity, type RefusalReason } from './organisations/accessControl.js'
 import { exceedsCap } from './organisations/organisationCaps.js'
 import type { RecordLog } from './recordLog.js'
@@ -55,6 +58,12 @@
   countWaitingJobs (queue: string, timeoutMilliseconds: number): Promise<number | undefined>
 }
 
+/** Admission of the jobs of organisations by what can be served. */
+export interface AdmissionServices {
+  readonly admission: Pick<SubmissionAdmission, 'decide'>
+  readonly refusals: Pick<RefusalLog, 'report'>
+}
+
 /** Serves the job operations of callers: stores submissions and cancellations in the log, and obtains job states and counts from the active scheduler. */
 export class JobService extends DisposableObject {
   private readonly appender: SubmissionAppender
@@ -62,8 +71,8 @@
   private readonly accepted = new BoundedMap<JobOwner>(MAXIMUM_CACHED_JOBS)
   private readonly finalStates = new BoundedMap<JobOwner & { readonly state: JobState }>(MAXIMUM_CACHED_JOBS)
 
-  /** `findOrganisation` returns an organisation by name from the configuration in force. */
-  constructor (log: RecordLog, private readonly scheduler: SchedulerQueries, private readonly logger: Logger, random: Random, private readonly now: () => number, private readonly findOrganisation: (name: string) => Organisation | undefined = () => undefined) {
+  /** `findOrganisation` returns an organisation by name from the configuration in force. Without `admission`, only jobs that can never run are refused. */
+  constructor (log: RecordLog, private readonly scheduler: SchedulerQueries, private readonly logger: Logger, random: Random, private readonly now: () => number, private readonly findOrganisation: (name: string) => Organisation | undefined = () => undefined, private readonly admission?: AdmissionServices) {
     super()
     this.appender = this.register(new SubmissionAppender(log, random.integerBelow(SUBMISSION_PARTITIONS), (reason, count) => logger.warn('submissions could not be stored', { reason, count }), now))
   }
@@ -90,9 +99,14 @@
     if (excess !== undefined) return await this.refuseUnlessStored(identity, access, () => this.refuse(identity, `the job can never run: ${excess}`))
     const startedAt = this.now()
     if (this.appender.isStalled) return this.refuse(identity, 'the log is away')
+    if (organisation !== undefined) {
+      const refusal = await this.findRefusal(identity, organisation.name, queue, job, timeLimitMilliseconds, access)
+      if (refusal !== undefined) return refusal
+    }
     const owner = caller.organisation === undefined ? {} : { organisation: caller.organisation }
     const value = encodeRecord({ queue: queue.name, pool: queue.pool, policy: recordedPolicy(queue), ...owner, job, acceptedAt: Date.now() })
-    const outcome = await this.appender.append({ key: identity, value }, Math.max(0, timeLimitMilliseconds - RESPONSE_MARGIN_MILLISECONDS), () => isStillGranted(access, caller))
+    const timeLeft = timeLimitMilliseconds - (this.now() - startedAt)
+    const outcome = await this.appender.append({ key: identity, value }, Math.max(0, timeLeft - RESPONSE_MARGIN_MILLISECONDS), () => isStillGranted(access, caller))
     if (outcome === 'refused') return findDenial(access, 'write') ?? this.refuse(identity, 'the log did not take the job')
     if (outcome === 'unknown') {
       this.logger.warn('job of unknown acceptance', { job: identity })
@@ -153,6 +167,16 @@
     return owner !== undefined && mayAccess(caller, owner.organisation)
   }
 
+  /** Returns the refusal of a job that its organisation cannot have served; undefined if the job is admitted. */
+  private async findRefusal (identity: string, organisation: string, queue: Queue, job: StepJob, timeLimitMilliseconds: number, access: CallAccess): Promise<SubmitResult | undefined> {
+    const outcome = await this.admission?.admission.decide(identity, organisation, queue, job, timeLimitMilliseconds)
+    if (outcome === undefined || outcome.kind === 'admitted') return undefined
+    if (outcome.kind === 'stored') return this.confirmStored(identity, outcome, access)
+    const reason = describeRefusal(organisation, outcome.cause)
+    this.admission?.refusals.report(identity, organisation, outcome.cause, reason, outcome.returnMilliseconds)
+    return { kind: 'refused', reason, retryAfterSeconds: Math.ceil(outcome.returnMilliseconds / 1000) }
+  }
+
   /** Refuses a job unless it is stored, by another instance or before its cap was lowered. If that cannot be known, the result is `unknown`. */
   private async refuseUnlessStored (identity: string, access: CallAccess, refuse: () => SubmitResult): Promise<SubmitResult> {
     const known = this.accepted.get(identity)
@@ -189,6 +213,12 @@
   }
 }
 
+function describeRefusal (organisation: string, cause: RefusalCause): string {
+  return cause === 'unservable'
+    ? `the accepted work of ${organisation} takes longer, even at its whole cap, than the job is worth waiting for`
+    : `${organisation} submits more than its rate, and its accepted work leaves no room for the job in time`
+}
+
 function deny (reason: RefusalReason): AccessDenial {
   return { kind: 'denied', reason }
 }
--- a/src/cluster/organisations/organisationShares.ts
+++ b/src/cluster/organisations/organisationShares.ts
@@ -41,6 +41,16 @@
     return this.relativeShare(organisation, this.ledger.usageOf(organisation))
   }
 
+  /** Returns the processors that an organisation is entitled to by its weight among those that have work, in thousandths of a core. */
+  entitledProcessorsOf (organisation: string): number {
+    return this.activeWeight <= 0 ? this.total.processorsThousandths : this.total.processorsThousandths * Math.min(1, this.weightOf(organisation) / this.activeWeight)
+  }
+
+  /** Processors of all usable workers, in thousandths of a core. */
+  get totalProcessors (): number {
+    return this.total.processorsThousandths
+  }
+
   /** Returns true if a step goes after others of its class, because its organisation has its share. */
   isBeyondShare (step: Step): boolean {
     return this.stepsBeyondShare.has(step)
--- a/src/cluster/organisations/organisations.ts
+++ b/src/cluster/organisations/organisations.ts
@@ -27,6 +27,17 @@
   tasksAtCap: number
 }
 
+/** What limits an organisation and what it is entitled to. */
+export interface Entitlement {
+  /** Processors that it may use: its cap, or else those of all workers. */
+  readonly limitThousandths: number
+  /** Processors of its share by weight. */
+  readonly entitledThousandths: number
+  /** Jobs a second that it may submit; 0 means no limit. */
+  readonly rate: number
+  readonly spentMilliseconds: number
+}
+
 /** Changes the order of steps by class and objective for the sake of organisations with little of their share. */
 export interface FairOrder {
   /** Returns true if a step goes after all others that can still earn a benefit. */
@@ -71,6 +82,23 @@
     return this.shares.weightedShareOf(organisation)
   }
 
+  /** Returns true if a step waits for the cap of its organisation, or for room while that is short. */
+  isWithoutRoom (step: Step): boolean {
+    return this.isEnabled && this.shares.totalProcessors > 0 && (this.shares.isRoomShort || this.isAtCap(step))
+  }
+
+  /** Returns what limits an organisation and what it is entitled to; processors are in thousandths of a core, the rate is in jobs a second. */
+  entitlementOf (organisation: string, now: number): Entitlement {
+    const cap = this.caps.capOf(organisation)?.processorsThousandths ?? 0
+    const limitThousandths = cap > 0 ? cap : this.shares.totalProcessors
+    return {
+      limitThousandths,
+      entitledThousandths: Math.min(limitThousandths, this.shares.entitledProcessorsOf(organisation)),
+      rate: this.rates.rateOf(organisation),
+      spentMilliseconds: this.rates.spentMilliseconds(organisation, now)
+    }
+  }
+
   /** Returns the organisation of a job; undefined if it has none. */
   organisationOf (job: Job): string | undefined {
     return job.submission.organisation
--- a/src/cluster/organisations/submissionRates.ts
+++ b/src/cluster/organisations/submissionRates.ts
@@ -39,6 +39,17 @@
     return this.jobsBeyondRate.has(job)
   }
 
+  /** Returns the jobs a second that an organisation may submit; 0 means no limit. */
+  rateOf (organisation: string): number {
+    return this.rates.get(organisation) ?? 0
+  }
+
+  /** Returns the time in which the spent part of an organisation's rate becomes available again, in milliseconds. */
+  spentMilliseconds (organisation: string, now: number): number {
+    this.classifyArrivals()
+    return Math.max(0, (this.spentUntil.get(organisation) ?? -Infinity) - now)
+  }
+
   private classifyArrivals (): void {
     if (this.arrivals.length === 0) return
     const arrivals = this.arrivals.sort((left, right) => left.at - right.at)
@@ -48,10 +59,15 @@
       const rate = this.rates.get(name) ?? 0
       // Without a rate, there is nothing to exceed.
       if (rate <= 0) continue
-      const burstMilliseconds = 1000 * Math.max(BURST_SECONDS, MINIMUM_BURST_JOBS / rate)
+      const burstMilliseconds = burstMillisecondsOf(rate)
       const spentUntil = Math.max(this.spentUntil.get(name) ?? at, at) + 1000 / rate
       if (spentUntil - at > burstMilliseconds) this.jobsBeyondRate.add(job)
       else this.spentUntil.set(name, spentUntil)
     }
   }
 }
+
+/** Returns the time that the largest burst of jobs takes at a rate, in milliseconds. `rate`: jobs a second, above 0. */
+export function burstMillisecondsOf (rate: number): number {
+  return 1000 * Math.max(BURST_SECONDS, MINIMUM_BURST_JOBS / rate)
+}
--- a/src/cluster/peerSet.ts
+++ b/src/cluster/peerSet.ts
@@ -10,6 +10,8 @@
   readonly link: ClusterLink
   /** Work of the active scheduler that the instance can handle, in cores. */
   readonly capacity: number
+  /** Whether the instance reads the backlog of the organisations. */
+  readonly readsBacklog: boolean
 }
 
 /** The instances that have a link to the holder of the scheduler role. */
--- a/src/links/clusterLink.ts
+++ b/src/links/clusterLink.ts
@@ -73,7 +73,7 @@
       this.close(false)
       return
     }
-    if (message.type === 'stateReply' || message.type === 'waitingReply' || message.type === 'eligibilityReply') this.pending.get(message.id)?.(message)
+    if (message.type === 'stateReply' || message.type === 'waitingReply' || message.type === 'eligibilityReply' || message.type === 'admissionReply') this.pending.get(message.id)?.(message)
     else this.didReceive.fire(message)
   }
 
--- a/test/cluster/instanceLinks.test.ts
+++ b/test/cluster/instanceLinks.test.ts
@@ -19,6 +19,8 @@
   return new InstanceLinks({ instance, incarnation: `${instance}-1`, processorShare: 1, linkMegabits: 1000 }, new NobodyEligible(), {
     getJobStatus: job => ({ state: `${job} at ${instance}`, organisation: 'acme' }),
     countWaitingJobs: () => 3,
+    decideAdmission: () => undefined,
+    onBacklogSummary: () => {},
     onRoleOffer: () => {},
     onHolderExited: incarnation => exited.push(incarnation)
   }, new Logger(instance, 'error', () => {}), new Random(1), () => performance.now())
--- a/test/fakes/fakeCluster.ts
+++ b/test/fakes/fakeCluster.ts
@@ -421,6 +421,7 @@
         renewedAt: () => scheduler.renewedAt,
         registryReadAt: () => performance.now(),
         eligibilityChannels: () => [],
+        onBacklog: () => {},
         onSuperseded: () => {
           scheduler.isSuperseded = true
           activeScheduler.dispose()
