--- a/src/cluster/jobService.ts
+++ b/src/cluster/jobService.ts
@@ -23,6 +23,10 @@
 const QUERY_RETRY_DELAY_MILLISECONDS = 80
 /** Longest wait for the active scheduler to tell whether a job that is to be refused is stored already, in milliseconds. */
 const CONFIRMATION_TIMEOUT_MILLISECONDS = 400
+/** Maximum number of such questions that are open because of excess submissions. */
+const MAXIMUM_EXCESS_CONFIRMATIONS = 32
+/** Range from which the time of return of excess submissions is drawn, in seconds. */
+const EXCESS_RETURN_SECONDS = { minimum: 1, maximum: 3 }
 /** Number of accepted jobs, and of final states, that an instance caches. */
 const MAXIMUM_CACHED_JOBS = 20_000
 /** Time after which a refused caller should retry, in seconds: callers wait a few seconds in total, and the log may recover at any moment. */
@@ -33,7 +37,7 @@
   /** The job was not stored and will never run. */
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterSeconds: number }
   /** The job may be stored; a retry with the same identity submits the same job. */
-  | { readonly kind: 'unknown' }
+  | { readonly kind: 'unknown', readonly retryAfterSeconds?: number }
   /** A job of another organisation has the identity; this one was not stored and will never run. */
   | { readonly kind: 'identityTaken' }
   | AccessDenial
@@ -71,8 +75,10 @@
   private readonly accepted = new BoundedMap<JobOwner>(MAXIMUM_CACHED_JOBS)
   private readonly finalStates = new BoundedMap<JobOwner & { readonly state: JobState }>(MAXIMUM_CACHED_JOBS)
 
+  private openExcessConfirmations = 0
+
   /** `findOrganisation` returns an organisation by name from the configuration in force. Without `admission`, only jobs that can never run are refused. */
-  constructor (log: RecordLog, private readonly scheduler: SchedulerQueries, private readonly logger: Logger, random: Random, private readonly now: () => number, private readonly findOrganisation: (name: string) => Organisation | undefined = () => undefined, private readonly admission?: AdmissionServices) {
+  constructor (log: RecordLog, private readonly scheduler: SchedulerQueries, private readonly logger: Logger, private readonly random: Random, private readonly now: () => number, private readonly findOrganisation: (name: string) => Organisation | undefined = () => undefined, private readonly admission?: AdmissionServices) {
     super()
     this.appender = this.register(new SubmissionAppender(log, random.integerBelow(SUBMISSION_PARTITIONS), (reason, count) => logger.warn('submissions could not be stored', { reason, count }), now))
   }
@@ -117,6 +123,21 @@
     return { kind: 'accepted' }
   }
 
+  /** Refuses a job of an organisation that has too many submissions in process at this instance, without reading it. */
+  async refuseExcess (identity: string, organisation: string, access: CallAccess): Promise<SubmitResult> {
+    const { minimum, maximum } = EXCESS_RETURN_SECONDS
+    const retryAfterSeconds = minimum + this.random.integerBelow(maximum - minimum + 1)
+    if (this.accepted.get(identity) === undefined && this.openExcessConfirmations >= MAXIMUM_EXCESS_CONFIRMATIONS) return { kind: 'unknown', retryAfterSeconds }
+    this.openExcessConfirmations += 1
+    const result = await this.refuseUnlessStored(identity, access, () => {
+      const reason = `${organisation} has too many submissions in process at this instance`
+      this.admission?.refusals.report(identity, organisation, 'tooMany', reason, 1000 * retryAfterSeconds)
+      return { kind: 'refused', reason, retryAfterSeconds }
+    })
+    this.openExcessConfirmations -= 1
+    return result.kind === 'unknown' ? { ...result, retryAfterSeconds } : result
+  }
+
   /** Cancels a job; resolves once the cancellation is stored. */
   async cancel (identity: string, timeLimitMilliseconds: number, access: CallAccess = UNRESTRICTED_ACCESS): Promise<CancelResult> {
     const startedAt = this.now()
--- a/test/platform/apiKeys.test.ts
+++ b/test/platform/apiKeys.test.ts
@@ -229,6 +229,22 @@
     }))
   }
 
+  it('takes no more submissions of an organisation that fills an instance, without reading them, and those of others', async () => await withFixture(async fixture => {
+    const headOf = (job: string, key: string): string => `POST /keyed/${job} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer ${key}\r\ncontent-length: ${BODY.length}\r\n\r\n`
+    const callers = Array.from({ length: 100 }, () => new RawCaller(fixture.port))
+    try {
+      callers.forEach((caller, index) => caller.write(headOf(String(index).padStart(16, '0'), 'key-of-acme')))
+      await untilTrue(() => callers.filter(({ statuses }) => statuses.length > 0).length > 10 && fixture.activeRequests + callers.filter(({ statuses }) => statuses.length > 0).length === callers.length)
+      const refused = callers.filter(({ statuses }) => statuses.length > 0)
+      for (const { received } of refused) assert.match(received, /^HTTP\/1\.1 503 [^]*\r\nretry-after: [123]\r\n/i)
+      assert.match(await fixture.call('POST', `/keyed/${JOB_OF_ACME}`, 'key-of-acme'), /^200 /, 'the job is stored already')
+      assert.match(await fixture.call('POST', `/keyed/${NEW_JOB}`, 'key-of-bolt'), /^200 /)
+      assert.equal(fixture.organisationOfStoredJob, 'bolt')
+    } finally {
+      for (const { socket } of callers) socket.destroy()
+    }
+  }))
+
   it('answers a submission by 401 if the key is withdrawn while the record waits for an append', async () => await withFixture(async fixture => {
     fixture.log.appendMilliseconds = 100
     const first = fixture.call('POST', '/public/00000000000000ab')
--- a/test/platform/callerServer.test.ts
+++ b/test/platform/callerServer.test.ts
@@ -35,6 +35,7 @@
       accessControl: { accessOf: () => UNRESTRICTED_ACCESS },
       jobService: {
         submit: async () => await new Promise<SubmitResult>(resolve => { this.pendingSubmits.push(() => resolve({ kind: 'accepted' })) }),
+        refuseExcess: async () => ({ kind: 'unknown' }),
         getState: async () => 'pending',
         cancel: async () => 'cancelled',
         countWaitingJobs: async () => 3
