--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -10,10 +10,10 @@
 import { RefusalLog } from './admission/refusalLog.js'
 import { SubmissionAdmission, type AdmissionQuestion } from './admission/submissionAdmission.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
+import { ConfigurationWarnings, type ConfigurationFault } from './configurationWarnings.js'
 import { InstanceLinks } from './instanceLinks.js'
 import { JobService, type SchedulerQueries } from './jobService.js'
 import { Leadership, RENEWAL_PERIOD_MILLISECONDS } from './leadership.js'
-import { ApiKeyDirectory } from './organisations/apiKeyDirectory.js'
 import { AccessControl, type ConfigurationSource } from './organisations/accessControl.js'
 import type { OrganisationSummary } from './organisations/organisations.js'
 import type { Peer } from './peerSet.js'
@@ -51,6 +51,8 @@
   readonly workerTopic: string
   /** Returns the configuration in a record; undefined if the record holds something else or cannot be decoded. */
   decodeConfiguration (record: StoredRecord): ClusterConfiguration | undefined
+  /** Returns why a record that should hold a configuration cannot be decoded, and the revision that it states; undefined for other records. */
+  findConfigurationFault? (record: StoredRecord): ConfigurationFault | undefined
   /** Returns the worker in a record; undefined if the record describes no usable worker. */
   decodeWorker (record: StoredRecord): WorkerEntry | undefined
 }
@@ -68,6 +70,7 @@
   private readonly workerEntries = new Map<string, WorkerEntry>()
   private readonly links: InstanceLinks
   private configurationInForce: ClusterConfiguration | undefined
+  private readonly configurationWarnings: ConfigurationWarnings
   private scheduler: ActiveScheduler | undefined
   private isClaiming = false
   /** When the scheduler of this instance stops even if no successor has fenced it; set when another instance claims the role. */
@@ -100,6 +103,7 @@
     super()
     this.linkAddress = `${settings.link.host}:${settings.link.port}`
     this.capacity = schedulingCapacityOf(settings)
+    this.configurationWarnings = new ConfigurationWarnings(logger)
     this.leadership = new Leadership(settings.instance, this.incarnation, Math.round(RANK_OF_ONE_CORE / this.capacity), random.fraction())
     this.admission = new SubmissionAdmission(async (question, timeout) => await this.askAdmission(question, timeout), now)
     this.accessControl = new AccessControl(this, settings.keyRevocation, now)
@@ -209,23 +213,18 @@
   private onConfiguration (records: readonly StoredRecord[]): void {
     for (const record of records) {
       const configuration = this.platformTopics.decodeConfiguration(record)
+      const fault = configuration === undefined ? this.platformTopics.findConfigurationFault?.(record) : undefined
+      if (fault !== undefined) this.configurationWarnings.onMalformed(record, fault)
       if (configuration === undefined || configuration.revision <= (this.configurationInForce?.revision ?? -1)) continue
       this.configurationInForce = configuration
       this.logger.info('configuration in force', { revision: configuration.revision, offset: record.offset, count: configuration.queues.length })
-      this.warnOfUnusableKeys(configuration)
+      this.configurationWarnings.onInForce(configuration)
     }
     if (this.configurationInForce === undefined) return
     this.startFirstClaimDelay(this.now())
     this.scheduler?.setConfiguration(this.configurationInForce)
   }
 
-  private warnOfUnusableKeys (configuration: ClusterConfiguration): void {
-    const { revision, malformedOrganisations = 0 } = configuration
-    if (malformedOrganisations > 0) this.logger.warn('malformed organisations in the configuration; their keys are unknown', { revision, count: malformedOrganisations })
-    const { organisationsSharingKeys } = new ApiKeyDirectory(configuration)
-    if (organisationsSharingKeys.length > 0) this.logger.warn('organisations list the same key; it identifies none of them', { revision, reason: organisationsSharingKeys.join(', ') })
-  }
-
   /** Starts the delay before the first claim with the configuration, which reaches all instances at the same time, so that the largest claims first. */
   private startFirstClaimDelay (now: number): void {
     if (this.hasNoHolder) this.leadership.onNoRecord(now)
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -3,11 +3,13 @@
 import type { AddressInfo } from 'node:net'
 import { after, before, describe, it } from 'node:test'
 import FakeTimers from '@sinonjs/fake-timers'
+import { Logger } from '../../src/base/logger.js'
+import { ConfigurationWarnings } from '../../src/cluster/configurationWarnings.js'
 import type { ReadOutcome, SnapshotOutcome } from '../../src/cluster/recordLog.js'
 import { HttpClient } from '../../src/links/httpClient.js'
 import { decodeJob } from '../../platform/jobFormat.js'
 import { PlatformLogClient } from '../../platform/logClient.js'
-import { decodeConfiguration, decodeWorker } from '../../platform/registry.js'
+import { decodeConfiguration, decodeWorker, findConfigurationFault } from '../../platform/registry.js'
 import { parsePlatformSettings } from '../../platform/settings.js'
 import { PlatformEligibilityClient, PlatformWorkerClient } from '../../platform/workerClient.js'
 
@@ -377,6 +379,32 @@
   })
 })
 
+describe('findConfigurationFault', () => {
+  const VALID = { version: 3, routes: [], tenants: [], limits: { maxBodyBytes: 1 } }
+  const CASES: ReadonlyArray<{ readonly name: string, readonly value: unknown, readonly fault: RegExp | undefined, readonly revision?: number }> = [
+    { name: 'a valid configuration', value: VALID, fault: undefined },
+    { name: 'one malformed organisation', value: { ...VALID, tenants: [{ name: 7 }] }, fault: undefined },
+    { name: 'organisations that are no list', value: { ...VALID, tenants: { name: 'acme', apiKeys: ['key'] } }, fault: /^tenants: /, revision: 3 },
+    { name: 'a version that is no number', value: { ...VALID, version: 'three' }, fault: /^version: / },
+    { name: 'no object', value: 'text', fault: /^version: / }
+  ]
+  for (const { name, value, fault, revision } of CASES) {
+    it(`${name}: ${fault === undefined ? 'no fault' : 'a fault'}`, () => {
+      const found = findConfigurationFault(Buffer.from(JSON.stringify(value)))
+      assert.equal(found?.revision, revision)
+      if (fault === undefined) assert.equal(found, undefined)
+      else assert.match(found?.reason ?? '', fault)
+    })
+  }
+
+  it('is logged once per revision, also if the record is read again', () => {
+    const lines: string[] = []
+    const warnings = new ConfigurationWarnings(new Logger('test', 'info', line => lines.push(line)))
+    for (const [offset, revision] of [[1, 3], [1, 3], [2, 4], [5, undefined], [5, undefined]] as const) warnings.onMalformed({ key: 'config', value: Buffer.from('{}'), offset }, { revision, reason: 'tenants' })
+    assert.deepEqual(lines.map(line => JSON.parse(line).revision), [3, 4, undefined])
+  })
+})
+
 describe('decodeConfiguration', () => {
   const valid = { name: 'acme', apiKeys: ['k1'] }
   const decoded = { name: 'acme', apiKeys: ['k1'], weight: 1, cap: { processorsThousandths: 0, memoryMegabytes: 0, accelerators: 0 } }
