--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -223,6 +223,11 @@
     return this.scheduler.organisations.summarise(this.scheduler.readySteps)
   }
 
+  /** Queued work of the organisations that wait for room, in core-seconds, the largest first; shown as metrics. */
+  get queuedCoreSeconds (): Array<readonly [organisation: string, coreSeconds: number]> {
+    return this.admission.queuedCoreSeconds
+  }
+
   /** Counts shown as metrics. */
   get counts (): { jobs: number, readySteps: number, workers: number, unrecordedEnds: number } {
     return { jobs: this.scheduler.jobs.size, readySteps: this.scheduler.readySteps.size, workers: this.scheduler.workers.size, unrecordedEnds: this.unrecordedEnds }
--- a/src/cluster/admission/admissionController.ts
+++ b/src/cluster/admission/admissionController.ts
@@ -1,9 +1,11 @@
 import type { AdmissionReply, JobDemand, OrganisationBacklog, QueuedWork } from '../../contracts/clusterMessages.js'
 import { decideAdmission, isBeyondRate, toQueuedWork, type AdmissionDecision } from './admissionDecision.js'
-import { BacklogMeter, type BacklogSource } from './backlogMeter.js'
+import { BacklogMeter, totalWorkOf, type BacklogSource } from './backlogMeter.js'
 import { ReturnSchedule } from './returnSchedule.js'
 import type { AdmissionQuestion } from './submissionAdmission.js'
 
+/** Number of organisations that metrics name. */
+const MAXIMUM_REPORTED_ORGANISATIONS = 10
 /** Period at which the backlog is measured, in milliseconds. */
 export const MEASURE_PERIOD_MILLISECONDS = 250
 /** Number of periods after which a summary is published. */
@@ -40,9 +42,9 @@
     this.meter = new BacklogMeter(source)
   }
 
-  /** Organisations that wait for room, as of the last measurement. */
-  get waitingOrganisations (): Iterable<OrganisationBacklog> {
-    return this.backlogs.values()
+  /** Queued work of the organisations that wait for room, in core-seconds; only the largest are named. */
+  get queuedCoreSeconds (): Array<readonly [organisation: string, coreSeconds: number]> {
+    return [...this.backlogs.values()].slice(0, MAXIMUM_REPORTED_ORGANISATIONS).map(backlog => [backlog.organisation, totalWorkOf(backlog) / 1_000_000] as const)
   }
 
   /** Measures the backlog, and publishes it while an organisation waits for room and once after that; must be called every `MEASURE_PERIOD_MILLISECONDS`. */
--- a/src/cluster/admission/backlogMeter.ts
+++ b/src/cluster/admission/backlogMeter.ts
@@ -35,7 +35,7 @@
     const waiting = this.findWaiting(now)
     if (waiting.size === 0) return []
     const backlogs = [...this.queuedWork(waiting, now)].map(([organisation, rows]) => this.backlogOf(organisation, rows, now))
-    return backlogs.sort((left, right) => workOf(right) - workOf(left)).slice(0, MAXIMUM_ORGANISATIONS)
+    return backlogs.sort((left, right) => totalWorkOf(right) - totalWorkOf(left)).slice(0, MAXIMUM_ORGANISATIONS)
   }
 
   private findWaiting (now: number): Set<string> {
@@ -87,6 +87,7 @@
   return work
 }
 
-function workOf ({ queued }: OrganisationBacklog): number {
+/** Returns the work of an organisation that is still worth something, in thousandths of a core times milliseconds. */
+export function totalWorkOf ({ queued }: OrganisationBacklog): number {
   return queued.reduce((sum, { inTime, late, beyondRate }) => sum + inTime + late + beyondRate, 0)
 }
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -133,6 +133,7 @@
     }
     addOrganisationGauge('organisation_used_millicores', 'Processors that may be in use, in thousandths of a core', summary => summary.processorsThousandths)
     addOrganisationGauge('organisation_waiting_tasks', 'Tasks that wait to be placed', summary => summary.waitingTasks)
+    metrics.addGaugeByName('organisation_queued_core_seconds', 'Queued work of the organisations that wait for room', 'organisation', () => this.scheduler?.queuedCoreSeconds ?? [])
     addOrganisationGauge('organisation_tasks_at_cap', 'Tasks that wait for the cap', summary => summary.tasksAtCap)
   }
 
