--- a/src/cluster/admission/admissionController.ts
+++ b/src/cluster/admission/admissionController.ts
@@ -1,5 +1,5 @@
 import type { AdmissionReply, JobDemand, OrganisationBacklog, QueuedWork } from '../../contracts/clusterMessages.js'
-import { decideAdmission, isBeyondRate, toQueuedWork, type AdmissionDecision } from './admissionDecision.js'
+import { decideAdmission, isBeyondRate, reservedWork, toQueuedWork, type AdmissionDecision } from './admissionDecision.js'
 import { BacklogMeter, totalWorkOf, type BacklogSource } from './backlogMeter.js'
 import { ReturnSchedule } from './returnSchedule.js'
 import type { AdmissionQuestion } from './submissionAdmission.js'
@@ -57,8 +57,9 @@
     this.periods += 1
     if (this.periods % PERIODS_PER_SUMMARY !== 0 || (this.backlogs.size === 0 && this.isClearPublished)) return
     this.isClearPublished = this.backlogs.size === 0
-    // An instance takes every caller for a newcomer, and asks about those that it would refuse.
-    this.publish([...this.backlogs.values()].map(backlog => ({ ...backlog, queued: [...backlog.queued, ...this.returns.dueWork(backlog.organisation, now)] })))
+    // An instance uses a summary until the next one arrives.
+    const until = now + PERIODS_PER_SUMMARY * MEASURE_PERIOD_MILLISECONDS
+    this.publish([...this.backlogs.values()].map(backlog => ({ ...backlog, returning: this.returns.dueWork(backlog.organisation, now, until) })))
   }
 
   /** Answers a question. `status`: state of the job, `unknown` if it is certainly not stored. Assigns the time of return to a refused job. */
@@ -86,10 +87,10 @@
   private decide (job: string, backlog: OrganisationBacklog, demand: JobDemand, now: number): AdmissionDecision {
     const { organisation } = backlog
     const unread = [...this.unreadJobs.values()].filter(other => other.organisation === organisation).map(({ work }) => work)
-    const due = this.returns.isReturning(job, organisation) ? [] : this.returns.dueWork(organisation, now)
-    // A newcomer leaves room for the callers that are due back, also after it.
-    const reserved = due.length === 0 ? [] : [...due, toQueuedWork(demand, false)]
-    return decideAdmission(demand, backlog, { queued: [...unread, ...reserved], jobs: this.unreadJobsOf(organisation) })
+    const isReturning = this.returns.isReturning(job, organisation)
+    const reserved = isReturning ? [] : reservedWork({ returning: this.returns.dueWork(organisation, now, now) }, demand)
+    const queued = this.meter.workBefore(organisation, now + demand.objectiveMilliseconds, now)
+    return decideAdmission(demand, { ...backlog, queued }, { queued: [...unread, ...reserved], jobs: this.unreadJobsOf(organisation) })
   }
 
   private onAdmitted (job: string, organisation: string, demand: JobDemand, now: number, isBeyond: boolean): void {
--- a/src/cluster/admission/admissionDecision.ts
+++ b/src/cluster/admission/admissionDecision.ts
@@ -43,7 +43,7 @@
   const inTime = sum(ahead, row => row.inTime)
   if (durationOf(inTime, backlog.limitThousandths) > latestStartInTime) {
     const latestStart = Math.max(0, LATE_FACTOR * demand.objectiveMilliseconds - demand.criticalPathMilliseconds)
-    const isLateWorkServed = sum(ahead, row => row.overdue) === 0 && durationOf(inTime + sum(ahead, row => row.late), backlog.limitThousandths) <= latestStart
+    const isLateWorkServed = !rows.some(row => row.priority === demand.priority && row.overdue > 0) && durationOf(inTime + sum(ahead, row => row.late), backlog.limitThousandths) <= latestStart
     if (!isLateWorkServed) return { kind: 'refused', cause: 'unservable', excessMilliseconds: durationOf(inTime, backlog.servedThousandths) - latestStartInTime }
   }
   if (!isBeyondRate(backlog, additional.jobs)) return ADMITTED
@@ -52,6 +52,11 @@
   return wait > latestStartInTime ? { kind: 'refused', cause: 'beyondRate', excessMilliseconds: wait - latestStartInTime } : ADMITTED
 }
 
+/** Returns the work for which a newcomer leaves room: that of the callers that are due back, also if they come after it. */
+export function reservedWork ({ returning }: Pick<OrganisationBacklog, 'returning'>, demand: JobDemand): QueuedWork[] {
+  return returning.length === 0 ? [] : [...returning, toQueuedWork(demand, false)]
+}
+
 /** Returns the queued work of a job that is admitted now. */
 export function toQueuedWork ({ priority, work }: Pick<JobDemand, 'priority' | 'work'>, isBeyondRate: boolean): QueuedWork {
   return { priority, inTime: isBeyondRate ? 0 : work, late: 0, overdue: 0, beyondRate: isBeyondRate ? work : 0 }
--- a/src/cluster/admission/backlogMeter.ts
+++ b/src/cluster/admission/backlogMeter.ts
@@ -4,6 +4,8 @@
 
 /** Wait of a step from which its organisation counts as waiting for room, in milliseconds; shorter waits are usual. */
 const ROOM_WAIT_MILLISECONDS = 300
+/** Time for which work that has become worth nothing shows that late work is not served, in milliseconds. */
+const OVERDUE_EVIDENCE_MILLISECONDS = 2000
 /** Weight of a new sample in the mean of the processors in use. */
 const SAMPLE_WEIGHT = 0.25
 /** Maximum number of organisations, and of priorities of each, in a summary. */
@@ -34,10 +36,15 @@
   measure (now: number): OrganisationBacklog[] {
     const waiting = this.findWaiting(now)
     if (waiting.size === 0) return []
-    const backlogs = [...this.queuedWork(waiting, now)].map(([organisation, rows]) => this.backlogOf(organisation, rows, now))
+    const backlogs = [...this.queuedWork(waiting, now, Infinity)].map(([organisation, rows]) => this.backlogOf(organisation, rows, now))
     return backlogs.sort((left, right) => totalWorkOf(right) - totalWorkOf(left)).slice(0, MAXIMUM_ORGANISATIONS)
   }
 
+  /** Returns the work of an organisation that goes before a job: of the work in time, only what has an earlier objective. `objectiveAt` is that of the job. */
+  workBefore (organisation: string, objectiveAt: number, now: number): QueuedWork[] {
+    return [...this.queuedWork(new Set([organisation]), now, objectiveAt).values()].flatMap(rows => [...rows.values()])
+  }
+
   private findWaiting (now: number): Set<string> {
     const waiting = new Set<string>()
     for (const step of this.source.readySteps) {
@@ -48,23 +55,25 @@
     return waiting
   }
 
-  private queuedWork (organisations: ReadonlySet<string>, now: number): Map<string, Map<number, QueuedWork>> {
+  private queuedWork (organisations: ReadonlySet<string>, now: number, objectiveAt: number): Map<string, Map<number, QueuedWork>> {
     const found = new Map<string, Map<number, QueuedWork>>([...organisations].map(name => [name, new Map()]))
     for (const job of this.source.jobs.values()) {
       const rows = found.get(job.submission.organisation ?? '')
       if (rows === undefined || job.submission.organisation === undefined || job.isFinal) continue
+      const kind = this.kindOf(job, now)
+      if (kind === undefined || (kind === 'inTime' && job.objectiveAt > objectiveAt)) continue
       const work = queuedWorkOf(job)
       if (work === 0) continue
       const { priority } = this.source.policyOf(job)
       const row = rows.get(priority) ?? { priority, inTime: 0, late: 0, overdue: 0, beyondRate: 0 }
-      row[this.kindOf(job, now)] += work
+      row[kind] += work
       rows.set(priority, row)
     }
     return found
   }
 
-  private kindOf (job: Job, now: number): Exclude<keyof QueuedWork, 'priority'> {
-    if (now > job.lateUntil) return 'overdue'
+  private kindOf (job: Job, now: number): Exclude<keyof QueuedWork, 'priority'> | undefined {
+    if (now > job.lateUntil) return now - job.lateUntil <= OVERDUE_EVIDENCE_MILLISECONDS ? 'overdue' : undefined
     if (this.source.organisations.isBeyondRate(job)) return 'beyondRate'
     return now > job.objectiveAt ? 'late' : 'inTime'
   }
@@ -72,7 +81,7 @@
   private backlogOf (organisation: string, rows: ReadonlyMap<number, QueuedWork>, now: number): OrganisationBacklog {
     const { limitThousandths, entitledThousandths, rate, spentMilliseconds } = this.source.organisations.entitlementOf(organisation, now)
     const queued = [...rows.values()].sort((left, right) => left.priority - right.priority).slice(0, MAXIMUM_PRIORITIES)
-    return { organisation, limitThousandths, servedThousandths: Math.min(limitThousandths, Math.max(entitledThousandths, this.used.get(organisation) ?? 0)), rate, spentMilliseconds, queued }
+    return { organisation, limitThousandths, servedThousandths: Math.min(limitThousandths, Math.max(entitledThousandths, this.used.get(organisation) ?? 0)), rate, spentMilliseconds, queued, returning: [] }
   }
 }
 
--- a/src/cluster/admission/backlogView.ts
+++ b/src/cluster/admission/backlogView.ts
@@ -1,5 +1,5 @@
 import type { BacklogSummary, JobDemand, OrganisationBacklog, QueuedWork } from '../../contracts/clusterMessages.js'
-import { decideAdmission, isBeyondRate, toQueuedWork, type AdmissionDecision } from './admissionDecision.js'
+import { decideAdmission, isBeyondRate, reservedWork, toQueuedWork, type AdmissionDecision } from './admissionDecision.js'
 
 /** Age beyond which a summary is not used, in milliseconds; three times the period at which summaries are sent. */
 const MAXIMUM_AGE_MILLISECONDS = 1500
@@ -39,12 +39,12 @@
     this.accepted.push({ organisation, isBeyondRate: isBeyond, at: now, work: toQueuedWork(demand, isBeyond) })
   }
 
-  /** Decides on a job; admits it if the backlog of its organisation is not known. */
+  /** Decides on a job, which is taken for that of a newcomer; admits it if the backlog of its organisation is not known. */
   decide (organisation: string, demand: JobDemand, now: number): AdmissionDecision {
     const backlog = this.findBacklog(organisation, now)
     if (backlog === undefined) return { kind: 'admitted' }
     const accepted = this.acceptedOf(organisation)
-    return decideAdmission(demand, backlog, { queued: accepted.map(({ work }) => work), jobs: accepted.filter(job => !job.isBeyondRate).length })
+    return decideAdmission(demand, backlog, { queued: [...accepted.map(({ work }) => work), ...reservedWork(backlog, demand)], jobs: accepted.filter(job => !job.isBeyondRate).length })
   }
 
   /** Returns the backlog of an organisation that waits for room; undefined if it has room, or if the summary is too old. */
--- a/src/cluster/admission/returnSchedule.ts
+++ b/src/cluster/admission/returnSchedule.ts
@@ -6,9 +6,12 @@
 /** Bounds on the time after which a refused caller returns, in milliseconds. */
 const MINIMUM_RETURN_MILLISECONDS = 1000
 const MAXIMUM_RETURN_MILLISECONDS = 60_000
-/** Time before and after its time of return in which a refused caller is expected, in milliseconds. */
-const EARLY_MILLISECONDS = 500
-const GRACE_MILLISECONDS = 3000
+/** Part of the service of an organisation that is given to refused callers; not all of them return. */
+const RETURN_SHARE = 0.5
+/** Time before and after its time of return in which room is left for a refused caller, in milliseconds. */
+const RESERVED_MILLISECONDS = 500
+/** Time after its time of return until which a refused caller is remembered, in milliseconds. */
+const REMEMBERED_MILLISECONDS = 3000
 
 interface ExpectedReturn {
   readonly priority: number
@@ -39,7 +42,7 @@
     const former = returns.expected.get(job)
     // A caller that returns keeps its place before those who were refused after it.
     const at = Math.min(Math.max(earliest, former?.at ?? returns.assignedUntil), now + MAXIMUM_RETURN_MILLISECONDS)
-    if (former === undefined) returns.assignedUntil = at + durationOf(work, servedThousandths)
+    if (former === undefined) returns.assignedUntil = at + durationOf(work, RETURN_SHARE * servedThousandths)
     returns.expected.delete(job)
     returns.expected.set(job, { priority, work, at })
     this.discard(returns, now)
@@ -56,17 +59,16 @@
     this.organisations.get(organisation)?.expected.delete(job)
   }
 
-  /** Returns the work of the callers of an organisation that are due back now. */
-  dueWork (organisation: string, now: number): QueuedWork[] {
+  /** Returns the work of the callers of an organisation that are due back between two times, or little before or after that. */
+  dueWork (organisation: string, from: number, until: number): QueuedWork[] {
     const returns = this.organisations.get(organisation)
     if (returns === undefined) return []
-    this.discard(returns, now)
-    return [...returns.expected.values()].filter(({ at }) => at - EARLY_MILLISECONDS <= now).map(expected => toQueuedWork(expected, false))
+    return [...returns.expected.values()].filter(({ at }) => at >= from - RESERVED_MILLISECONDS && at <= until + RESERVED_MILLISECONDS).map(expected => toQueuedWork(expected, false))
   }
 
   private discard (returns: OrganisationReturns, now: number): void {
     for (const [job, { at }] of returns.expected) {
-      if (now > at + GRACE_MILLISECONDS || returns.expected.size > MAXIMUM_REMEMBERED_JOBS) returns.expected.delete(job)
+      if (now > at + REMEMBERED_MILLISECONDS || returns.expected.size > MAXIMUM_REMEMBERED_JOBS) returns.expected.delete(job)
     }
   }
 }
--- a/src/cluster/admission/submissionAdmission.ts
+++ b/src/cluster/admission/submissionAdmission.ts
@@ -7,7 +7,7 @@
 /** Longest wait for the decision of the active scheduler, in milliseconds; several round trips between failure domains. */
 const REPLY_TIMEOUT_MILLISECONDS = 400
 /** Part of a caller's time limit that is left for storing the job after the wait, in milliseconds. */
-const STORING_MARGIN_MILLISECONDS = 1000
+const STORING_MARGIN_MILLISECONDS = 350
 /** Maximum number of open questions to the active scheduler; beyond it, jobs are admitted. */
 const MAXIMUM_OPEN_QUESTIONS = 64
 
--- a/src/contracts/clusterMessages.ts
+++ b/src/contracts/clusterMessages.ts
@@ -9,7 +9,7 @@
   inTime: z.number(),
   /** Work of jobs that are late and still worth something; it goes after the work in time. */
   late: z.number(),
-  /** Work of jobs that have become worth nothing while they waited. */
+  /** Work of jobs that have become worth nothing within the last seconds while they waited. */
   overdue: z.number(),
   /** Work of jobs beyond the rate of their organisation that is not overdue; it goes after the work in time and the late work. */
   beyondRate: z.number()
@@ -27,7 +27,9 @@
   rate: z.number(),
   /** Time in which the spent part of its rate becomes available again, in milliseconds. */
   spentMilliseconds: z.number(),
-  queued: z.array(queuedWorkSchema)
+  queued: z.array(queuedWorkSchema),
+  /** Work of refused callers that are due back. */
+  returning: z.array(queuedWorkSchema)
 })
 export type OrganisationBacklog = z.infer<typeof organisationBacklogSchema>
 
