--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -222,6 +222,7 @@
       this.configurationWarnings.onInForce(configuration)
     }
     if (this.configurationInForce === undefined) return
+    if (this.configurationInForce.organisations.length > 0) this.links.requestBacklog()
     this.startFirstClaimDelay(this.now())
     this.scheduler?.setConfiguration(this.configurationInForce)
   }
--- a/src/cluster/instanceLinks.ts
+++ b/src/cluster/instanceLinks.ts
@@ -46,6 +46,7 @@
   private holder: LeadershipRecord | undefined
   private holderLink: { readonly incarnation: string, readonly link: ClusterLink } | undefined
   private isConnecting = false
+  private readsBacklog = false
 
   constructor (private readonly identity: LinkIdentity, private readonly eligibility: EligibilityPort, private readonly observer: InstanceLinksObserver, private readonly logger: Logger, random: Random, private readonly now: () => number) {
     super()
@@ -78,7 +79,14 @@
     return await this.holderLink?.link.sendRequest(request, timeoutMilliseconds)
   }
 
-  /** Sends the backlog of the organisations to the linked instances. */
+  /** Asks the holder of the role, and each later one, for the backlog of the organisations. */
+  requestBacklog (): void {
+    if (this.readsBacklog) return
+    this.readsBacklog = true
+    if (this.holderLink !== undefined) this.sendHello(this.holderLink.link)
+  }
+
+  /** Sends the backlog of the organisations to the instances that have asked for it. */
   sendBacklog (summary: BacklogSummary): void {
     for (const { link, readsBacklog } of this.peers) {
       if (readsBacklog) link.send(summary)
@@ -134,7 +142,7 @@
     link.onDidReceive(message => {
       if (message.type === 'hello') {
         instance = message.instance
-        this.peers.add({ instance, link, capacity: schedulingCapacityOf(message), readsBacklog: message.readsBacklog })
+        this.peers.add({ instance, link, capacity: schedulingCapacityOf(message), readsBacklog: message.readsBacklog === true })
       } else this.onRequest(link, message)
     })
     link.onDidClose(() => {
@@ -143,7 +151,7 @@
   }
 
   private sendHello (link: ClusterLink): void {
-    link.send({ type: 'hello', ...this.identity, readsBacklog: true })
+    link.send({ type: 'hello', ...this.identity, ...(this.readsBacklog ? { readsBacklog: true } : {}) })
   }
 
   private async onRequest (link: ClusterLink, message: ClusterMessage): Promise<void> {
--- a/src/contracts/clusterMessages.ts
+++ b/src/contracts/clusterMessages.ts
@@ -46,9 +46,9 @@
 })
 export type JobDemand = z.infer<typeof jobDemandSchema>
 
-/** Messages between an instance and the active scheduler. Both sides send `hello` first. Every request carries an id, which its reply repeats. */
+/** Messages between an instance and the active scheduler. Both sides send `hello` first, and again when it changes. Every request carries an id, which its reply repeats. */
 export const clusterMessageSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('hello'), instance: z.string(), incarnation: z.string(), /** In cores. */ processorShare: z.number(), /** Bandwidth of the instance's own link, in megabits per second. */ linkMegabits: z.number().default(Infinity), /** Whether the sender reads `backlogSummary`; earlier versions close the link at it. */ readsBacklog: z.boolean().default(false) }),
+  z.object({ type: z.literal('hello'), instance: z.string(), incarnation: z.string(), /** In cores. */ processorShare: z.number(), /** Bandwidth of the instance's own link, in megabits per second. */ linkMegabits: z.number().default(Infinity), /** Whether the sender reads `backlogSummary`; earlier versions close the link at it. */ readsBacklog: z.boolean().optional() }),
   /** The active scheduler cannot write to the log; the receiver should claim the role if it can. */
   z.object({ type: z.literal('roleOffer'), incarnation: z.string() }),
   z.object({ type: z.literal('stateQuestion'), id: identifier, job: z.string() }),
