--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -3,9 +3,12 @@
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
 import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
-import { decodeProgress, decodeSubmission, encodeRecord, type ProgressRecord } from '../contracts/clusterRecords.js'
+import type { AdmissionReply, OrganisationBacklog } from '../contracts/clusterMessages.js'
+import { decodeSubmission, encodeRecord, type ProgressRecord } from '../contracts/clusterRecords.js'
 import type { ClusterBounds } from '../contracts/clusterSettings.js'
 import type { JobState } from '../contracts/stepJob.js'
+import { AdmissionController, MEASURE_PERIOD_MILLISECONDS } from './admission/admissionController.js'
+import type { AdmissionQuestion } from './admission/submissionAdmission.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
 import { ClusterScheduler, type PendingStop, type SchedulerObserver } from './clusterScheduler.js'
 import type { RunLossCause } from './crashTracker.js'
@@ -16,6 +19,7 @@
 import { findEarliestClaims } from './organisations/contestedIdentities.js'
 import type { PlannedRun } from './placementPass.js'
 import type { PreemptedRun } from './preemption/preemptionController.js'
+import { readProgress } from './progressReader.js'
 import { ProgressWriter } from './progressWriter.js'
 import type { PaceChange } from './serving/pacingController.js'
 import type { PendingPace } from './serving/servingSupervisor.js'
@@ -61,6 +65,8 @@
   readonly registryReadAt: () => number | undefined
   /** Returns the channels to the eligibility service through all reachable instances. */
   readonly eligibilityChannels: () => readonly EligibilityChannel[]
+  /** Called with the backlog of the organisations that wait for room. */
+  readonly onBacklog: (organisations: OrganisationBacklog[]) => void
   /** Called when the role has passed to another instance. */
   readonly onSuperseded: () => void
 }
@@ -81,6 +87,7 @@
 /** The scheduler of the cluster during one term: follows submissions, places tasks, records progress, and sends commands to workers. */
 export class ActiveScheduler extends DisposableObject implements SchedulerObserver {
   private readonly scheduler: ClusterScheduler
+  private readonly admission: AdmissionController
   private readonly writer: ProgressWriter
   private readonly eligibilityRequester: EligibilityRequester
   private readonly submissionFollowers: TopicFollower[]
@@ -100,7 +107,7 @@
   private readonly evictedKeys: string[] = []
   private readonly retention: JobRetention
   /** Jobs whose recorded progress is malformed. Without it, tasks that have ended would run again. */
-  private readonly unreadableJobs = new Set<string>()
+  private unreadableJobs: ReadonlySet<string> = new Set()
   /** Submissions that were read before the progress of their jobs; undefined once the progress has been read. */
   private bufferedSubmissions: SubmissionBatch[] | undefined = []
 
@@ -116,6 +123,7 @@
     super()
     this.startedAt = now()
     this.scheduler = new ClusterScheduler(this)
+    this.admission = new AdmissionController(this.scheduler, options.onBacklog)
     this.writer = this.register(new ProgressWriter(log, options.term, reason => logger.warn('progress could not be recorded; the append is repeated', { term: options.term, reason }), now))
     this.sessions = this.register(new WorkerSessions(this.scheduler, workers, {
       term: options.term,
@@ -147,13 +155,15 @@
     for (const entry of entries) this.setWorker(entry)
     // Every job that the former scheduler has placed or finished was accepted before it was fenced, so a later read returns all of them.
     if (!await this.fenceFormerSchedulers()) return
-    const [progress] = await Promise.all([this.readProgress(), ...this.submissionFollowers.map(async follower => await this.loadSubmissions(follower))])
+    const [{ records: progress, unreadableJobs }] = await Promise.all([readProgress(this.log, this.options.term, this.logger, this.abort.signal), ...this.submissionFollowers.map(async follower => await this.loadSubmissions(follower))])
     if (this.isDisposed) return
+    this.unreadableJobs = unreadableJobs
     this.applyBufferedSubmissions(progress)
     this.isActive = true
     for (const follower of this.submissionFollowers) follower.follow()
     for (const worker of this.scheduler.workers.values()) this.sessions.open(worker)
     this.registerInterval(() => this.onTick(), TICK_MILLISECONDS)
+    this.registerInterval(() => this.admission.onTick(this.now()), MEASURE_PERIOD_MILLISECONDS)
     this.registerInterval(() => this.deleteFinishedJobs(), EVICTION_PERIOD_MILLISECONDS)
     const unfinished = [...this.scheduler.jobs.values()].filter(job => !job.isFinal)
     const restored = unfinished.filter(job => progress.has(job.identity)).length
@@ -196,6 +206,11 @@
     return { state: this.stateOf(identity), ...(organisation === undefined ? {} : { organisation }) }
   }
 
+  /** Decides on a job that an instance would refuse, unless it is stored already or may be. */
+  decideAdmission (question: AdmissionQuestion): AdmissionReply {
+    return this.admission.answer(question, this.statusOf(question.job), this.now())
+  }
+
   /** Returns the number of jobs of a queue of which no task has started; undefined while that is not known. */
   countWaitingJobs (queue: string): number | undefined {
     const count = this.isActive && this.areSubmissionsFresh() ? this.scheduler.countWaitingJobs(queue) : undefined
@@ -209,6 +224,11 @@
     return this.scheduler.organisations.summarise(this.scheduler.readySteps)
   }
 
+  /** Queued work of the organisations that wait for room, in core-seconds, the largest first; shown as metrics. */
+  get queuedCoreSeconds (): Array<readonly [organisation: string, coreSeconds: number]> {
+    return this.admission.queuedCoreSeconds
+  }
+
   /** Counts shown as metrics. */
   get counts (): { jobs: number, readySteps: number, workers: number, unrecordedEnds: number } {
     return { jobs: this.scheduler.jobs.size, readySteps: this.scheduler.readySteps.size, workers: this.scheduler.workers.size, unrecordedEnds: this.unrecordedEnds }
@@ -310,31 +330,6 @@
     return outcome === 'stored'
   }
 
-  /** Reads all progress from the log; complete only once the writers of former terms are fenced. */
-  private async readProgress (): Promise<Map<string, ProgressRecord>> {
-    const found = new Map<string, ProgressRecord>()
-    while (!this.isDisposed) {
-      const outcome = await this.log.snapshot(TOPICS.progress, 0)
-      if (outcome.kind === 'snapshot') {
-        for (const record of outcome.records) {
-          if (record.value === undefined) continue
-          const progress = decodeProgress(record.value)
-          if (progress !== undefined) {
-            found.set(record.key, progress)
-            continue
-          }
-          this.unreadableJobs.add(record.key)
-          this.logger.error('malformed progress; its job is left alone', { term: this.options.term, job: record.key, offset: record.offset })
-        }
-        this.logger.info('progress of former schedulers was read', { term: this.options.term, offset: outcome.end, count: found.size })
-        return found
-      }
-      this.logger.warn('progress cannot be read', { term: this.options.term, reason: outcome.reason })
-      await delay(TICK_MILLISECONDS, this.abort.signal)
-    }
-    return found
-  }
-
   private async loadSubmissions (follower: TopicFollower): Promise<void> {
     while (!this.isDisposed && !await follower.loadSnapshot()) await delay(TICK_MILLISECONDS, this.abort.signal)
   }
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -3,14 +3,17 @@
 import type { Logger } from '../base/logger.js'
 import type { Random } from '../base/random.js'
 import type { ClusterConfiguration } from '../contracts/clusterConfiguration.js'
+import type { AdmissionReply, OrganisationBacklog } from '../contracts/clusterMessages.js'
 import { decodeLeadership, encodeRecord, type LeadershipRecord } from '../contracts/clusterRecords.js'
 import type { ClusterSettings } from '../contracts/clusterSettings.js'
 import { ActiveScheduler, type JobStateResult, type JobStatus } from './activeScheduler.js'
+import { RefusalLog } from './admission/refusalLog.js'
+import { SubmissionAdmission, type AdmissionQuestion } from './admission/submissionAdmission.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
+import { ConfigurationWarnings, type ConfigurationFault } from './configurationWarnings.js'
 import { InstanceLinks } from './instanceLinks.js'
 import { JobService, type SchedulerQueries } from './jobService.js'
 import { Leadership, RENEWAL_PERIOD_MILLISECONDS } from './leadership.js'
-import { ApiKeyDirectory } from './organisations/apiKeyDirectory.js'
 import { AccessControl, type ConfigurationSource } from './organisations/accessControl.js'
 import type { OrganisationSummary } from './organisations/organisations.js'
 import type { Peer } from './peerSet.js'
@@ -48,6 +51,8 @@
   readonly workerTopic: string
   /** Returns the configuration in a record; undefined if the record holds something else or cannot be decoded. */
   decodeConfiguration (record: StoredRecord): ClusterConfiguration | undefined
+  /** Returns why a record that should hold a configuration cannot be decoded, and the revision that it states; undefined for other records. */
+  findConfigurationFault? (record: StoredRecord): ConfigurationFault | undefined
   /** Returns the worker in a record; undefined if the record describes no usable worker. */
   decodeWorker (record: StoredRecord): WorkerEntry | undefined
 }
@@ -56,6 +61,7 @@
 export class ClusterInstance extends DisposableObject implements SchedulerQueries, ConfigurationSource {
   readonly jobService: JobService
   readonly accessControl: AccessControl
+  private readonly admission: SubmissionAdmission
   private readonly incarnation = randomUUID()
   private readonly leadership: Leadership
   private readonly leadershipFollower: TopicFollower
@@ -64,6 +70,7 @@
   private readonly workerEntries = new Map<string, WorkerEntry>()
   private readonly links: InstanceLinks
   private configurationInForce: ClusterConfiguration | undefined
+  private readonly configurationWarnings: ConfigurationWarnings
   private scheduler: ActiveScheduler | undefined
   private isClaiming = false
   /** When the scheduler of this instance stops even if no successor has fenced it; set when another instance claims the role. */
@@ -96,12 +103,16 @@
     super()
     this.linkAddress = `${settings.link.host}:${settings.link.port}`
     this.capacity = schedulingCapacityOf(settings)
+    this.configurationWarnings = new ConfigurationWarnings(logger)
     this.leadership = new Leadership(settings.instance, this.incarnation, Math.round(RANK_OF_ONE_CORE / this.capacity), random.fraction())
+    this.admission = new SubmissionAdmission(async (question, timeout) => await this.askAdmission(question, timeout), now)
     this.accessControl = new AccessControl(this, settings.keyRevocation, now)
-    this.jobService = this.register(new JobService(log, this, logger, random, now, name => this.configurationInForce?.organisations.find(organisation => organisation.name === name)))
+    this.jobService = this.register(new JobService(log, this, logger, random, now, name => this.configurationInForce?.organisations.find(organisation => organisation.name === name), { admission: this.admission, refusals: new RefusalLog(logger, metrics, now) }))
     this.links = this.register(new InstanceLinks({ instance: settings.instance, incarnation: this.incarnation, processorShare: settings.processorShare, linkMegabits: settings.linkMegabits }, eligibility, {
       getJobStatus: job => this.scheduler?.statusOf(job),
       countWaitingJobs: queue => this.scheduler?.countWaitingJobs(queue),
+      decideAdmission: question => this.scheduler?.decideAdmission(question),
+      onBacklogSummary: summary => this.admission.onSummary(summary),
       onRoleOffer: incarnation => this.onRoleOffer(incarnation),
       onHolderExited: incarnation => this.leadership.onHolderExited(incarnation, this.now())
     }, logger, random, now))
@@ -122,6 +133,7 @@
     }
     addOrganisationGauge('organisation_used_millicores', 'Processors that may be in use, in thousandths of a core', summary => summary.processorsThousandths)
     addOrganisationGauge('organisation_waiting_tasks', 'Tasks that wait to be placed', summary => summary.waitingTasks)
+    metrics.addGaugeByName('organisation_queued_core_seconds', 'Queued work of the organisations that wait for room', 'organisation', () => this.scheduler?.queuedCoreSeconds ?? [])
     addOrganisationGauge('organisation_tasks_at_cap', 'Tasks that wait for the cap', summary => summary.tasksAtCap)
   }
 
@@ -178,6 +190,18 @@
     return reply?.type === 'waitingReply' && reply.waiting >= 0 ? reply.waiting : undefined
   }
 
+  private async askAdmission (question: AdmissionQuestion, timeoutMilliseconds: number): Promise<AdmissionReply | undefined> {
+    if (this.scheduler !== undefined) return this.scheduler.decideAdmission(question)
+    const reply = await this.links.queryHolder({ type: 'admissionQuestion', ...question }, timeoutMilliseconds)
+    return reply?.type === 'admissionReply' ? reply : undefined
+  }
+
+  /** Sends the backlog of the organisations to all instances, also this one. */
+  private onBacklog (term: number, organisations: OrganisationBacklog[]): void {
+    this.admission.onSummary({ term, organisations })
+    this.links.sendBacklog({ type: 'backlogSummary', term, organisations })
+  }
+
   private createFollower (topic: string, periodMilliseconds: () => number, onRecords: (records: readonly StoredRecord[], isSnapshot: boolean) => void, refreshAfterMilliseconds?: number): TopicFollower {
     return this.register(new TopicFollower(
       this.log,
@@ -190,23 +214,19 @@
   private onConfiguration (records: readonly StoredRecord[]): void {
     for (const record of records) {
       const configuration = this.platformTopics.decodeConfiguration(record)
+      const fault = configuration === undefined ? this.platformTopics.findConfigurationFault?.(record) : undefined
+      if (fault !== undefined) this.configurationWarnings.onMalformed(record, fault)
       if (configuration === undefined || configuration.revision <= (this.configurationInForce?.revision ?? -1)) continue
       this.configurationInForce = configuration
       this.logger.info('configuration in force', { revision: configuration.revision, offset: record.offset, count: configuration.queues.length })
-      this.warnOfUnusableKeys(configuration)
+      this.configurationWarnings.onInForce(configuration)
     }
     if (this.configurationInForce === undefined) return
+    if (this.configurationInForce.organisations.length > 0) this.links.requestBacklog()
     this.startFirstClaimDelay(this.now())
     this.scheduler?.setConfiguration(this.configurationInForce)
   }
 
-  private warnOfUnusableKeys (configuration: ClusterConfiguration): void {
-    const { revision, malformedOrganisations = 0 } = configuration
-    if (malformedOrganisations > 0) this.logger.warn('malformed organisations in the configuration; their keys are unknown', { revision, count: malformedOrganisations })
-    const { organisationsSharingKeys } = new ApiKeyDirectory(configuration)
-    if (organisationsSharingKeys.length > 0) this.logger.warn('organisations list the same key; it identifies none of them', { revision, reason: organisationsSharingKeys.join(', ') })
-  }
-
   /** Starts the delay before the first claim with the configuration, which reaches all instances at the same time, so that the largest claims first. */
   private startFirstClaimDelay (now: number): void {
     if (this.hasNoHolder) this.leadership.onNoRecord(now)
@@ -357,6 +377,7 @@
       renewedAt: () => this.renewedAt,
       registryReadAt: () => this.registryFollower.lastReadStartedAt,
       eligibilityChannels: () => this.links.eligibilityChannels(),
+      onBacklog: organisations => this.onBacklog(term, organisations),
       onSuperseded: () => this.onSuperseded(scheduler)
     }, this.metrics, this.logger, this.random, this.now)
     this.scheduler = scheduler
--- a/src/cluster/jobService.ts
+++ b/src/cluster/jobService.ts
@@ -6,6 +6,9 @@
 import { encodeRecord } from '../contracts/clusterRecords.js'
 import { isFinalState, type JobState, type StepJob } from '../contracts/stepJob.js'
 import type { JobStatus } from './activeScheduler.js'
+import type { RefusalCause } from './admission/admissionDecision.js'
+import type { RefusalLog } from './admission/refusalLog.js'
+import type { SubmissionAdmission } from './admission/submissionAdmission.js'
 import { mayAccess, UNRESTRICTED_ACCESS, type AccessMode, type CallAccess, type CallerIdentity, type RefusalReason } from './organisations/accessControl.js'
 import { exceedsCap } from './organisations/organisationCaps.js'
 import type { RecordLog } from './recordLog.js'
@@ -18,6 +21,12 @@
 const QUERY_TIMEOUT_MILLISECONDS = 1500
 /** Delay before a query is retried, in milliseconds. */
 const QUERY_RETRY_DELAY_MILLISECONDS = 80
+/** Longest wait for the active scheduler to tell whether a job that is to be refused is stored already, in milliseconds. */
+const CONFIRMATION_TIMEOUT_MILLISECONDS = 400
+/** Maximum number of such questions that are open because of excess submissions. */
+const MAXIMUM_EXCESS_CONFIRMATIONS = 32
+/** Range from which the time of return of excess submissions is drawn, in seconds. */
+const EXCESS_RETURN_SECONDS = { minimum: 1, maximum: 3 }
 /** Number of accepted jobs, and of final states, that an instance caches. */
 const MAXIMUM_CACHED_JOBS = 20_000
 /** Time after which a refused caller should retry, in seconds: callers wait a few seconds in total, and the log may recover at any moment. */
@@ -28,7 +37,7 @@
   /** The job was not stored and will never run. */
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterSeconds: number }
   /** The job may be stored; a retry with the same identity submits the same job. */
-  | { readonly kind: 'unknown' }
+  | { readonly kind: 'unknown', readonly retryAfterSeconds?: number }
   /** A job of another organisation has the identity; this one was not stored and will never run. */
   | { readonly kind: 'identityTaken' }
   | AccessDenial
@@ -53,6 +62,12 @@
   countWaitingJobs (queue: string, timeoutMilliseconds: number): Promise<number | undefined>
 }
 
+/** Admission of the jobs of organisations by what can be served. */
+export interface AdmissionServices {
+  readonly admission: Pick<SubmissionAdmission, 'decide'>
+  readonly refusals: Pick<RefusalLog, 'report'>
+}
+
 /** Serves the job operations of callers: stores submissions and cancellations in the log, and obtains job states and counts from the active scheduler. */
 export class JobService extends DisposableObject {
   private readonly appender: SubmissionAppender
@@ -60,8 +75,10 @@
   private readonly accepted = new BoundedMap<JobOwner>(MAXIMUM_CACHED_JOBS)
   private readonly finalStates = new BoundedMap<JobOwner & { readonly state: JobState }>(MAXIMUM_CACHED_JOBS)
 
-  /** `findOrganisation` returns an organisation by name from the configuration in force. */
-  constructor (log: RecordLog, private readonly scheduler: SchedulerQueries, private readonly logger: Logger, random: Random, private readonly now: () => number, private readonly findOrganisation: (name: string) => Organisation | undefined = () => undefined) {
+  private openExcessConfirmations = 0
+
+  /** `findOrganisation` returns an organisation by name from the configuration in force. Without `admission`, only jobs that can never run are refused. */
+  constructor (log: RecordLog, private readonly scheduler: SchedulerQueries, private readonly logger: Logger, private readonly random: Random, private readonly now: () => number, private readonly findOrganisation: (name: string) => Organisation | undefined = () => undefined, private readonly admission?: AdmissionServices) {
     super()
     this.appender = this.register(new SubmissionAppender(log, random.integerBelow(SUBMISSION_PARTITIONS), (reason, count) => logger.warn('submissions could not be stored', { reason, count }), now))
   }
@@ -85,12 +102,17 @@
     if (known !== undefined) return { kind: mayAccess(caller, known.organisation) ? 'accepted' : 'identityTaken' }
     const organisation = caller.organisation === undefined ? undefined : this.findOrganisation(caller.organisation)
     const excess = organisation === undefined ? undefined : exceedsCap(job, organisation)
-    if (excess !== undefined) return this.refuse(identity, `the job can never run: ${excess}`)
+    if (excess !== undefined) return await this.refuseUnlessStored(identity, access, () => this.refuse(identity, `the job can never run: ${excess}`))
     const startedAt = this.now()
     if (this.appender.isStalled) return this.refuse(identity, 'the log is away')
+    if (organisation !== undefined) {
+      const refusal = await this.findRefusal(identity, organisation.name, queue, job, timeLimitMilliseconds, access)
+      if (refusal !== undefined) return refusal
+    }
     const owner = caller.organisation === undefined ? {} : { organisation: caller.organisation }
     const value = encodeRecord({ queue: queue.name, pool: queue.pool, policy: recordedPolicy(queue), ...owner, job, acceptedAt: Date.now() })
-    const outcome = await this.appender.append({ key: identity, value }, Math.max(0, timeLimitMilliseconds - RESPONSE_MARGIN_MILLISECONDS), () => isStillGranted(access, caller))
+    const timeLeft = timeLimitMilliseconds - (this.now() - startedAt)
+    const outcome = await this.appender.append({ key: identity, value }, Math.max(0, timeLeft - RESPONSE_MARGIN_MILLISECONDS), () => isStillGranted(access, caller))
     if (outcome === 'refused') return findDenial(access, 'write') ?? this.refuse(identity, 'the log did not take the job')
     if (outcome === 'unknown') {
       this.logger.warn('job of unknown acceptance', { job: identity })
@@ -101,6 +123,21 @@
     return { kind: 'accepted' }
   }
 
+  /** Refuses a job of an organisation that has too many submissions in process at this instance, without reading it. */
+  async refuseExcess (identity: string, organisation: string, access: CallAccess): Promise<SubmitResult> {
+    const { minimum, maximum } = EXCESS_RETURN_SECONDS
+    const retryAfterSeconds = minimum + this.random.integerBelow(maximum - minimum + 1)
+    if (this.accepted.get(identity) === undefined && this.openExcessConfirmations >= MAXIMUM_EXCESS_CONFIRMATIONS) return { kind: 'unknown', retryAfterSeconds }
+    this.openExcessConfirmations += 1
+    const result = await this.refuseUnlessStored(identity, access, () => {
+      const reason = `${organisation} has too many submissions in process at this instance`
+      this.admission?.refusals.report(identity, organisation, 'tooMany', reason, 1000 * retryAfterSeconds)
+      return { kind: 'refused', reason, retryAfterSeconds }
+    })
+    this.openExcessConfirmations -= 1
+    return result.kind === 'unknown' ? { ...result, retryAfterSeconds } : result
+  }
+
   /** Cancels a job; resolves once the cancellation is stored. */
   async cancel (identity: string, timeLimitMilliseconds: number, access: CallAccess = UNRESTRICTED_ACCESS): Promise<CancelResult> {
     const startedAt = this.now()
@@ -151,6 +188,34 @@
     return owner !== undefined && mayAccess(caller, owner.organisation)
   }
 
+  /** Returns the refusal of a job that its organisation cannot have served; undefined if the job is admitted. */
+  private async findRefusal (identity: string, organisation: string, queue: Queue, job: StepJob, timeLimitMilliseconds: number, access: CallAccess): Promise<SubmitResult | undefined> {
+    const outcome = await this.admission?.admission.decide(identity, organisation, queue, job, timeLimitMilliseconds)
+    if (outcome === undefined || outcome.kind === 'admitted') return undefined
+    if (outcome.kind === 'stored') return this.confirmStored(identity, outcome, access)
+    const reason = describeRefusal(organisation, outcome.cause)
+    this.admission?.refusals.report(identity, organisation, outcome.cause, reason, outcome.returnMilliseconds)
+    return { kind: 'refused', reason, retryAfterSeconds: Math.ceil(outcome.returnMilliseconds / 1000) }
+  }
+
+  /** Refuses a job unless it is stored, by another instance or before its cap was lowered. If that cannot be known, the result is `unknown`. */
+  private async refuseUnlessStored (identity: string, access: CallAccess, refuse: () => SubmitResult): Promise<SubmitResult> {
+    const known = this.accepted.get(identity)
+    if (known !== undefined) return this.confirmStored(identity, known, access)
+    const status = await this.scheduler.getJobStatus(identity, CONFIRMATION_TIMEOUT_MILLISECONDS)
+    if (status === undefined || status.state === 'unsure') return { kind: 'unknown' }
+    return status.state === 'unknown' ? refuse() : this.confirmStored(identity, status, access)
+  }
+
+  /** Accepts the retry of a stored job. The key of the caller may have been withdrawn during a wait. */
+  private confirmStored (identity: string, { organisation }: JobOwner, access: CallAccess): SubmitResult {
+    const decision = access.check('write')
+    if (decision.kind === 'refused') return deny(decision.reason)
+    if (!mayAccess(decision.caller, organisation)) return { kind: 'identityTaken' }
+    this.accepted.set(identity, organisation === undefined ? {} : { organisation })
+    return { kind: 'accepted' }
+  }
+
   private refuse (identity: string, reason: string): SubmitResult {
     this.logger.info('job refused', { job: identity, reason })
     return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS }
@@ -169,6 +234,12 @@
   }
 }
 
+function describeRefusal (organisation: string, cause: RefusalCause): string {
+  return cause === 'unservable'
+    ? `the accepted work of ${organisation} takes longer, even at its whole cap, than the job is worth waiting for`
+    : `${organisation} submits more than its rate, and its accepted work leaves no room for the job in time`
+}
+
 function deny (reason: RefusalReason): AccessDenial {
   return { kind: 'denied', reason }
 }
--- a/test/fakes/fakeCluster.ts
+++ b/test/fakes/fakeCluster.ts
@@ -431,6 +431,7 @@
         renewedAt: () => scheduler.renewedAt,
         registryReadAt: () => performance.now(),
         eligibilityChannels: () => this.eligibility.channelsOf(process),
+        onBacklog: () => {},
         onSuperseded: () => {
           scheduler.isSuperseded = true
           activeScheduler.dispose()
