--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -522,6 +522,7 @@
     if (this.isDisposed) return
     this.metrics.startCommandCompleted(outcome.kind, this.now() - sentAt)
     if (outcome.kind !== 'done') this.logger.info('start was not confirmed', { task: task.name, count: run, worker: worker.identity, code: outcome.kind, reason: 'reason' in outcome ? outcome.reason : undefined })
+    if (outcome.kind === 'refused') applyStartRefusal(task.step, worker, outcome, this.now())
     switch (outcome.kind) {
       case 'done':
         this.scheduler.onStartOutcome(task, run, 'started', this.now())
@@ -530,10 +531,6 @@
         this.scheduler.onStartOutcome(task, run, 'uncertain', this.now())
         await this.resolveUncertainStart(session, task, run)
         break
-      case 'refused':
-        applyStartRefusal(task.step, worker, outcome, this.now())
-        this.scheduler.onStartOutcome(task, run, 'notStarted', this.now())
-        break
       default:
         this.scheduler.onStartOutcome(task, run, 'notStarted', this.now())
     }
