--- a/src/cluster/eligibilityRequester.ts
+++ b/src/cluster/eligibilityRequester.ts
@@ -53,6 +53,7 @@
 export class EligibilityRequester {
   private readonly busyInstances = new Set<string>()
   private readonly health = new ChannelHealth()
+  private pendingLongRequests = 0
 
   constructor (
     private readonly scheduler: ClusterScheduler,
@@ -67,14 +68,11 @@
     const isFree = ({ instance }: EligibilityChannel): boolean => !this.busyInstances.has(instance)
     const free = this.health.selectUsable(channels, isFree, this.now())
     if (free.length === 0) return
-    const busyCount = channels.length - channels.filter(isFree).length
-    let remainingLongRequests = Math.max(1, Math.floor(channels.length * (1 - SHORT_REQUEST_CHANNEL_SHARE))) - busyCount
+    const maximumLongRequests = Math.max(1, Math.floor(channels.length * (1 - SHORT_REQUEST_CHANNEL_SHARE)))
     for (const request of this.selectRequests()) {
-      const isLong = request.expectedMilliseconds >= LONG_REQUEST_MILLISECONDS
-      if (isLong && remainingLongRequests <= 0) continue
+      if (isLong(request) && this.pendingLongRequests >= maximumLongRequests) continue
       const channel = free.pop()
       if (channel === undefined) return
-      if (isLong) remainingLongRequests -= 1
       this.send(channel, request)
     }
   }
@@ -145,9 +143,11 @@
     const eligibility = request.step.eligibility
     eligibility.isRequestPending = true
     this.busyInstances.add(channel.instance)
+    if (isLong(request)) this.pendingLongRequests += 1
     const sentAt = this.now()
     const outcome = await channel.request(request.step.name, request.workers, request.expectedMilliseconds + RESPONSE_SLACK_MILLISECONDS)
     this.busyInstances.delete(channel.instance)
+    if (isLong(request)) this.pendingLongRequests -= 1
     this.health.onOutcome(channel.instance, outcome.kind === 'failed', this.now())
     eligibility.isRequestPending = false
     if (outcome.kind === 'failed') {
@@ -170,6 +170,10 @@
   }
 }
 
+function isLong ({ expectedMilliseconds }: EligibilityRequest): boolean {
+  return expectedMilliseconds >= LONG_REQUEST_MILLISECONDS
+}
+
 function selectIdentities (workers: readonly WorkerState[]): string[] {
   return [...workers]
     .sort((left, right) => right.freeProcessors - left.freeProcessors)
--- a/test/cluster/eligibilityRequester.test.ts
+++ b/test/cluster/eligibilityRequester.test.ts
@@ -184,6 +184,31 @@
     })
   }
 
+  /** Short requests must not keep long ones from the share of the channels that those may use. */
+  it('sends as many long requests while short requests are pending as otherwise', async () => {
+    const scheduler = new ClusterScheduler(SILENT_OBSERVER)
+    const short = { ...QUEUE, name: 'short', priority: 0, eligibility: { decisionMilliseconds: 10, perWorkerMilliseconds: 0, ticketMilliseconds: 2500 } }
+    scheduler.configure({ revision: 1, queues: [QUEUE, short], organisations: [], pools: [], maximumBodyBytes: 1000 })
+    addWorkers(scheduler, ['w1'])
+    const add = (identity: string, queue: string): void => {
+      scheduler.addJob(identity, { queue, pool: 'pool', job: stepJobSchema.parse({ specification: '', steps: [{ count: 1, processorsThousandths: 1000 }] }), acceptedAt: Date.now() }, 0)
+    }
+    const requested: string[] = []
+    const channels = ['a', 'b', 'c', 'd'].map((instance): EligibilityChannel => ({
+      instance,
+      request: async stepName => {
+        requested.push(stepName)
+        return await new Promise(() => {})
+      }
+    }))
+    const requester = new EligibilityRequester(scheduler, () => channels, () => {}, () => 0)
+    for (const [identity, queue] of [['short1', 'short'], ['short2', 'short'], ['long1', 'queue'], ['long2', 'queue'], ['long3', 'queue']] as const) {
+      add(identity, queue)
+      requester.sendRequests()
+    }
+    assert.deepEqual(requested, ['short1.0.0', 'short2.0.0', 'long1.0.0', 'long2.0.0'])
+  })
+
   /** A step whose tasks are kept apart may have room on workers that can take none of its tasks any more. After a takeover, few workers have reported at the first request. */
   const APART: ReadonlyArray<{ readonly name: string, readonly step: object, readonly placed: number, readonly placedLater: number }> = [
     { name: 'a gang', step: { count: 3, gang: true }, placed: 0, placedLater: 3 },
