--- a/test/fuzz/faultsMain.ts
+++ b/test/fuzz/faultsMain.ts
@@ -1,5 +1,5 @@
 import { cac } from 'cac'
-import { INJECTED_CLUSTER_FAULTS, INJECTED_CRASH_FAULTS, INJECTED_GANG_FAULTS, INJECTED_ORGANISATION_FAULTS, INJECTED_PREEMPTION_FAULTS, INJECTED_SERVING_FAULTS } from './clusterFaults.js'
+import { INJECTED_CLUSTER_FAULTS, INJECTED_CRASH_FAULTS, INJECTED_GANG_FAULTS, INJECTED_ORGANISATION_FAULTS, INJECTED_PREEMPTION_FAULTS, INJECTED_RESTART_FAULTS, INJECTED_SERVING_FAULTS } from './clusterFaults.js'
 import { fuzzCluster } from './clusterFuzzer.js'
 import { fuzzCrashes } from './crashFuzzer.js'
 import { INJECTED_FAULTS } from './faults.js'
@@ -7,6 +7,7 @@
 import { fuzzGangs } from './gangFuzzer.js'
 import { fuzzOrganisations } from './organisationFuzzer.js'
 import { fuzzPreemption } from './preemptionFuzzer.js'
+import { fuzzRestarts } from './restartFuzzer.js'
 import { fuzzServing } from './servingFuzzer.js'
 
 const tool = cac('fuzz:faults')
@@ -22,6 +23,7 @@
 const TRIALS: readonly Trial[] = [
   ...INJECTED_FAULTS.map((fault): Trial => ({ ...fault, run: async (seed, runs) => await fuzz({ seed, runs, shrink: false, ...fault.options }) })),
   ...INJECTED_CLUSTER_FAULTS.map((fault): Trial => ({ ...fault, run: async (seed, runs) => await fuzzCluster({ seed, runs, shrink: false, injectFault: fault.injectFault }) })),
+  ...INJECTED_RESTART_FAULTS.map((fault): Trial => ({ ...fault, run: async (seed, runs) => await fuzzRestarts({ seed, runs, shrink: false, injectFault: fault.injectFault }) })),
   ...INJECTED_SERVING_FAULTS.map((fault): Trial => ({ ...fault, run: async (seed, runs) => await fuzzServing({ seed, runs, shrink: false, injectFault: fault.injectFault }) })),
   ...INJECTED_CRASH_FAULTS.map((fault): Trial => ({ ...fault, run: async (seed, runs) => await fuzzCrashes({ seed, runs, shrink: false, injectFault: fault.injectFault }) })),
   ...INJECTED_PREEMPTION_FAULTS.map((fault): Trial => ({ ...fault, run: async (seed, runs) => await fuzzPreemption({ seed, runs, shrink: false, injectFault: fault.injectFault }) })),
