--- a/src/cluster/stepFit.ts
+++ b/src/cluster/stepFit.ts
@@ -31,22 +31,18 @@
 }
 
 /** Returns the number of tasks of the step that fit on the worker once all its runs have ended but those of tasks that last. */
-export function countFittingTasksOnceEnded (worker: WorkerState, step: Step, headroom: number): number {
-  let { processorsThousandths, memoryMegabytes, accelerators } = worker.entry
-  for (const { step: { specification } } of worker.runs.values()) {
-    if (!specification.longRunning) continue
-    processorsThousandths -= processorsOf(specification)
-    memoryMegabytes -= specification.memoryMegabytes
-    accelerators -= specification.accelerators
-  }
-  return Math.max(0, countTasksWithin(step, processorsThousandths - headroom, memoryMegabytes, accelerators))
+export function countFittingTasksOnceEnded ({ entry, lastingProcessors, lastingMemory, lastingAccelerators }: WorkerState, step: Step, headroom: number): number {
+  return Math.max(0, countTasksWithin(step, entry.processorsThousandths - lastingProcessors - headroom, entry.memoryMegabytes - lastingMemory, entry.accelerators - lastingAccelerators))
 }
 
 /** Returns true if this many tasks of the step fit on the workers once all runs have ended but those of tasks that last. */
 export function tasksFitOnceEnded (workers: readonly WorkerState[], step: Step, count: number): boolean {
   const remaining = remainingPerWorker(step)
   let left = count
-  for (const worker of workers) left -= Math.min(remaining(worker), countFittingTasksOnceEnded(worker, step, 0))
+  for (const worker of workers) {
+    left -= Math.min(remaining(worker), countFittingTasksOnceEnded(worker, step, 0))
+    if (left <= 0) return true
+  }
   return left <= 0
 }
 
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -24,6 +24,10 @@
   urgentProcessors = 0
   /** Processors that filler work would use if enough were idle, in thousandths; not included in `usedProcessors`. */
   fillerProcessors = 0
+  /** What tasks that last use; included in the use above. */
+  lastingProcessors = 0
+  lastingMemory = 0
+  lastingAccelerators = 0
   /** Tasks that may be running on the worker, by name. */
   readonly runs = new Map<string, Task>()
   /** Tasks among `runs` under which a worker has crashed before. */
@@ -179,6 +183,11 @@
     this.usedProcessors += sign * processorsOf(step)
     this.usedMemory += sign * step.memoryMegabytes
     this.usedAccelerators += sign * step.accelerators
+    if (step.longRunning) {
+      this.lastingProcessors += sign * processorsOf(step)
+      this.lastingMemory += sign * step.memoryMegabytes
+      this.lastingAccelerators += sign * step.accelerators
+    }
     this.usageListener?.onDidChangeUsage(task.step.job, step, sign)
   }
 }
