--- a/src/cluster/channelHealth.ts
+++ b/src/cluster/channelHealth.ts
@@ -1,8 +1,11 @@
-import type { EligibilityChannel } from './eligibilityRequester.js'
-
 /** Time for which a channel is not used after a failed request while another one is healthy, in milliseconds; longer than most requests take. */
 const FAILED_CHANNEL_PAUSE_MILLISECONDS = 1000
 
+/** A channel through an instance. */
+interface InstanceChannel {
+  readonly instance: string
+}
+
 /**
  * Remembers through which instances the eligibility service did not respond, so that a step is not requested again and again through an
  * instance that cannot reach it.
@@ -18,9 +21,9 @@
   }
 
   /** Returns the channels that may be used now, the preferred ones last: those without a failure, then those that failed longest ago. */
-  selectUsable (channels: readonly EligibilityChannel[], isFree: (channel: EligibilityChannel) => boolean, now: number): EligibilityChannel[] {
-    const failedAt = ({ instance }: EligibilityChannel): number => this.failedAt.get(instance) ?? -Infinity
-    const hasRested = (channel: EligibilityChannel): boolean => now - failedAt(channel) >= FAILED_CHANNEL_PAUSE_MILLISECONDS
+  selectUsable<Channel extends InstanceChannel> (channels: readonly Channel[], isFree: (channel: Channel) => boolean, now: number): Channel[] {
+    const failedAt = ({ instance }: InstanceChannel): number => this.failedAt.get(instance) ?? -Infinity
+    const hasRested = (channel: InstanceChannel): boolean => now - failedAt(channel) >= FAILED_CHANNEL_PAUSE_MILLISECONDS
     const candidates = channels.some(hasRested) ? channels.filter(hasRested) : channels
     // Of two channels without a failure, the later one in the list is preferred: the first is the scheduler's own.
     return candidates.filter(isFree).sort((left, right) => compare(failedAt(right), failedAt(left)))
