--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -458,7 +458,7 @@
 
   private onEnded (task: Task, worker: WorkerState, end: EndReport, now: number): void {
     this.observer.onDidEndRun(task, worker, end.kind, now - task.startedAt)
-    if (end.kind === 'stopped') this.preemption.onStopped(now - task.stopConfirmedAt)
+    this.preemption.onEnded(task, worker, end.kind, now)
     const job = task.step.job
     this.markStarted(job)
     if (task.crashEvidence.isSuspect) task.step.hasClearedSuspect = true
--- a/src/cluster/preemption/preemptionController.ts
+++ b/src/cluster/preemption/preemptionController.ts
@@ -1,9 +1,11 @@
 import type { Step, Task } from '../job.js'
 import { sortByPlacementOrder, type PlacementPass, type PlannedRun } from '../placementPass.js'
+import type { EndKind } from '../workerPort.js'
 import { processorsOf, type WorkerState } from '../workerState.js'
 import { LossBudget } from './lossBudget.js'
 import { PreemptionHistory } from './preemptionHistory.js'
 import { PreemptionPlanner, type OrganisationShares, type Preemption, type PreemptionReason } from './preemptionPlanner.js'
+import { RestoreEstimator } from './restoreEstimator.js'
 import { StopEstimator } from './stopEstimator.js'
 import type { HeldAmounts } from './workerRoom.js'
 
@@ -55,14 +57,19 @@
   private readonly history = new PreemptionHistory()
   private readonly budget = new LossBudget()
   private readonly stops = new StopEstimator()
+  private readonly restores = new RestoreEstimator()
   private plannedAt = -Infinity
 
   /** `shares` tells the organisations of jobs and what they use; without it, runs are preempted by priority only. */
   constructor (private readonly host: PreemptionHost, private readonly shares?: OrganisationShares) {}
 
-  /** Handles the end of a run that was stopped, `milliseconds` after its worker had confirmed the stop. */
-  onStopped (milliseconds: number): void {
-    this.stops.observe(milliseconds)
+  /** Handles the end of a run on a worker, before the state of its task changes. */
+  onEnded (task: Task, worker: WorkerState, kind: EndKind, now: number): void {
+    if (kind === 'stopped') {
+      this.stops.observe(now - task.stopConfirmedAt)
+      this.restores.onStopped(task, worker, now)
+    }
+    if (kind === 'done') this.restores.onDone(task, worker, now)
   }
 
   /** Places steps with `placeSteps`: first those for which room is held, then the others, which do not see that room as free. */
@@ -107,6 +114,7 @@
       organisationsInFlight: new Set([...this.holds.values()].flatMap(hold => hold.preemptedOrganisations)),
       shares: this.shares,
       stopMilliseconds: this.stops.milliseconds,
+      restoreMilliseconds: this.restores.milliseconds,
       lossBudget: this.budget.remaining,
       stopBudget: Math.max(MINIMUM_STOP_LIMIT, MAXIMUM_STOPS_PER_WORKER * this.host.workers.size) - this.countStopsInFlight()
     }, now)
--- a/src/cluster/preemption/preemptionPlanner.ts
+++ b/src/cluster/preemption/preemptionPlanner.ts
@@ -56,6 +56,7 @@
   readonly organisationsInFlight: ReadonlySet<string>
   readonly shares: OrganisationShares | undefined
   readonly stopMilliseconds: number
+  readonly restoreMilliseconds: number
   /** Unsaved work that may be thrown away, in core-milliseconds. */
   readonly lossBudget: number
   /** Number of runs that may be stopped. */
@@ -90,7 +91,7 @@
   private stopBudget: number
 
   constructor (private readonly context: PreemptionContext, private readonly now: number) {
-    this.selector = new VictimSelector(context.workers, context.priorityOf, context.history, context.stopMilliseconds, now)
+    this.selector = new VictimSelector(context.workers, context.priorityOf, context.history, context.stopMilliseconds, context.restoreMilliseconds, now)
     this.takenOrganisations = new Set(context.organisationsInFlight)
     this.lossBudget = context.lossBudget
     this.stopBudget = context.stopBudget
--- a/src/cluster/preemption/victim.ts
+++ b/src/cluster/preemption/victim.ts
@@ -7,8 +7,6 @@
 export const LATE_BENEFIT_SHARE = 0.2
 /** Thousandths of a core that an accelerator counts as. */
 const PROCESSORS_PER_ACCELERATOR = 8000
-/** Work that is repeated or waits for input after a start with a checkpoint, in milliseconds. */
-const RESTORE_MILLISECONDS = 600
 /** Assumed wait of a preempted task for other capacity, in milliseconds. */
 const EXPECTED_WAIT_MILLISECONDS = 1000
 /** Shortest time from the start of a run until it may be preempted, in milliseconds. */
@@ -63,6 +61,8 @@
     private readonly priorityOf: (step: Step) => number,
     private readonly history: PreemptionHistory,
     private readonly stopMilliseconds: number,
+    /** Cost of a start from a checkpoint. */
+    private readonly restoreMilliseconds: number,
     private readonly now: number
   ) {}
 
@@ -85,11 +85,11 @@
       const remaining = remainingRunMilliseconds(task, worker, this.now)
       // Waiting for a run that ends soon is cheaper than stopping it.
       if (remaining <= this.stopMilliseconds) return undefined
-      const lost = checkpointable ? RESTORE_MILLISECONDS : this.workedMilliseconds(task, worker)
+      const lost = checkpointable ? this.restoreMilliseconds : this.workedMilliseconds(task, worker)
       if (!checkpointable) unsaved += coresOf(step) * lost
       latestEnd = Math.max(latestEnd, remaining + lost)
     }
-    const idle = tasks.length * coresOf(step) * (this.stopMilliseconds + (checkpointable ? RESTORE_MILLISECONDS : 0))
+    const idle = tasks.length * coresOf(step) * (this.stopMilliseconds + (checkpointable ? this.restoreMilliseconds : 0))
     return { tasks, step, priority: this.priorityOf(step), unsaved, cost: unsaved + idle + this.lostBenefit(step, latestEnd) }
   }
 
