--- a/src/contracts/clusterRecords.ts
+++ b/src/contracts/clusterRecords.ts
@@ -1,6 +1,7 @@
 import { Packr } from 'msgpackr'
+import { z } from 'zod'
 import type { QueuePolicy } from './clusterConfiguration.js'
-import type { StepJob, JobState } from './stepJob.js'
+import { checkStepOrder, jobStepSchema, stepJobSchema, type StepJob, type JobState } from './stepJob.js'
 
 /**
  * Progress of one task that is not done: index, last run, worker (empty if none), number of failed runs, checkpoint (empty if none), evidence that
@@ -49,6 +50,14 @@
   readonly successor?: string
 }
 
+/** What a submission must hold to be scheduled. Fields of later versions are allowed. */
+const submissionSchema = z.object({
+  queue: z.string(),
+  pool: z.string(),
+  acceptedAt: z.number(),
+  job: z.object({ ...stepJobSchema.shape, steps: z.array(z.object(jobStepSchema.shape)).min(1) }).superRefine(checkStepOrder)
+})
+
 const packer = new Packr({ useRecords: false })
 
 /** Encodes a record for the log. */
@@ -59,19 +68,37 @@
 /** Decodes a submission written by `encodeRecord`; undefined if the bytes hold no submission. */
 export function decodeSubmission (value: Uint8Array): SubmissionRecord | undefined {
   const record = unpackObject(value)
-  return typeof record?.queue === 'string' && typeof record.pool === 'string' && Array.isArray(record.job?.steps) ? record as SubmissionRecord : undefined
+  return submissionSchema.safeParse(record).success ? record as unknown as SubmissionRecord : undefined
 }
 
 /** Decodes the progress of a job written by `encodeRecord`; undefined if the bytes hold no progress. */
 export function decodeProgress (value: Uint8Array): ProgressRecord | undefined {
   const record = unpackObject(value)
-  return typeof record?.state === 'string' && Array.isArray(record.occurrences) ? record as ProgressRecord : undefined
+  return typeof record?.state === 'string' && isListOf(record.occurrences, isOccurrenceRow) ? record as ProgressRecord : undefined
 }
 
 /** Decodes a leadership record written by `encodeRecord`; undefined if the bytes hold none. */
 export function decodeLeadership (value: Uint8Array): LeadershipRecord | undefined {
   const record = unpackObject(value)
-  return typeof record?.term === 'number' && typeof record.incarnation === 'string' ? record as LeadershipRecord : undefined
+  return typeof record?.term === 'number' && typeof record.incarnation === 'string' && typeof record.address === 'string' ? record as LeadershipRecord : undefined
+}
+
+function isOccurrenceRow (row: unknown): boolean {
+  return Array.isArray(row) && typeof row[0] === 'number' && isListOf(row[1], isStepRow)
+}
+
+function isStepRow (row: unknown): boolean {
+  return Array.isArray(row) && Array.isArray(row[0]) && isListOf(row[1], isTaskRow)
+}
+
+function isTaskRow (row: unknown): boolean {
+  if (!Array.isArray(row)) return false
+  const [index, run, worker, failures, checkpoint] = row
+  return typeof index === 'number' && typeof run === 'number' && typeof worker === 'string' && typeof failures === 'number' && typeof checkpoint === 'string'
+}
+
+function isListOf (value: unknown, isItem: (item: unknown) => boolean): boolean {
+  return Array.isArray(value) && value.every(isItem)
 }
 
 /** Returns the unpacked object; undefined if the bytes hold something else. Only the fields that callers check are known to be of their type. */
--- a/src/contracts/stepJob.ts
+++ b/src/contracts/stepJob.ts
@@ -57,13 +57,16 @@
   firstDueMilliseconds: amount.default(0),
   /** Time from one occurrence to the next, in milliseconds. */
   intervalMilliseconds: amount.default(0)
-}).superRefine((job, context) => {
+}).superRefine(checkStepOrder)
+export type StepJob = z.infer<typeof stepJobSchema>
+
+/** Reports the steps that are to run after one that is not an earlier step. */
+export function checkStepOrder (job: { readonly steps: ReadonlyArray<Pick<JobStep, 'after'>> }, context: z.RefinementCtx): void {
   job.steps.forEach((step, index) => {
     if (step.after.every(earlier => earlier < index)) return
     context.addIssue({ code: 'custom', path: ['steps', index, 'after'], message: 'names a step that is not an earlier one' })
   })
-})
-export type StepJob = z.infer<typeof stepJobSchema>
+}
 
 /** States of a job as shown to callers. */
 export type JobState = 'pending' | 'running' | 'completed' | 'failed' | 'cancelled'
--- a/src/links/clusterLink.ts
+++ b/src/links/clusterLink.ts
@@ -131,8 +131,14 @@
 
 /** Opens a link. Resolves with 'refused' if the peer's host refuses the connection, and with 'silent' on any other failure, such as a timeout. */
 export async function openClusterLink (address: string, logger: Logger, now: () => number): Promise<ClusterLink | 'refused' | 'silent'> {
+  let socket: WebSocket
+  try {
+    socket = new WebSocket(`ws://${address}`, { handshakeTimeout: OPEN_TIMEOUT_MILLISECONDS, maxPayload: MAXIMUM_FRAME_BYTES, perMessageDeflate: false })
+  } catch (error) {
+    logger.warn('the address of a link is malformed', { address, reason: describeError(error) })
+    return 'silent'
+  }
   return await new Promise(resolve => {
-    const socket = new WebSocket(`ws://${address}`, { handshakeTimeout: OPEN_TIMEOUT_MILLISECONDS, maxPayload: MAXIMUM_FRAME_BYTES, perMessageDeflate: false })
     const onError = (error: Error & { code?: string }): void => {
       socket.terminate()
       resolve(error.code === 'ECONNREFUSED' ? 'refused' : 'silent')
--- a/test/cluster/instanceLinks.test.ts
+++ b/test/cluster/instanceLinks.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
 import { describe, it } from 'node:test'
+import { pack } from 'msgpackr'
+import { WebSocket } from 'ws'
 import { Logger } from '../../src/base/logger.js'
 import { Random } from '../../src/base/random.js'
 import { InstanceLinks } from '../../src/cluster/instanceLinks.js'
@@ -70,4 +73,39 @@
     while (exited.length === 0 && performance.now() < endsAt) await new Promise(resolve => setTimeout(resolve, 5))
     assert.deepEqual(exited, ['holder-0'])
   }))
+
+  /** Guards against one record that ends every process that reads it. */
+  for (const address of ['', ':', 'a b:1', 'a#b', '127.0.0.1:99999', 'ws://127.0.0.1:1']) {
+    it(`keeps trying if the holder's address is '${address}'`, async () => await withPair(async (_holder, record, other) => {
+      other.setHolder({ ...record, incarnation: 'holder-0', address })
+      await new Promise(resolve => setTimeout(resolve, 5))
+      other.setHolder(record)
+      assert.equal(await queryUntilAnswered(other), 'aa at holder of acme')
+    }))
+  }
+
+  /** Guards against a frame that ends the process which receives it. */
+  const FRAMES: ReadonlyArray<{ readonly name: string, readonly frame: Buffer | string }> = [
+    { name: 'empty', frame: Buffer.alloc(0) },
+    { name: 'text', frame: '{"type":"hello"}' },
+    { name: 'not msgpack', frame: Buffer.from([0xc1, 0xff]) },
+    { name: 'truncated', frame: pack({ type: 'stateQuestion', id: 1, job: 'aa' }).subarray(0, 9) },
+    { name: 'no object', frame: pack(null) },
+    { name: 'of an unknown type', frame: pack({ type: 'stop' }) },
+    { name: 'lacking its fields', frame: pack({ type: 'eligibilityQuestion', id: 1 }) },
+    { name: 'with fields of other types', frame: pack({ type: 'waitingQuestion', id: 'one', queue: {} }) },
+    { name: 'nested deeply', frame: Buffer.alloc(200_000, 0x91) },
+    { name: 'too large', frame: Buffer.alloc(300_000, 0x91) }
+  ]
+  for (const { name, frame } of FRAMES) {
+    it(`closes a link after a frame that is ${name}, and serves the others`, async () => await withPair(async (_holder, record, other) => {
+      other.setHolder(record)
+      const socket = new WebSocket(`ws://${record.address}`)
+      await once(socket, 'open')
+      socket.on('error', () => {})
+      socket.send(frame)
+      await once(socket, 'close')
+      assert.equal(await queryUntilAnswered(other), 'aa at holder of acme')
+    }))
+  }
 })
