--- a/test/cluster/clusterInstance.test.ts
+++ b/test/cluster/clusterInstance.test.ts
@@ -251,6 +251,33 @@
     assert.deepEqual(await stateFor(restarted, 'first-key'), denied)
   }))
 
+  /** Guards against state from before a restart of all instances: snapshots of the log show neither withdrawn keys nor workers that have left. */
+  it('uses neither a key that was withdrawn nor a worker that left while no instance was running', async () => await withCluster(async cluster => {
+    const cap = { processorsThousandths: 0, memoryMegabytes: 0, accelerators: 0 }
+    const accessOf = (instance: ClusterInstance, key: string): CallAccess => instance.accessControl.accessOf(`Bearer ${key}`, ({ queues }) => queues[0] ?? queue)
+    cluster.publish(5, [{ name: 'acme', apiKeys: ['first-key'], weight: 1, cap }])
+    const left = cluster.addWorker('left', 20)
+    const first = await cluster.start('one')
+    await waitUntil(async () => (await first.jobService.submit(JOB, queue, job, 3000, accessOf(first, 'first-key'))).kind === 'accepted')
+    await waitUntil(async () => await first.jobService.getState(JOB, 3000) === 'completed')
+    first.dispose()
+    cluster.publish(6, [{ name: 'acme', apiKeys: ['second-key'], weight: 1, cap }])
+    cluster.log.write('workers', 'left', undefined)
+    const startsBefore = left.started.length
+    const stayed = cluster.addWorker('stayed', 20)
+    const restarted = await cluster.start('one')
+    const decisions = new Set<string>()
+    await waitUntil(async () => {
+      const decision = accessOf(restarted, 'first-key').check('write')
+      decisions.add(decision.kind === 'refused' ? decision.reason : decision.kind)
+      return (await restarted.jobService.submit('00000000000000cc', queue, job, 3000, accessOf(restarted, 'second-key'))).kind === 'accepted'
+    })
+    await waitUntil(async () => await restarted.jobService.getState('00000000000000cc', 3000) === 'completed')
+    assert.ok(!decisions.has('granted'))
+    assert.deepEqual(accessOf(restarted, 'first-key').check('write'), { kind: 'refused', reason: 'unknown' })
+    assert.deepEqual([left.started.length, stayed.started.length], [startsBefore, 2])
+  }))
+
   it('refuses submissions while its reading of the keys is too old, and accepts them at once when the log is back', async () => await withCluster(async cluster => {
     const cap = { processorsThousandths: 0, memoryMegabytes: 0, accelerators: 0 }
     cluster.publish(5, [{ name: 'acme', apiKeys: ['key'], weight: 1, cap }])
