--- a/src/links/httpConnection.ts
+++ b/src/links/httpConnection.ts
@@ -21,6 +21,11 @@
     socket.destroySoon = () => { this.close() }
   }
 
+  /** Whether the peer has sent nothing yet. */
+  get isFresh (): boolean {
+    return this.socket.bytesRead === 0
+  }
+
   /** Number of requests whose response is not complete yet. */
   get pendingRequests (): number {
     return this.responses.length
--- a/src/links/httpServer.ts
+++ b/src/links/httpServer.ts
@@ -5,7 +5,7 @@
 import { DisposableObject, toDisposable } from '../base/disposable.js'
 import { HttpConnection, LINGER_TIMEOUT_MILLISECONDS } from './httpConnection.js'
 
-/** Interval without a new connection after which the server stops listening; a client that reconnects after a response does so sooner. */
+/** Interval without a new connection or a complete response after which the server stops listening; a client that reconnects after a response does so sooner. */
 const ACCEPT_QUIET_MILLISECONDS = 20
 /** Longest wait for such an interval. */
 const ACCEPT_QUIET_TIMEOUT_MILLISECONDS = 200
@@ -13,8 +13,10 @@
 const BACKLOG_TIMEOUT_MILLISECONDS = 2000
 /** Largest number of connections that wait to be accepted. */
 const BACKLOG_CONNECTIONS = 511
-/** Shortest time that a connection without a request stays open after the server stops listening. */
+/** Shortest time that an idle connection stays open after the server stops listening. */
 const MINIMUM_IDLE_MILLISECONDS = 200
+/** Time before the deadline until which a connection stays open whose client, which may be held up, has sent nothing yet. */
+const FRESH_CLOSE_MILLISECONDS = 200
 
 /** HTTP server with a graceful shutdown that aborts no request in flight. */
 export class HttpServer extends DisposableObject {
@@ -27,6 +29,7 @@
   private isDeferring = false
   private isClosing = false
   private acceptedConnections = 0
+  private completedResponses = 0
 
   constructor (private readonly handler: RequestListener) {
     super()
@@ -77,7 +80,7 @@
     this.closeAfterResponses()
     const startedAt = performance.now()
     const latest = Math.min(deadline - LINGER_TIMEOUT_MILLISECONDS, startedAt + BACKLOG_TIMEOUT_MILLISECONDS)
-    await this.waitForAcceptPause(Math.min(latest, startedAt + ACCEPT_QUIET_TIMEOUT_MILLISECONDS), async () => { await delay(ACCEPT_QUIET_MILLISECONDS) })
+    await this.waitForQuiet(Math.min(latest, startedAt + ACCEPT_QUIET_TIMEOUT_MILLISECONDS))
     await this.acceptBacklog(latest)
     // `close` of node:http also destroys idle connections, and requests that have already arrived on them.
     SocketServer.prototype.close.call(this.server)
@@ -92,14 +95,16 @@
     await this.stopListening(deadline)
     this.isDeferring = false
     for (const handle of this.deferredRequests.splice(0)) handle()
-    const drainingAt = performance.now()
-    const closeAt = Math.max(deadline - LINGER_TIMEOUT_MILLISECONDS, Math.min(deadline, drainingAt + MINIMUM_IDLE_MILLISECONDS))
-    await this.waitUntilClosed(Math.min(closeAt, drainingAt + this.server.keepAliveTimeout))
-    await readArrivedRequests()
-    for (const connection of this.connections.values()) connection.closeIfIdle()
-    await this.waitUntilClosed(closeAt)
-    await readArrivedRequests()
-    for (const connection of this.connections.values()) connection.closeUnlessResponding()
+    const idleUntil = performance.now() + this.server.keepAliveTimeout
+    const earliest = Math.min(deadline, performance.now() + MINIMUM_IDLE_MILLISECONDS)
+    const closeAt = Math.max(deadline - LINGER_TIMEOUT_MILLISECONDS, earliest)
+    await this.closeAt(Math.min(closeAt, idleUntil), connection => {
+      if (!connection.isFresh || idleUntil <= closeAt) connection.closeIfIdle()
+    })
+    await this.closeAt(closeAt, connection => {
+      if (!connection.isFresh) connection.closeUnlessResponding()
+    })
+    await this.closeAt(Math.max(deadline - FRESH_CLOSE_MILLISECONDS, earliest), connection => connection.closeUnlessResponding())
     await this.waitUntilClosed(deadline)
     let abortedRequests = 0
     for (const connection of this.connections.values()) abortedRequests += connection.pendingRequests
@@ -107,28 +112,40 @@
     return abortedRequests
   }
 
-  /** Resolves after a pause during which no connection was accepted, or at `latest`. */
-  private async waitForAcceptPause (latest: number, pause: () => Promise<void>): Promise<void> {
-    for (let accepted = -1; accepted !== this.acceptedConnections && performance.now() < latest;) {
-      accepted = this.acceptedConnections
-      await pause()
+  /** Number of events after which a client may connect: one that has connected may be one of many, one that has its response may connect again. */
+  private get connectionCauses (): number {
+    return this.acceptedConnections + this.completedResponses
+  }
+
+  /** Resolves after an interval without a new connection or a complete response, or at `latest`. */
+  private async waitForQuiet (latest: number): Promise<void> {
+    for (let causes = -1; causes !== this.connectionCauses && performance.now() < latest;) {
+      causes = this.connectionCauses
+      await delay(ACCEPT_QUIET_MILLISECONDS)
     }
   }
 
   /**
-   * Accepts connections until none is left, at the latest at `latest`. After a pause of the process `latest` may have passed
-   * already; the connections that were waiting then are accepted nevertheless.
+   * Accepts connections until none is left and no client has just got a response, at the latest at `latest`. After a pause of
+   * the process `latest` may have passed already; the connections that were waiting then are accepted nevertheless.
    */
   private async acceptBacklog (latest: number): Promise<void> {
     // The event loop accepts one connection per iteration, and timers run before it does.
     await nextIteration()
-    let accepted = -1
-    for (let iterations = 0; accepted !== this.acceptedConnections && (iterations < BACKLOG_CONNECTIONS || performance.now() < latest); iterations += 1) {
-      accepted = this.acceptedConnections
+    let causes = -1
+    for (let iterations = 0; causes !== this.connectionCauses && (iterations < BACKLOG_CONNECTIONS || performance.now() < latest); iterations += 1) {
+      causes = this.connectionCauses
       await nextIteration()
     }
   }
 
+  /** Calls `close` with each connection at a time (monotonic milliseconds), after what has arrived until then has been read. */
+  private async closeAt (time: number, close: (connection: HttpConnection) => void): Promise<void> {
+    await this.waitUntilClosed(time)
+    await readArrivedRequests()
+    for (const connection of this.connections.values()) close(connection)
+  }
+
   private async waitUntilClosed (time: number): Promise<void> {
     const remaining = time - performance.now()
     if (this.connections.size > 0 && remaining > 0) await delay(remaining, this.allClosed.signal)
@@ -155,6 +172,7 @@
       request.resume()
       return
     }
+    response.once('close', () => { this.completedResponses += 1 })
     if (this.isClosing) connection.closeAfterLastResponse()
     if (this.isDeferring) this.deferredRequests.push(() => { this.handleDeferred(request, response) })
     else this.handler(request, response)
--- a/test/links/httpServer.test.ts
+++ b/test/links/httpServer.test.ts
@@ -255,6 +255,51 @@
       }
     }
   },
+  {
+    name: 'the request of a client that reconnects after a response in the interval before the server stops listening',
+    run: async fixture => {
+      const clock = new PausedClock()
+      try {
+        const first = fixture.connect()
+        first.write(GET)
+        await fixture.waitForRequests(1)
+        const drained = fixture.drain()
+        await clock.advance(19, 19)
+        fixture.respondToAll()
+        await assertClosedAfter(first, [200])
+        await clock.advance(10, 10)
+        const second = fixture.connect()
+        second.write(GET)
+        await untilTrue(() => second.ended !== 'no' || second.socket.bytesWritten > 0)
+        while (fixture.server.isListening) await clock.advance(10, 10)
+        await fixture.waitForRequests(1)
+        fixture.respondToAll()
+        await assertClosedAfter(second, [200])
+        assert.equal(await drained, 0)
+      } finally {
+        clock.uninstall()
+      }
+    }
+  },
+  {
+    name: 'the request of a client that was held up after it had connected',
+    run: async fixture => {
+      const clock = new PausedClock()
+      try {
+        const caller = fixture.connect()
+        const drained = fixture.drain(LATE_SHUTDOWN_MILLISECONDS)
+        while (caller.socket.connecting || fixture.server.isListening) await clock.advance(10, 10)
+        await clock.advance(500, 100)
+        caller.write(GET)
+        await untilTrue(() => fixture.exchanges.length > 0 || caller.ended !== 'no')
+        fixture.respondToAll()
+        await assertClosedAfter(caller, [200])
+        assert.equal(await drained, 0)
+      } finally {
+        clock.uninstall()
+      }
+    }
+  },
   {
     name: 'a request whose response has started, and the next one on its connection',
     run: async fixture => {
