--- a/src/links/httpServer.ts
+++ b/src/links/httpServer.ts
@@ -88,7 +88,8 @@
 
   /**
    * Stops listening, responds to every request that has been read or is being read, and closes each connection after its last
-   * response. Idle connections stay open for the advertised keep-alive time, so that a request in transit still gets a response.
+   * response. Idle connections stay open for the advertised keep-alive time, so that a request in transit still gets a response;
+   * if the deadline is earlier, those that have carried a request until the time for lingering, the others almost until the deadline.
    * Resolves once all connections are closed, at the latest at `deadline` (monotonic milliseconds), with the number of aborted requests.
    */
   async drain (deadline: number): Promise<number> {
@@ -112,15 +113,15 @@
     return abortedRequests
   }
 
-  /** Number of events after which a client may connect: one that has connected may be one of many, one that has its response may connect again. */
-  private get connectionCauses (): number {
+  /** Number of events so far that other connections are likely to follow: connections often come in bursts, and a client may reconnect after its response. */
+  private get connectTriggers (): number {
     return this.acceptedConnections + this.completedResponses
   }
 
   /** Resolves after an interval without a new connection or a complete response, or at `latest`. */
   private async waitForQuiet (latest: number): Promise<void> {
-    for (let causes = -1; causes !== this.connectionCauses && performance.now() < latest;) {
-      causes = this.connectionCauses
+    for (let triggers = -1; triggers !== this.connectTriggers && performance.now() < latest;) {
+      triggers = this.connectTriggers
       await delay(ACCEPT_QUIET_MILLISECONDS)
     }
   }
@@ -132,9 +133,9 @@
   private async acceptBacklog (latest: number): Promise<void> {
     // The event loop accepts one connection per iteration, and timers run before it does.
     await nextIteration()
-    let causes = -1
-    for (let iterations = 0; causes !== this.connectionCauses && (iterations < BACKLOG_CONNECTIONS || performance.now() < latest); iterations += 1) {
-      causes = this.connectionCauses
+    let triggers = -1
+    for (let iterations = 0; triggers !== this.connectTriggers && (iterations < BACKLOG_CONNECTIONS || performance.now() < latest); iterations += 1) {
+      triggers = this.connectTriggers
       await nextIteration()
     }
   }
