--- a/src/cluster/admission/backlogMeter.ts
+++ b/src/cluster/admission/backlogMeter.ts
@@ -9,8 +9,8 @@
 /** Weight of a new sample in the mean of the processors in use. */
 const SAMPLE_WEIGHT = 0.25
 /** Maximum number of organisations, and of priorities of each, in a summary. */
-const MAXIMUM_ORGANISATIONS = 32
-const MAXIMUM_PRIORITIES = 8
+const MAXIMUM_ORGANISATIONS = 16
+const MAXIMUM_PRIORITIES = 4
 
 /** The parts of the scheduler that the backlog is computed from. */
 export type BacklogSource = Pick<ClusterScheduler, 'jobs' | 'readySteps' | 'organisations' | 'policyOf'>
@@ -81,7 +81,7 @@
   private backlogOf (organisation: string, rows: ReadonlyMap<number, QueuedWork>, now: number): OrganisationBacklog {
     const { limitThousandths, entitledThousandths, rate, spentMilliseconds } = this.source.organisations.entitlementOf(organisation, now)
     const queued = [...rows.values()].sort((left, right) => left.priority - right.priority).slice(0, MAXIMUM_PRIORITIES)
-    return { organisation, limitThousandths, servedThousandths: Math.min(limitThousandths, Math.max(entitledThousandths, this.used.get(organisation) ?? 0)), rate, spentMilliseconds, queued, returning: [] }
+    return { organisation, limitThousandths, servedThousandths: Math.round(Math.min(limitThousandths, Math.max(entitledThousandths, this.used.get(organisation) ?? 0))), rate, spentMilliseconds: Math.round(spentMilliseconds), queued, returning: [] }
   }
 }
 
--- a/src/cluster/admission/returnSchedule.ts
+++ b/src/cluster/admission/returnSchedule.ts
@@ -6,6 +6,8 @@
 /** Bounds on the time after which a refused caller returns, in milliseconds. */
 const MINIMUM_RETURN_MILLISECONDS = 1000
 const MAXIMUM_RETURN_MILLISECONDS = 60_000
+/** Maximum number of priorities by which the work of refused callers is told apart. */
+const MAXIMUM_PRIORITIES = 4
 /** Part of the service of an organisation that is given to refused callers; not all of them return. */
 const RETURN_SHARE = 0.5
 /** Time before and after its time of return in which room is left for a refused caller, in milliseconds. */
@@ -63,7 +65,11 @@
   dueWork (organisation: string, from: number, until: number): QueuedWork[] {
     const returns = this.organisations.get(organisation)
     if (returns === undefined) return []
-    return [...returns.expected.values()].filter(({ at }) => at >= from - RESERVED_MILLISECONDS && at <= until + RESERVED_MILLISECONDS).map(expected => toQueuedWork(expected, false))
+    const works = new Map<number, number>()
+    for (const { priority, work, at } of returns.expected.values()) {
+      if (at >= from - RESERVED_MILLISECONDS && at <= until + RESERVED_MILLISECONDS) works.set(priority, (works.get(priority) ?? 0) + work)
+    }
+    return [...works].map(([priority, work]) => toQueuedWork({ priority, work }, false)).slice(0, MAXIMUM_PRIORITIES)
   }
 
   private discard (returns: OrganisationReturns, now: number): void {
