--- a/src/cluster/admission/admissionController.ts
+++ b/src/cluster/admission/admissionController.ts
@@ -1,6 +1,6 @@
 import type { AdmissionReply, JobDemand, OrganisationBacklog, QueuedWork } from '../../contracts/clusterMessages.js'
 import { decideAdmission, isBeyondRate, reservedWork, toQueuedWork, type AdmissionDecision } from './admissionDecision.js'
-import { BacklogMeter, EXCEEDED_RATE_MILLISECONDS, totalWorkOf, type BacklogSource } from './backlogMeter.js'
+import { BacklogMeter, totalWorkOf, type BacklogSource } from './backlogMeter.js'
 import { ReturnSchedule } from './returnSchedule.js'
 import type { AdmissionQuestion } from './submissionAdmission.js'
 
@@ -33,8 +33,6 @@
   private readonly returns = new ReturnSchedule()
   private backlogs: ReadonlyMap<string, OrganisationBacklog> = new Map()
   private readonly unreadJobs = new Map<string, UnreadJob>()
-  /** Time of the last refusal beyond the rate by organisation. */
-  private readonly exceededAt = new Map<string, number>()
   private measuredAt = -Infinity
   private periods = 0
   private isClearPublished = true
@@ -77,16 +75,12 @@
       this.onAdmitted(job, organisation, demand, now, backlog !== undefined && isBeyondRate(backlog, this.unreadJobsOf(organisation)))
       return { ...status, refusal: 'none', returnMilliseconds: 0 }
     }
-    if (decision.cause === 'beyondRate') this.exceededAt.set(organisation, now)
     const returnMilliseconds = this.returns.assign(job, organisation, demand, decision.excessMilliseconds, backlog.servedThousandths, now)
     return { ...status, refusal: decision.cause, returnMilliseconds }
   }
 
   private measure (now: number): void {
-    this.backlogs = new Map(this.meter.measure(now).map(backlog => {
-      const isRefused = now - (this.exceededAt.get(backlog.organisation) ?? -Infinity) <= EXCEEDED_RATE_MILLISECONDS
-      return [backlog.organisation, { ...backlog, exceedsRate: backlog.exceedsRate || isRefused }]
-    }))
+    this.backlogs = new Map(this.meter.measure(now).map(backlog => [backlog.organisation, backlog]))
     this.measuredAt = now
   }
 
--- a/src/cluster/admission/admissionDecision.ts
+++ b/src/cluster/admission/admissionDecision.ts
@@ -62,11 +62,6 @@
   return { priority, inTime: isBeyondRate ? 0 : work, late: 0, overdue: 0, beyondRate: isBeyondRate ? work : 0 }
 }
 
-/** Returns the backlog as an instance uses it, which does not know what the others accept: an exceeded rate counts as spent. */
-export function assumeSpentRate (backlog: OrganisationBacklog): OrganisationBacklog {
-  return backlog.exceedsRate ? { ...backlog, spentMilliseconds: burstMillisecondsOf(backlog.rate) } : backlog
-}
-
 /** Returns whether a further job exceeds the rate of its organisation. `jobs`: number of jobs that the backlog does not contain yet. */
 export function isBeyondRate ({ rate, spentMilliseconds }: Pick<OrganisationBacklog, 'rate' | 'spentMilliseconds'>, jobs = 0): boolean {
   return rate > 0 && spentMilliseconds + (jobs + 1) * 1000 / rate > burstMillisecondsOf(rate)
--- a/src/cluster/admission/backlogMeter.ts
+++ b/src/cluster/admission/backlogMeter.ts
@@ -6,8 +6,6 @@
 const ROOM_WAIT_MILLISECONDS = 300
 /** Time for which work that has become worth nothing shows that late work is not served, in milliseconds. */
 const OVERDUE_EVIDENCE_MILLISECONDS = 2000
-/** Time for which a job beyond the rate shows that its organisation exceeds the rate, in milliseconds. */
-export const EXCEEDED_RATE_MILLISECONDS = 1000
 /** Weight of a new sample in the mean of the processors in use. */
 const SAMPLE_WEIGHT = 0.25
 /** Maximum number of organisations, and of priorities of each, in a summary. */
@@ -81,9 +79,9 @@
   }
 
   private backlogOf (organisation: string, rows: ReadonlyMap<number, QueuedWork>, now: number): OrganisationBacklog {
-    const { limitThousandths, entitledThousandths, rate, spentMilliseconds, rateExceededAt } = this.source.organisations.entitlementOf(organisation, now)
+    const { limitThousandths, entitledThousandths, rate, spentMilliseconds } = this.source.organisations.entitlementOf(organisation, now)
     const queued = [...rows.values()].sort((left, right) => left.priority - right.priority).slice(0, MAXIMUM_PRIORITIES)
-    return { organisation, limitThousandths, servedThousandths: Math.round(Math.min(limitThousandths, Math.max(entitledThousandths, this.used.get(organisation) ?? 0))), rate, spentMilliseconds: Math.round(spentMilliseconds), exceedsRate: now - rateExceededAt <= EXCEEDED_RATE_MILLISECONDS, queued, returning: [] }
+    return { organisation, limitThousandths, servedThousandths: Math.round(Math.min(limitThousandths, Math.max(entitledThousandths, this.used.get(organisation) ?? 0))), rate, spentMilliseconds: Math.round(spentMilliseconds), queued, returning: [] }
   }
 }
 
--- a/src/cluster/admission/backlogView.ts
+++ b/src/cluster/admission/backlogView.ts
@@ -1,5 +1,5 @@
 import type { BacklogSummary, JobDemand, OrganisationBacklog, QueuedWork } from '../../contracts/clusterMessages.js'
-import { assumeSpentRate, decideAdmission, isBeyondRate, reservedWork, toQueuedWork, type AdmissionDecision } from './admissionDecision.js'
+import { decideAdmission, isBeyondRate, reservedWork, toQueuedWork, type AdmissionDecision } from './admissionDecision.js'
 
 /** Age beyond which a summary is not used, in milliseconds; three times the period at which summaries are sent. */
 const MAXIMUM_AGE_MILLISECONDS = 1500
@@ -44,7 +44,7 @@
     const backlog = this.findBacklog(organisation, now)
     if (backlog === undefined) return { kind: 'admitted' }
     const accepted = this.acceptedOf(organisation)
-    return decideAdmission(demand, assumeSpentRate(backlog), { queued: [...accepted.map(({ work }) => work), ...reservedWork(backlog, demand)], jobs: accepted.filter(job => !job.isBeyondRate).length })
+    return decideAdmission(demand, backlog, { queued: [...accepted.map(({ work }) => work), ...reservedWork(backlog, demand)], jobs: accepted.filter(job => !job.isBeyondRate).length })
   }
 
   /** Returns the backlog of an organisation that waits for room; undefined if it has room, or if the summary is too old. */
--- a/src/cluster/organisations/organisations.ts
+++ b/src/cluster/organisations/organisations.ts
@@ -36,8 +36,6 @@
   /** Jobs a second that it may submit; 0 means no limit. */
   readonly rate: number
   readonly spentMilliseconds: number
-  /** When it last submitted a job beyond its rate, in milliseconds of the monotonic clock; -Infinity if it has not. */
-  readonly rateExceededAt: number
 }
 
 /** Changes the order of steps by class and objective for the sake of organisations with little of their share. */
@@ -97,8 +95,7 @@
       limitThousandths,
       entitledThousandths: Math.min(limitThousandths, this.shares.entitledProcessorsOf(organisation)),
       rate: this.rates.rateOf(organisation),
-      spentMilliseconds: this.rates.spentMilliseconds(organisation, now),
-      rateExceededAt: this.rates.lastExceededAt(organisation)
+      spentMilliseconds: this.rates.spentMilliseconds(organisation, now)
     }
   }
 
--- a/src/cluster/organisations/submissionRates.ts
+++ b/src/cluster/organisations/submissionRates.ts
@@ -21,8 +21,6 @@
   private readonly rates = new Map<string, number>()
   /** Time until which the tokens of an organisation are spent, if they were spent at its rate, in milliseconds of the monotonic clock. */
   private readonly spentUntil = new Map<string, number>()
-  /** Acceptance of the last job beyond the rate, in milliseconds of the monotonic clock. */
-  private readonly exceededAt = new Map<string, number>()
   private arrivals: Arrival[] = []
   private readonly jobsBeyondRate = new WeakSet<Job>()
 
@@ -46,12 +44,6 @@
     return this.rates.get(organisation) ?? 0
   }
 
-  /** Returns when an organisation last submitted a job beyond its rate, in milliseconds of the monotonic clock; -Infinity if it has not. */
-  lastExceededAt (organisation: string): number {
-    this.classifyArrivals()
-    return this.exceededAt.get(organisation) ?? -Infinity
-  }
-
   /** Returns the time in which the spent part of an organisation's rate becomes available again, in milliseconds. */
   spentMilliseconds (organisation: string, now: number): number {
     this.classifyArrivals()
@@ -69,10 +61,8 @@
       if (rate <= 0) continue
       const burstMilliseconds = burstMillisecondsOf(rate)
       const spentUntil = Math.max(this.spentUntil.get(name) ?? at, at) + 1000 / rate
-      if (spentUntil - at > burstMilliseconds) {
-        this.jobsBeyondRate.add(job)
-        this.exceededAt.set(name, at)
-      } else this.spentUntil.set(name, spentUntil)
+      if (spentUntil - at > burstMilliseconds) this.jobsBeyondRate.add(job)
+      else this.spentUntil.set(name, spentUntil)
     }
   }
 }
--- a/src/contracts/clusterMessages.ts
+++ b/src/contracts/clusterMessages.ts
@@ -27,8 +27,6 @@
   rate: z.number(),
   /** Time in which the spent part of its rate becomes available again, in milliseconds. */
   spentMilliseconds: z.number(),
-  /** Whether it has submitted more than its rate within the last second, so that an instance asks before it admits a job. */
-  exceedsRate: z.boolean(),
   queued: z.array(queuedWorkSchema),
   /** Work of refused callers that are due back. */
   returning: z.array(queuedWorkSchema)
