--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -1,6 +1,7 @@
 import type { ClusterConfiguration, Queue, QueuePolicy } from '../contracts/clusterConfiguration.js'
 import type { ProgressRecord, SubmissionRecord } from '../contracts/clusterRecords.js'
 import { CrashTracker, type RunLossCause } from './crashTracker.js'
+import { HeadroomExemptions } from './headroomExemptions.js'
 import { Job, Occurrence, restoreProgress, type Step, type Task } from './job.js'
 import { estimateObjective, LATE_FACTOR } from './objective.js'
 import { findOrigin } from './organisations/organisationLedger.js'
@@ -80,6 +81,7 @@
   private readonly cancelledBeforeAdd = new Set<string>()
   /** Capacity reserved for urgent work. */
   readonly headroom = new UrgentHeadroom()
+  private readonly exemptions = new HeadroomExemptions()
   /** Organisations that share the workers. */
   readonly organisations = new Organisations(this.workers)
   private pendingStops: PendingStop[] = []
@@ -383,7 +385,7 @@
   }
 
   private get placementContext (): PlacementContext {
-    return { workers: this.workers, policyOf: step => this.policyOf(step.job), headroom: this.headroom, pacing: this.serving.pacing, isolatedTasks: this.organisations.withoutCapped(this.isolatedTasks) }
+    return { workers: this.workers, policyOf: step => this.policyOf(step.job), headroom: this.headroom, exemptions: this.exemptions, pacing: this.serving.pacing, isolatedTasks: this.organisations.withoutCapped(this.isolatedTasks) }
   }
 
   private adoptRestoredRun (task: Task): void {
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -1,4 +1,5 @@
 import type { QueuePolicy } from '../contracts/clusterConfiguration.js'
+import type { HeadroomExemptions } from './headroomExemptions.js'
 import { IsolationPlan } from './isolationPlan.js'
 import type { Step, Task } from './job.js'
 import type { CapGate } from './organisations/organisationCaps.js'
@@ -42,6 +43,7 @@
   readonly workers: ReadonlyMap<string, WorkerState>
   readonly policyOf: (step: Step) => QueuePolicy
   readonly headroom: UrgentHeadroom
+  readonly exemptions: HeadroomExemptions
   readonly pacing: PacingController
   /** Tasks whose runs must share their worker with no other runs. */
   readonly isolatedTasks: ReadonlySet<Task>
@@ -70,10 +72,15 @@
   private isSiteIdle = false
   /** Whether a step may use the headroom for urgent work, because it could never be placed otherwise. */
   private readonly ignoresHeadroomByStep = new Map<Step, boolean>()
+  /** Steps of which a gang or one task may use the headroom in this pass, because they have waited for long. */
+  private exemptedSteps: ReadonlySet<Step> = new Set()
+  /** Processors of all usable workers, in thousandths. */
+  private capacity = 0
 
   private readonly workers: ReadonlyMap<string, WorkerState>
   private readonly policyOf: (step: Step) => QueuePolicy
   private readonly headroom: UrgentHeadroom
+  private readonly exemptions: HeadroomExemptions
   private readonly pacing: PacingController
   private readonly isolation: IsolationPlan
   private readonly caps: CapGate | undefined
@@ -83,6 +90,7 @@
     this.workers = context.workers
     this.policyOf = context.policyOf
     this.headroom = context.headroom
+    this.exemptions = context.exemptions
     this.pacing = context.pacing
     this.caps = context.caps
     this.fairOrder = context.fairOrder
@@ -92,6 +100,7 @@
   run (): PlannedRun[] {
     sortByPlacementOrder(this.steps, this.now, this.fairOrder)
     this.measureFreeProcessors()
+    this.exemptedSteps = this.exemptions.select(this.steps, this.now)
     for (const step of this.steps) {
       if (this.waitsForCap(step)) step.reservation = undefined
       else if (step.specification.gang) this.placeGang(step)
@@ -117,23 +126,22 @@
   }
 
   private measureFreeProcessors (): void {
-    let total = 0
     let used = 0
     for (const worker of this.workers.values()) {
       if (!worker.isUsable(this.now)) continue
-      total += worker.entry.processorsThousandths
+      this.capacity += worker.entry.processorsThousandths
       used += worker.usedProcessors
       this.maximumFreeProcessors.urgent = Math.max(this.maximumFreeProcessors.urgent, worker.freeProcessors)
       this.maximumFreeProcessors.other = Math.max(this.maximumFreeProcessors.other, worker.freeProcessors - this.headroom.reservedOn(worker))
     }
-    this.isSiteIdle = used < IDLE_SITE_SHARE * total
+    this.isSiteIdle = used < IDLE_SITE_SHARE * this.capacity
   }
 
   /** Returns true if no worker has free capacity for a task of the step. Avoids the search when the site is full and many steps wait. */
   private isFull (step: Step): boolean {
     const needed = processorsOf(step.specification)
     if (step.job.isUrgent || needed > this.maximumFreeProcessors.urgent) return needed > this.maximumFreeProcessors.urgent
-    return needed > this.maximumFreeProcessors.other && !this.ignoresHeadroom(step)
+    return needed > this.maximumFreeProcessors.other && !this.mayUseHeadroom(step)
   }
 
   private placeTasks (step: Step): void {
@@ -149,6 +157,7 @@
       if (worker === undefined) return
       perWorker.set(worker.identity, (perWorker.get(worker.identity) ?? 0) + 1)
       this.assign(task, task.run + 1, worker)
+      this.endExemption(step, 1)
     }
   }
 
@@ -171,6 +180,7 @@
         task.checkpoint = checkpoint
         this.assign(task, run, chosen[index] as WorkerState)
       })
+      this.endExemption(step, step.tasks.length)
       return
     }
     this.reserve(step)
@@ -227,7 +237,18 @@
   headroomFor (step: Step, worker: WorkerState): number {
     if (step.job.isUrgent || step.specification.filler) return 0
     const reserved = this.headroom.reservedOn(worker)
-    return reserved === 0 || this.ignoresHeadroom(step) ? 0 : reserved
+    return reserved === 0 || this.mayUseHeadroom(step) ? 0 : reserved
+  }
+
+  private mayUseHeadroom (step: Step): boolean {
+    return this.exemptedSteps.has(step) || this.ignoresHeadroom(step)
+  }
+
+  /** Ends the exemptions of this pass once tasks of an exempted step have been placed. */
+  private endExemption (step: Step, tasks: number): void {
+    if (!this.exemptedSteps.has(step)) return
+    this.exemptedSteps = new Set()
+    this.exemptions.onPlaced(step, tasks, this.capacity, this.now)
   }
 
   /**
