--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -22,8 +22,6 @@
 import { TOPICS, type KeyedRecord, type RecordLog, type StoredRecord } from './recordLog.js'
 import { isCancelKey, jobOfCancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
 import { TopicFollower } from './topicFollower.js'
-import type { HeadroomState } from './urgentHeadroom.js'
-import { describeCapacity, describeUse } from './workerDescription.js'
 import type { EndReport, WorkerEntry, WorkerPort } from './workerPort.js'
 import type { WorkerSession } from './workerSession.js'
 import { WorkerSessions } from './workerSessions.js'
@@ -215,11 +213,6 @@
     return { jobs: this.scheduler.jobs.size, readySteps: this.scheduler.readySteps.size, workers: this.scheduler.workers.size, unrecordedEnds: this.unrecordedEnds }
   }
 
-  /** Headroom for urgent work and the forecast of its demand, for logs and metrics. */
-  get headroom (): HeadroomState {
-    return this.scheduler.headroom.state
-  }
-
   onDidFinishJob (job: Job): void {
     this.metrics.jobFinished(job.state)
     this.logger.info('job finished', { job: job.identity, code: job.state, reason: job.reason, queue: job.submission.queue, durationMilliseconds: Math.round(this.now() - job.acceptedAt), objectiveMilliseconds: Math.round(job.objectiveAt - job.acceptedAt) })
@@ -386,7 +379,7 @@
 
   private onTick (): void {
     const now = this.now()
-    this.scheduler.observeLoad(now)
+    this.scheduler.observeLoad()
     this.scheduler.openDueOccurrences(now, Date.now())
     this.scheduler.moveDepartingRuns(now)
     for (const task of this.scheduler.stopStalledRuns(now)) this.logger.warn('run makes no progress; it is stopped', { task: task.name, worker: task.worker, count: task.run, reason: `${task.percent} percent` })
@@ -552,3 +545,13 @@
     if (task.phase === 'uncertain' && task.run === run) await session.stop(task.name, run)
   }
 }
+
+/** Formats what is in use of the capacity of a worker. */
+function describeUse ({ entry, usedProcessors, usedMemory, usedAccelerators }: WorkerState): string {
+  return `${usedProcessors}/${usedMemory}/${usedAccelerators} of ${describeCapacity(entry)} in use`
+}
+
+/** Formats the processors in thousandths, the memory in megabytes and the accelerators of a worker. */
+function describeCapacity ({ processorsThousandths, memoryMegabytes, accelerators }: WorkerEntry): string {
+  return `${processorsThousandths}/${memoryMegabytes}/${accelerators}`
+}
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -7,7 +7,6 @@
 import type { ClusterSettings } from '../contracts/clusterSettings.js'
 import { ActiveScheduler, type JobStateResult, type JobStatus } from './activeScheduler.js'
 import type { ClusterMetrics } from './clusterMetrics.js'
-import { DemandLog } from './demand/demandLog.js'
 import { InstanceLinks } from './instanceLinks.js'
 import { JobService, type SchedulerQueries } from './jobService.js'
 import { Leadership, RENEWAL_PERIOD_MILLISECONDS } from './leadership.js'
@@ -34,8 +33,6 @@
 const MAXIMUM_OVERLAP_MILLISECONDS = 3000
 /** Period of the checks whether to claim the scheduler role, hand it over or stop the scheduler, in milliseconds. */
 const ROLE_CHECK_PERIOD_MILLISECONDS = 50
-/** Period at which the forecast of urgent demand is looked at for the log. */
-const DEMAND_LOG_PERIOD_MILLISECONDS = 500
 /** Claim rank of an instance that can handle a whole core of the scheduler's work; the rank is inversely proportional to the capacity. */
 const RANK_OF_ONE_CORE = 4
 /** A peer with this multiple of the capacity of the active scheduler's instance takes the role over. */
@@ -81,7 +78,6 @@
   /** Renewals that have been sent and have no outcome yet. */
   private readonly pendingRenewals = new Set<Promise<void>>()
   private isResigning = false
-  private readonly demandLog: DemandLog
   private linkAddress: string
   /** Work of the active scheduler that this instance can handle, in cores. */
   private readonly capacity: number
@@ -100,7 +96,6 @@
     super()
     this.linkAddress = `${settings.link.host}:${settings.link.port}`
     this.capacity = schedulingCapacityOf(settings)
-    this.demandLog = new DemandLog(logger)
     this.leadership = new Leadership(settings.instance, this.incarnation, Math.round(RANK_OF_ONE_CORE / this.capacity), random.fraction())
     this.accessControl = new AccessControl(this, settings.keyRevocation, now)
     this.jobService = this.register(new JobService(log, this, logger, random, now, name => this.configurationInForce?.organisations.find(organisation => organisation.name === name)))
@@ -121,11 +116,6 @@
     metrics.addGauge('jobs', 'Jobs that the acting scheduler here keeps', () => this.scheduler?.counts.jobs ?? 0)
     metrics.addGauge('open_steps', 'Steps with tasks that wait for room', () => this.scheduler?.counts.readySteps ?? 0)
     metrics.addGauge('unrecorded_ends', 'Ends of runs that the acting scheduler here knows and the log does not hold', () => this.scheduler?.counts.unrecordedEnds ?? 0)
-    metrics.addGauge('urgent_use_thousandths', 'Processors that urgent work uses', () => this.scheduler?.headroom.used ?? 0)
-    metrics.addGauge('urgent_headroom_thousandths', 'Processors reserved for urgent work against other work that lasts a second', () => this.scheduler?.headroom.reserved ?? 0)
-    metrics.addGauge('urgent_demand_thousandths', 'Processors that urgent work asked for in the latest half second', () => this.scheduler?.headroom.demand ?? 0)
-    metrics.addGauge('urgent_forecast_thousandths', 'What was forecast for that half second four seconds before; 0 without a season', () => this.scheduler?.headroom.forecast ?? 0)
-    metrics.addGauge('urgent_forecast_error_thousandths', 'Mean error of the season of the demand of urgent work; 0 without a season', () => this.scheduler?.headroom.error ?? 0)
     metrics.addGauge('workers', 'Workers that the acting scheduler here knows', () => this.scheduler?.counts.workers ?? 0)
     const addOrganisationGauge = (name: string, help: string, read: (summary: OrganisationSummary) => number): void => {
       metrics.addGaugeByName(name, help, 'organisation', () => (this.scheduler?.organisations ?? []).map(summary => [summary.name, read(summary)] as const))
@@ -143,7 +133,6 @@
     this.configurationFollower.follow()
     this.registryFollower.follow()
     this.registerInterval(() => this.checkRole(), ROLE_CHECK_PERIOD_MILLISECONDS)
-    this.registerInterval(() => this.demandLog.onSample(this.scheduler?.headroom, this.now()), DEMAND_LOG_PERIOD_MILLISECONDS)
     this.registerInterval(() => this.renewIfDue(), RENEWAL_PERIOD_MILLISECONDS)
   }
 
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -174,7 +174,6 @@
     job.objectiveAt = now - age + objective
     job.lateUntil = now - age + LATE_FACTOR * objective
     this.organisations.onDidAddJob(job, now - age)
-    if (job.isUrgent) this.headroom.forecast.series.addJob(submission.job, now - age, now)
     if (job.isFinal) {
       // The record does not contain the finishing time.
       job.finishedAt = now
@@ -217,8 +216,8 @@
   }
 
   /** Samples the capacity that urgent work uses; must be called every 100 ms. */
-  observeLoad (now: number): void {
-    this.headroom.observe(this.workers.values(), now)
+  observeLoad (): void {
+    this.headroom.observe(this.workers.values())
   }
 
   /** Opens the occurrences of recurring jobs that are due. `unixMilliseconds` is the wall clock time. */
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -132,7 +132,7 @@
       this.capacity += worker.entry.processorsThousandths
       used += worker.usedProcessors
       this.maximumFreeProcessors.urgent = Math.max(this.maximumFreeProcessors.urgent, worker.freeProcessors)
-      this.maximumFreeProcessors.other = Math.max(this.maximumFreeProcessors.other, worker.freeProcessors - this.headroom.reservedOn(worker, 0))
+      this.maximumFreeProcessors.other = Math.max(this.maximumFreeProcessors.other, worker.freeProcessors - this.headroom.reservedOn(worker))
     }
     this.isSiteIdle = used < IDLE_SITE_SHARE * this.capacity
   }
@@ -214,7 +214,7 @@
     let members = 0
     for (const worker of eligible) {
       reservation.add(worker.identity)
-      members += countFittingTasksWhenEmpty(worker, step, this.ignoresHeadroom(step) ? 0 : this.headroom.reservedOnEmpty(worker, durationOn(worker, step)))
+      members += countFittingTasksWhenEmpty(worker, step, this.ignoresHeadroom(step) ? 0 : this.headroom.reservedOnEmpty(worker))
       if (members >= step.tasks.length) break
     }
     step.reservation = reservation
@@ -236,7 +236,7 @@
   /** Returns the processors that a task of the step must leave free on a worker, in thousandths. */
   headroomFor (step: Step, worker: WorkerState): number {
     if (step.job.isUrgent || step.specification.filler) return 0
-    const reserved = this.headroom.reservedOn(worker, durationOn(worker, step))
+    const reserved = this.headroom.reservedOn(worker)
     return reserved === 0 || this.mayUseHeadroom(step) ? 0 : reserved
   }
 
@@ -398,11 +398,6 @@
   return counts
 }
 
-/** Returns the expected duration of a task of the step on a worker, in milliseconds. */
-function durationOn (worker: WorkerState, step: Step): number {
-  return step.specification.estimateMilliseconds / worker.speed
-}
-
 /** Returns the number of tasks of the step that fit into the free capacity of a worker. */
 function countFittingTasks (worker: WorkerState, step: Step, headroom: number): number {
   return countTasksWithin(step, worker.freeProcessors - headroom, worker.freeMemory, worker.entry.accelerators - worker.usedAccelerators)
@@ -417,7 +412,7 @@
 export function tasksFitWhenEmpty (workers: readonly WorkerState[], step: Step, count: number, headroom: UrgentHeadroom): boolean {
   let left = count
   for (const worker of workers) {
-    left -= countFittingTasksWhenEmpty(worker, step, step.job.isUrgent ? 0 : headroom.reservedOnEmpty(worker, durationOn(worker, step)))
+    left -= countFittingTasksWhenEmpty(worker, step, step.job.isUrgent ? 0 : headroom.reservedOnEmpty(worker))
     if (left <= 0) return true
   }
   return left <= 0
