--- a/src/cluster/headroomExemptions.ts
+++ b/src/cluster/headroomExemptions.ts
@@ -7,9 +7,6 @@
 const EXEMPTED_SHARE = 0.01
 /** Maximum pause after an exemption, in milliseconds. */
 const MAXIMUM_EXEMPTION_PAUSE_MILLISECONDS = 10_000
-/** Maximum number of steps that are tried in one pass, and the time until one of them is tried again, in milliseconds. */
-const MAXIMUM_TRIED_STEPS = 8
-const RETRY_PERIOD_MILLISECONDS = 500
 
 /**
  * Bounds the time for which the headroom for urgent work alone keeps a step from starting: a gang, or one task of another step, may use the headroom
@@ -17,18 +14,24 @@
  */
 export class HeadroomExemptions {
   private nextAt = -Infinity
+  /** Time of the latest pass in which a step was tried, in milliseconds of the monotonic clock. */
   private readonly triedAt = new WeakMap<Step, number>()
 
-  /** Returns the steps that may use the headroom now, those that have waited longest first. `now` is the monotonic clock in milliseconds. */
-  select (steps: readonly Step[], now: number): Set<Step> {
-    if (now < this.nextAt) return new Set()
-    const waitOf = ({ waitingSince }: Step): number => waitingSince === undefined ? 0 : now - waitingSince
-    const selected = steps
-      .filter(step => !step.job.isUrgent && !step.specification.filler && waitOf(step) >= WAIT_FOR_EXEMPTION_MILLISECONDS && now - (this.triedAt.get(step) ?? -Infinity) >= RETRY_PERIOD_MILLISECONDS)
-      .sort((left, right) => waitOf(right) - waitOf(left))
-      .slice(0, MAXIMUM_TRIED_STEPS)
-    for (const step of selected) this.triedAt.set(step, now)
-    return new Set(selected)
+  /** Returns the step that may use the headroom in this pass: each that has waited for long in turn. `now` is the monotonic clock in milliseconds. */
+  select (steps: readonly Step[], now: number): Step | undefined {
+    if (now < this.nextAt) return undefined
+    let selected: Step | undefined
+    let earliest = now
+    for (const step of steps) {
+      const { job, specification, waitingSince } = step
+      if (job.isUrgent || specification.filler || waitingSince === undefined || now - waitingSince < WAIT_FOR_EXEMPTION_MILLISECONDS) continue
+      const turn = this.triedAt.get(step) ?? waitingSince
+      if (turn >= earliest) continue
+      selected = step
+      earliest = turn
+    }
+    if (selected !== undefined) this.triedAt.set(selected, now)
+    return selected
   }
 
   /** Records that tasks of a step have been placed by an exemption. `capacity` is that of all usable workers, in thousandths of a core. */
--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -72,8 +72,8 @@
   private isSiteIdle = false
   /** Whether a step may use the headroom for urgent work, because it could never be placed otherwise. */
   private readonly ignoresHeadroomByStep = new Map<Step, boolean>()
-  /** Steps of which a gang or one task may use the headroom in this pass, because they have waited for long. */
-  private exemptedSteps: ReadonlySet<Step> = new Set()
+  /** Step of which the gang or one task may use the headroom in this pass, because it has waited for long. */
+  private exemptedStep: Step | undefined
   /** Processors of all usable workers, in thousandths. */
   private capacity = 0
 
@@ -100,7 +100,7 @@
   run (): PlannedRun[] {
     sortByPlacementOrder(this.steps, this.now, this.fairOrder)
     this.measureFreeProcessors()
-    this.exemptedSteps = this.exemptions.select(this.steps, this.now)
+    this.exemptedStep = this.exemptions.select(this.steps, this.now)
     for (const step of this.steps) {
       if (this.waitsForCap(step)) step.reservation = undefined
       else if (step.specification.gang) this.placeGang(step)
@@ -241,13 +241,13 @@
   }
 
   private mayUseHeadroom (step: Step): boolean {
-    return this.exemptedSteps.has(step) || this.ignoresHeadroom(step)
+    return this.exemptedStep === step || this.ignoresHeadroom(step)
   }
 
-  /** Ends the exemptions of this pass once tasks of an exempted step have been placed. */
+  /** Ends the exemption of this pass once tasks of the exempted step have been placed. */
   private endExemption (step: Step, tasks: number): void {
-    if (!this.exemptedSteps.has(step)) return
-    this.exemptedSteps = new Set()
+    if (this.exemptedStep !== step) return
+    this.exemptedStep = undefined
     this.exemptions.onPlaced(step, tasks, this.capacity, this.now)
   }
 
