--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -209,8 +209,8 @@
   }
 
   /** Counts shown as metrics. */
-  get counts (): { jobs: number, readySteps: number, workers: number, unrecordedEnds: number } {
-    return { jobs: this.scheduler.jobs.size, readySteps: this.scheduler.readySteps.size, workers: this.scheduler.workers.size, unrecordedEnds: this.unrecordedEnds }
+  get counts (): { jobs: number, readySteps: number, workers: number, unrecordedEnds: number, headroomExemptions: number } {
+    return { jobs: this.scheduler.jobs.size, readySteps: this.scheduler.readySteps.size, workers: this.scheduler.workers.size, unrecordedEnds: this.unrecordedEnds, headroomExemptions: this.scheduler.exemptions.count }
   }
 
   onDidFinishJob (job: Job): void {
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -116,6 +116,7 @@
     metrics.addGauge('jobs', 'Jobs that the acting scheduler here keeps', () => this.scheduler?.counts.jobs ?? 0)
     metrics.addGauge('open_steps', 'Steps with tasks that wait for room', () => this.scheduler?.counts.readySteps ?? 0)
     metrics.addGauge('unrecorded_ends', 'Ends of runs that the acting scheduler here knows and the log does not hold', () => this.scheduler?.counts.unrecordedEnds ?? 0)
+    metrics.addGauge('headroom_exemptions', 'Starts of gangs and tasks in the room for urgent work after a long wait, by the acting scheduler here', () => this.scheduler?.counts.headroomExemptions ?? 0)
     metrics.addGauge('workers', 'Workers that the acting scheduler here knows', () => this.scheduler?.counts.workers ?? 0)
     const addOrganisationGauge = (name: string, help: string, read: (summary: OrganisationSummary) => number): void => {
       metrics.addGaugeByName(name, help, 'organisation', () => (this.scheduler?.organisations ?? []).map(summary => [summary.name, read(summary)] as const))
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -81,7 +81,7 @@
   private readonly cancelledBeforeAdd = new Set<string>()
   /** Capacity reserved for urgent work. */
   readonly headroom = new UrgentHeadroom()
-  private readonly exemptions = new HeadroomExemptions()
+  readonly exemptions = new HeadroomExemptions()
   /** Organisations that share the workers. */
   readonly organisations = new Organisations(this.workers)
   private pendingStops: PendingStop[] = []
--- a/src/cluster/headroomExemptions.ts
+++ b/src/cluster/headroomExemptions.ts
@@ -13,6 +13,8 @@
  * after a wait. Exempted work uses a small share of the capacity, so that a long queue does not use up the headroom.
  */
 export class HeadroomExemptions {
+  /** Number of exemptions that have let a gang or a task start. */
+  count = 0
   private nextAt = -Infinity
   /** Time of the latest pass in which a step was tried, in milliseconds of the monotonic clock. */
   private readonly triedAt = new WeakMap<Step, number>()
@@ -36,6 +38,7 @@
 
   /** Records that tasks of a step have been placed by an exemption. `capacity` is that of all usable workers, in thousandths of a core. */
   onPlaced (step: Step, tasks: number, capacity: number, now: number): void {
+    this.count += 1
     const { specification } = step
     const work = tasks * processorsOf(specification) * specification.estimateMilliseconds
     this.nextAt = now + Math.min(MAXIMUM_EXEMPTION_PAUSE_MILLISECONDS, work / Math.max(1, EXEMPTED_SHARE * capacity))
