--- a/src/cluster/activeScheduler.ts
+++ b/src/cluster/activeScheduler.ts
@@ -25,6 +25,7 @@
 import type { PendingPace } from './serving/servingSupervisor.js'
 import { applyStartRefusal } from './startRefusal.js'
 import { TOPICS, type KeyedRecord, type RecordLog, type StoredRecord } from './recordLog.js'
+import { SubmissionLookup } from './submissionLookup.js'
 import { isCancelKey, jobOfCancelKey, SUBMISSION_PARTITIONS } from './submissions.js'
 import { TopicFollower } from './topicFollower.js'
 import type { EndReport, WorkerEntry, WorkerPort } from './workerPort.js'
@@ -91,6 +92,7 @@
   private readonly writer: ProgressWriter
   private readonly eligibilityRequester: EligibilityRequester
   private readonly submissionFollowers: TopicFollower[]
+  private readonly lookup: SubmissionLookup
   private readonly sessions: WorkerSessions
   private readonly abort = new AbortController()
   private readonly startedAt: number
@@ -143,6 +145,7 @@
       },
       random, now
     )))
+    this.lookup = new SubmissionLookup(log, () => this.submissionFollowers.map(({ position }) => position))
     this.register(toDisposable(() => {
       this.abort.abort()
       this.wakeLoop?.()
@@ -207,8 +210,16 @@
   }
 
   /** Decides on a job that an instance would refuse, unless it is stored already or may be. */
-  decideAdmission (question: AdmissionQuestion): AdmissionReply {
-    return this.admission.answer(question, this.statusOf(question.job), this.now())
+  async decideAdmission (question: AdmissionQuestion): Promise<AdmissionReply> {
+    return this.admission.answer(question, await this.currentStatusOf(question.job), this.now())
+  }
+
+  /** Returns the state of a job for a refusal: `unknown` only if the log, read after the call, holds no submission of the job. */
+  async currentStatusOf (identity: string): Promise<JobStatus> {
+    if (this.stateOf(identity) !== 'unknown') return this.statusOf(identity)
+    const isAbsent = await this.lookup.isAbsent(identity)
+    const status = this.statusOf(identity)
+    return this.isDisposed || (status.state === 'unknown' && !isAbsent) ? { state: 'unsure' } : status
   }
 
   /** Returns the number of jobs of a queue of which no task has started; undefined while that is not known. */
--- a/src/cluster/admission/submissionAdmission.ts
+++ b/src/cluster/admission/submissionAdmission.ts
@@ -53,8 +53,7 @@
     const timeout = Math.min(REPLY_TIMEOUT_MILLISECONDS, timeLimitMilliseconds - STORING_MARGIN_MILLISECONDS)
     if (this.openQuestions >= MAXIMUM_OPEN_QUESTIONS || timeout <= 0) return { kind: 'admitted' }
     this.openQuestions += 1
-    const reply = await this.ask(question, timeout)
-    this.openQuestions -= 1
+    const reply = await this.ask(question, timeout).finally(() => { this.openQuestions -= 1 })
     // Storing a job again is harmless, so it is the response to everything that is not certain.
     if (reply === undefined || reply.state === 'unsure') return { kind: 'admitted' }
     if (reply.state !== 'unknown') return { kind: 'stored', organisation: reply.organisation }
--- a/src/cluster/clusterInstance.ts
+++ b/src/cluster/clusterInstance.ts
@@ -110,6 +110,7 @@
     this.jobService = this.register(new JobService(log, this, logger, random, now, name => this.configurationInForce?.organisations.find(organisation => organisation.name === name), { admission: this.admission, refusals: new RefusalLog(logger, metrics, now) }))
     this.links = this.register(new InstanceLinks({ instance: settings.instance, incarnation: this.incarnation, processorShare: settings.processorShare, linkMegabits: settings.linkMegabits }, eligibility, {
       getJobStatus: job => this.scheduler?.statusOf(job),
+      getCurrentJobStatus: job => this.scheduler?.currentStatusOf(job),
       countWaitingJobs: queue => this.scheduler?.countWaitingJobs(queue),
       decideAdmission: question => this.scheduler?.decideAdmission(question),
       onBacklogSummary: summary => this.admission.onSummary(summary),
@@ -179,8 +180,15 @@
   }
 
   async getJobStatus (job: string, timeoutMilliseconds: number): Promise<JobStatus | undefined> {
-    if (this.scheduler !== undefined) return this.scheduler.statusOf(job)
-    const reply = await this.links.queryHolder({ type: 'stateQuestion', job }, timeoutMilliseconds)
+    return this.scheduler === undefined ? await this.queryJobStatus(job, false, timeoutMilliseconds) : this.scheduler.statusOf(job)
+  }
+
+  async getCurrentJobStatus (job: string, timeoutMilliseconds: number): Promise<JobStatus | undefined> {
+    return this.scheduler === undefined ? await this.queryJobStatus(job, true, timeoutMilliseconds) : await this.scheduler.currentStatusOf(job)
+  }
+
+  private async queryJobStatus (job: string, isCurrent: boolean, timeoutMilliseconds: number): Promise<JobStatus | undefined> {
+    const reply = await this.links.queryHolder({ type: 'stateQuestion', job, ...(isCurrent ? { isCurrent } : {}) }, timeoutMilliseconds)
     return reply?.type === 'stateReply' ? { state: reply.state as JobStateResult, ...(reply.organisation === undefined ? {} : { organisation: reply.organisation }) } : undefined
   }
 
@@ -191,7 +199,7 @@
   }
 
   private async askAdmission (question: AdmissionQuestion, timeoutMilliseconds: number): Promise<AdmissionReply | undefined> {
-    if (this.scheduler !== undefined) return this.scheduler.decideAdmission(question)
+    if (this.scheduler !== undefined) return await this.scheduler.decideAdmission(question)
     const reply = await this.links.queryHolder({ type: 'admissionQuestion', ...question }, timeoutMilliseconds)
     return reply?.type === 'admissionReply' ? reply : undefined
   }
--- a/src/cluster/instanceLinks.ts
+++ b/src/cluster/instanceLinks.ts
@@ -27,10 +27,12 @@
 export interface InstanceLinksObserver {
   /** Returns the state of a job and its organisation, if this instance runs the active scheduler. */
   getJobStatus (job: string): { readonly state: string, readonly organisation?: string } | undefined
+  /** Like `getJobStatus`, but a job is `unknown` only if the log has been read after the call. */
+  getCurrentJobStatus (job: string): Promise<{ readonly state: string, readonly organisation?: string }> | undefined
   /** Returns the number of waiting jobs of a queue, if this instance runs the active scheduler. */
   countWaitingJobs (queue: string): number | undefined
   /** Returns the decision on a job that another instance would refuse, if this instance runs the active scheduler. */
-  decideAdmission (question: AdmissionQuestion): AdmissionReply | undefined
+  decideAdmission (question: AdmissionQuestion): Promise<AdmissionReply> | undefined
   /** Called when the active scheduler has sent the backlog of the organisations. */
   onBacklogSummary (summary: BacklogSummary): void
   /** Called when the holder of the role has asked this instance to claim it. */
@@ -157,13 +159,13 @@
   private async onRequest (link: ClusterLink, message: ClusterMessage): Promise<void> {
     switch (message.type) {
       case 'stateQuestion':
-        link.send({ type: 'stateReply', id: message.id, ...this.observer.getJobStatus(message.job) ?? { state: 'unsure' } })
+        link.send({ type: 'stateReply', id: message.id, ...(message.isCurrent === true ? await this.observer.getCurrentJobStatus(message.job) : this.observer.getJobStatus(message.job)) ?? { state: 'unsure' } })
         return
       case 'waitingQuestion':
         link.send({ type: 'waitingReply', id: message.id, waiting: this.observer.countWaitingJobs(message.queue) ?? -1 })
         return
       case 'admissionQuestion':
-        link.send({ type: 'admissionReply', id: message.id, ...this.observer.decideAdmission(message) ?? { state: 'unsure', refusal: 'none', returnMilliseconds: 0 } })
+        link.send({ type: 'admissionReply', id: message.id, ...await this.observer.decideAdmission(message) ?? { state: 'unsure', refusal: 'none', returnMilliseconds: 0 } })
         return
       case 'eligibilityQuestion': {
         const outcome = await this.eligibility.query(message.step, message.workers, message.timeoutMilliseconds)
--- a/src/cluster/jobService.ts
+++ b/src/cluster/jobService.ts
@@ -59,6 +59,8 @@
 /** Queries that only the active scheduler can answer; they return undefined if it cannot be reached. */
 export interface SchedulerQueries {
   getJobStatus (job: string, timeoutMilliseconds: number): Promise<JobStatus | undefined>
+  /** Like `getJobStatus`, but a job is `unknown` only if the log has been read after the call. */
+  getCurrentJobStatus (job: string, timeoutMilliseconds: number): Promise<JobStatus | undefined>
   countWaitingJobs (queue: string, timeoutMilliseconds: number): Promise<number | undefined>
 }
 
@@ -129,13 +131,16 @@
     const retryAfterSeconds = minimum + this.random.integerBelow(maximum - minimum + 1)
     if (this.accepted.get(identity) === undefined && this.openExcessConfirmations >= MAXIMUM_EXCESS_CONFIRMATIONS) return { kind: 'unknown', retryAfterSeconds }
     this.openExcessConfirmations += 1
-    const result = await this.refuseUnlessStored(identity, access, () => {
-      const reason = `${organisation} has too many submissions in process at this instance`
-      this.admission?.refusals.report(identity, organisation, 'tooMany', reason, 1000 * retryAfterSeconds)
-      return { kind: 'refused', reason, retryAfterSeconds }
-    })
-    this.openExcessConfirmations -= 1
-    return result.kind === 'unknown' ? { ...result, retryAfterSeconds } : result
+    try {
+      const result = await this.refuseUnlessStored(identity, access, () => {
+        const reason = `${organisation} has too many submissions in process at this instance`
+        this.admission?.refusals.report(identity, organisation, 'tooMany', reason, 1000 * retryAfterSeconds)
+        return { kind: 'refused', reason, retryAfterSeconds }
+      })
+      return result.kind === 'unknown' ? { ...result, retryAfterSeconds } : result
+    } finally {
+      this.openExcessConfirmations -= 1
+    }
   }
 
   /** Cancels a job; resolves once the cancellation is stored. */
@@ -202,7 +207,7 @@
   private async refuseUnlessStored (identity: string, access: CallAccess, refuse: () => SubmitResult): Promise<SubmitResult> {
     const known = this.accepted.get(identity)
     if (known !== undefined) return this.confirmStored(identity, known, access)
-    const status = await this.scheduler.getJobStatus(identity, CONFIRMATION_TIMEOUT_MILLISECONDS)
+    const status = await this.scheduler.getCurrentJobStatus(identity, CONFIRMATION_TIMEOUT_MILLISECONDS)
     if (status === undefined || status.state === 'unsure') return { kind: 'unknown' }
     return status.state === 'unknown' ? refuse() : this.confirmStored(identity, status, access)
   }
--- a/src/contracts/clusterMessages.ts
+++ b/src/contracts/clusterMessages.ts
@@ -51,7 +51,7 @@
   z.object({ type: z.literal('hello'), instance: z.string(), incarnation: z.string(), /** In cores. */ processorShare: z.number(), /** Bandwidth of the instance's own link, in megabits per second. */ linkMegabits: z.number().default(Infinity), /** Whether the sender reads `backlogSummary`; earlier versions close the link at it. */ readsBacklog: z.boolean().optional() }),
   /** The active scheduler cannot write to the log; the receiver should claim the role if it can. */
   z.object({ type: z.literal('roleOffer'), incarnation: z.string() }),
-  z.object({ type: z.literal('stateQuestion'), id: identifier, job: z.string() }),
+  z.object({ type: z.literal('stateQuestion'), id: identifier, job: z.string(), /** Whether an unknown job must be looked up in the log; absent in questions of earlier versions. */ isCurrent: z.boolean().optional() }),
   z.object({ type: z.literal('waitingQuestion'), id: identifier, queue: z.string() }),
   z.object({ type: z.literal('eligibilityQuestion'), id: identifier, step: z.string(), workers: z.array(z.string()), timeoutMilliseconds: z.number() }),
   /** From the active scheduler, for decisions on admission: the organisations that wait for room. */
@@ -70,7 +70,7 @@
 export type AdmissionReply = Omit<Extract<ClusterMessage, { type: 'admissionReply' }>, 'type' | 'id'>
 /** A request before its id is assigned. */
 export type ClusterRequest =
-  | { readonly type: 'stateQuestion', readonly job: string }
+  | { readonly type: 'stateQuestion', readonly job: string, readonly isCurrent?: boolean }
   | { readonly type: 'waitingQuestion', readonly queue: string }
   | { readonly type: 'eligibilityQuestion', readonly step: string, readonly workers: readonly string[], readonly timeoutMilliseconds: number }
   | { readonly type: 'admissionQuestion', readonly job: string, readonly organisation: string, readonly demand: JobDemand }
--- a/test/cluster/instanceLinks.test.ts
+++ b/test/cluster/instanceLinks.test.ts
@@ -25,6 +25,7 @@
   return new InstanceLinks({ instance, incarnation: `${instance}-1`, processorShare: 1, linkMegabits: 1000 }, new NobodyEligible(), {
     getJobStatus: job => ({ state: `${job} at ${instance}`, organisation: 'acme' }),
     countWaitingJobs: () => 3,
+    getCurrentJobStatus: async job => ({ state: `${job} in the log of ${instance}` }),
     decideAdmission: () => undefined,
     onBacklogSummary: ({ term }) => summaries.push(term),
     onRoleOffer: () => {},
--- a/test/platform/apiKeys.test.ts
+++ b/test/platform/apiKeys.test.ts
@@ -72,6 +72,7 @@
     }
     this.jobService = new JobService(this.log, {
       getJobStatus: async identity => answer(this.statuses.get(identity) ?? { state: 'unknown' }),
+      getCurrentJobStatus: async identity => answer(this.statuses.get(identity) ?? { state: 'unknown' }),
       countWaitingJobs: async () => answer(3)
     }, this.logger, new Random(1), now)
     const accessControl = new AccessControl(source, { milliseconds: REVOKE_MILLISECONDS, appliesToReads: false }, now)
