--- a/src/cluster/admission/admissionDecision.ts
+++ b/src/cluster/admission/admissionDecision.ts
@@ -25,7 +25,7 @@
 const ADMITTED: AdmissionDecision = { kind: 'admitted' }
 const NO_ADDITIONAL_WORK: AdditionalWork = { queued: [], jobs: 0 }
 
-/** Returns what a job asks of its organisation; undefined if it has no end or no one time at which it starts, so that it is not refused for a backlog. */
+/** Returns what a job asks of its organisation; undefined for long-running and recurring jobs, which are not refused for a backlog. */
 export function estimateDemand (job: StepJob, queue: Pick<QueuePolicy, 'priority' | 'eligibility' | 'stretch' | 'targetMilliseconds'>): JobDemand | undefined {
   if (job.occurrences > 0 || job.steps.some(step => step.longRunning)) return undefined
   const work = job.steps.reduce((sum, step) => sum + step.count * step.estimateMilliseconds * step.processorsThousandths, 0)
--- a/src/cluster/admission/returnSchedule.ts
+++ b/src/cluster/admission/returnSchedule.ts
@@ -29,7 +29,7 @@
   assignedUntil = -Infinity
 }
 
-/** Spreads the returns of refused callers over the room to come, and remembers who is due back. Times are in milliseconds of the monotonic clock. */
+/** Spreads the returns of refused callers at the rate at which capacity becomes free, and remembers which of them are expected. Times are in milliseconds of the monotonic clock. */
 export class ReturnSchedule {
   private readonly organisations = new Map<string, OrganisationReturns>()
 
--- a/src/cluster/preemption/workerRoom.ts
+++ b/src/cluster/preemption/workerRoom.ts
@@ -45,7 +45,7 @@
     return processorsOf(specification) + headroom <= processors && specification.memoryMegabytes <= memory && specification.accelerators <= accelerators
   }
 
-  /** Returns the processors that lack for a task of the step, in cores. */
+  /** Returns the processors that are missing for a task of the step, in cores. */
   missingCores (step: Step, headroom: number): number {
     return Math.max(0, processorsOf(step.specification) + headroom - this.processors) / 1000
   }
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -171,7 +171,7 @@
     return true
   }
 
-  /** Lets the worker get no work for a while, because it has refused a start that it should have had room for. */
+  /** Pauses placement on the worker, because it has refused a start that it should have had room for. */
   recordRefusal (now: number): void {
     this.quarantinedUntil = Math.max(this.quarantinedUntil, now + REFUSAL_PAUSE_MILLISECONDS)
   }
