--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -5,6 +5,7 @@
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { Worker } from 'node:worker_threads'
 import { call, newAgent } from './http.mjs'
 import { Executor } from './executor.mjs'
 import { Path } from './path.mjs'
@@ -44,6 +45,8 @@
   calls = []
   store = new Store()
   executors = []
+  /** Threads with executors. */
+  threads = []
   instances = []
   #lines = []
   #directory = mkdtempSync(join(tmpdir(), 'review-'))
@@ -103,6 +106,19 @@
     return executor
   }
 
+  /** Starts a thread with executors of its own; the specification of a task names its work in milliseconds. */
+  addExecutorThread (executors) {
+    const thread = { running: 0, worker: new Worker(new URL('executorThread.mjs', import.meta.url), { workerData: { executors: executors.map(options => ({ service: SERVICE, ...options })) } }) }
+    this.threads.push(thread)
+    thread.worker.on('message', ({ kind, id, value, entries, running }) => {
+      if (kind === 'entry') this.store.put('keyed.servers', id, value)
+      else {
+        thread.running = running
+        for (const entry of entries) this.journal.push({ ...entry, at: entry.at - performance.timeOrigin })
+      }
+    })
+  }
+
   writeEntry (executor) {
     if (executor.isUp && executor.isRegistered !== false) this.store.put('keyed.servers', executor.id, executor.entry(executor.path?.address))
   }
