--- a/review/lib/path.mjs
+++ b/review/lib/path.mjs
@@ -32,11 +32,11 @@
     }
   }
 
-  /** Silences open channels; returns their number. `matches` gets the beginning of what the client of a channel sent last. */
+  /** Silences open channels; returns their number. `matches` gets the beginning of the request that waits for its answer on a channel; empty if none does. */
   silence (matches = () => true) {
     let count = 0
     for (const channel of this.#channels) {
-      if (channel.isSilent || !matches(channel.lastSent)) continue
+      if (channel.isSilent || !matches(channel.waiting)) continue
       channel.isSilent = true
       count += 1
     }
@@ -54,12 +54,13 @@
   #open (client) {
     const [host, port] = this.target.split(':')
     const server = connect({ host, port: Number(port), noDelay: true })
-    const channel = { client, server, isSilent: false, held: [], lastSent: '' }
+    const channel = { client, server, isSilent: false, held: [], waiting: '' }
     this.#channels.add(channel)
     client.setNoDelay(true)
     this.#forward(channel, client, server)
     this.#forward(channel, server, client)
-    client.on('data', chunk => { channel.lastSent = chunk.subarray(0, 300).toString('latin1') })
+    client.on('data', chunk => { channel.waiting = chunk.subarray(0, 300).toString('latin1') })
+    server.on('data', () => { channel.waiting = '' })
     client.on('close', () => {
       // What the client sent and was held up is lost.
       if (channel.isSilent || this.#isCut) channel.held = []
