--- a/bench/capacityCluster.ts
+++ b/bench/capacityCluster.ts
@@ -30,7 +30,7 @@
   for (let index = 0; index < workerCount; index += 1) {
     const identity = `worker-${index}`
     scheduler.upsertWorker({ identity, pool: 'pool', address: 'worker:1', failureDomain: 'a', state: 'ready', processorsThousandths: WORKER_PROCESSORS_THOUSANDTHS, memoryMegabytes: 64_000, accelerators: 0, labels: ['a', `r${index >> 3}`], machine: `m-${index}`, processStartedAt: 1 }, 0)
-    scheduler.onReport(identity, { clockMilliseconds: 1, processStartedAt: 1, running: [], ended: [] }, 0, 0)
+    scheduler.onReport(identity, { clockMilliseconds: 1, processStartedAt: 1, running: [], ended: [], mayOmitEnds: false }, 0, 0)
   }
   return scheduler
 }
--- a/src/cluster/clusterScheduler.ts
+++ b/src/cluster/clusterScheduler.ts
@@ -308,7 +308,8 @@
   /** Returns the longest wait of the next poll of a worker, in milliseconds; undefined for the usual one. */
   pollWaitMilliseconds (identity: string): number | undefined {
     const worker = this.workers.get(identity)
-    return worker === undefined ? undefined : this.serving.pollWaitMilliseconds(worker)
+    if (worker === undefined) return undefined
+    return worker.hasOmittedEnds ? 0 : this.serving.pollWaitMilliseconds(worker)
   }
 
   /** Marks a worker as unresponsive after a failed poll. */
@@ -560,6 +561,6 @@
 /** Returns true if a run makes no progress although it could. Gang members that have finished wait for the others at 100 percent. */
 function isStalled (task: Task, now: number): boolean {
   const { longRunning, filler } = task.step.specification
-  if (longRunning || task.percent >= 100 || task.pacePercent < 100) return false
+  if (longRunning || task.isAwaitingEnd || task.percent >= 100 || task.pacePercent < 100) return false
   return now - task.progressedAt > (filler ? STALLED_FILLER_TIMEOUT_MILLISECONDS : STALLED_RUN_TIMEOUT_MILLISECONDS)
 }
--- a/src/cluster/crashTracker.ts
+++ b/src/cluster/crashTracker.ts
@@ -42,7 +42,7 @@
    * Returns a function that counts the crash, to be called once the run is abandoned.
    */
   onRunLost (task: Task, worker: WorkerState, cause: RunLossCause, isAlone: boolean, now: number): () => void {
-    if (cause === 'notListed' || !mayHaveBegun(task) || worker.entry.state === 'draining') return () => {}
+    if (cause === 'notListed' || task.isAwaitingEnd || !mayHaveBegun(task) || worker.entry.state === 'draining') return () => {}
     if (hasProvenItself(task, worker)) {
       task.crashEvidence.proven = 0
       return () => {}
--- a/src/cluster/job.ts
+++ b/src/cluster/job.ts
@@ -29,6 +29,10 @@
   waitsForIsolationSince: number | undefined
   /** Worker that is kept free of other runs for the task; empty if there is none. */
   isolationWorker = ''
+  /** Whether the worker rejects the start command of the run, because it has been polled with a greater term. */
+  isStartFenced = false
+  /** Whether the run is no longer running, and its end may be among those that its worker is still to report. */
+  isAwaitingEnd = false
   checkpoint = ''
   percent = 0
   /** Time of the last change of `percent`, in milliseconds of the monotonic clock. */
@@ -67,6 +71,8 @@
     this.isolationWorker = ''
     this.phase = 'placed'
     this.isConfirmed = false
+    this.isStartFenced = false
+    this.isAwaitingEnd = false
     this.percent = 0
     this.reportedLoad = undefined
     this.pacePercent = 100
--- a/src/cluster/runReconciler.ts
+++ b/src/cluster/runReconciler.ts
@@ -16,7 +16,7 @@
   onRunning (task: Task, now: number): void
   /** A run has ended. */
   onEnded (task: Task, worker: WorkerState, end: EndReport, now: number): void
-  /** A worker does not list a run that was placed there, and the run can no longer start. `hasProcessExited`: it was placed on a former process of the worker. `isAlone`: the worker had no other run. */
+  /** A worker lists neither a run that was placed there nor its end, and the run can no longer start. `hasProcessExited`: it was placed on a former process of the worker. `isAlone`: the worker had no other run. */
   onLost (task: Task, worker: WorkerState, hasProcessExited: boolean, isAlone: boolean, now: number): void
   /** A worker reports a new process under its identity. */
   onWorkerRestarted (worker: WorkerState, formerStartedAt: number): void
@@ -34,11 +34,12 @@
   applyReport (worker: WorkerState, report: WorkerReport, sentAt: number, now: number): boolean {
     // A delayed report of a former process: a later poll has already reached the current process.
     if (report.processStartedAt !== worker.processStartedAt && sentAt < worker.processSeenAt) return false
-    const isFirst = !worker.hasReported
-    if (!isFirst && report.processStartedAt !== worker.processStartedAt) this.onWorkerRestarted(worker, report.processStartedAt)
+    if (!worker.hasReported) this.fenceFormerStarts(worker)
+    else if (report.processStartedAt !== worker.processStartedAt) this.onWorkerRestarted(worker, report.processStartedAt)
     worker.processStartedAt = report.processStartedAt
     worker.processSeenAt = Math.max(worker.processSeenAt, sentAt)
     worker.hasReported = true
+    worker.hasOmittedEnds = report.mayOmitEnds
     worker.isUnresponsive = false
     for (const end of [...report.ended].sort((left, right) => left.number - right.number)) {
       if (end.number <= worker.processedEnd) continue
@@ -49,12 +50,23 @@
     const listed = new Set(report.running.map(({ task }) => task))
     const isAlone = worker.runs.size === 1
     for (const task of [...worker.runs.values()]) {
-      if (listed.has(task.name) || !this.isRunAbsent(task, isFirst, sentAt)) continue
+      if (listed.has(task.name) || !this.isRunAbsent(task, sentAt)) continue
+      if (report.mayOmitEnds) {
+        if (task.processStartedAt === report.processStartedAt) task.isAwaitingEnd = true
+        continue
+      }
       this.actions.onLost(task, worker, task.processStartedAt !== 0 && task.processStartedAt !== report.processStartedAt, isAlone, now)
     }
     return true
   }
 
+  /** Handles the first report: from its poll on, the worker rejects the start commands of former schedulers. */
+  private fenceFormerStarts (worker: WorkerState): void {
+    for (const task of worker.runs.values()) {
+      if (task.phase === 'uncertain') task.isStartFenced = true
+    }
+  }
+
   /** Resets the end counters, because a new process numbers its ends from 1. Keeps the runs: some may have been started on the new process before its first report, and that report shows which exist. */
   private onWorkerRestarted (worker: WorkerState, startedAt: number): void {
     const formerStartedAt = worker.processStartedAt
@@ -130,11 +142,10 @@
     return task === undefined || task.step.job.isFinal || task.phase === 'done' ? undefined : task
   }
 
-  /** Returns true if a run that a report does not list can no longer start. */
-  private isRunAbsent (task: Task, isFirstReport: boolean, sentAt: number): boolean {
+  /** Returns true if a run that a report does not list as running is not running and can no longer start. */
+  private isRunAbsent (task: Task, sentAt: number): boolean {
     if (task.phase === 'placed') return false
-    if (isFirstReport && task.phase === 'uncertain') return true
     if (task.phase === 'running') return task.progressedAt < sentAt && task.startedAt < sentAt
-    return task.stopConfirmedAt <= sentAt
+    return (task.phase === 'uncertain' && task.isStartFenced) || task.stopConfirmedAt <= sentAt
   }
 }
--- a/src/cluster/workerPort.ts
+++ b/src/cluster/workerPort.ts
@@ -51,8 +51,12 @@
   /** The worker's own monotonic clock, in milliseconds. */
   readonly clockMilliseconds: number
   readonly processStartedAt: number
+  /** All runs that are running. */
   readonly running: readonly RunningReport[]
+  /** Ends that are not acknowledged, in the order of their numbers. */
   readonly ended: readonly EndReport[]
+  /** Whether the worker may have further unacknowledged ends, which a report lists only once those before them are acknowledged. */
+  readonly mayOmitEnds: boolean
 }
 
 export type PollOutcome =
--- a/src/cluster/workerSessions.ts
+++ b/src/cluster/workerSessions.ts
@@ -107,12 +107,20 @@
     const worker = this.scheduler.workers.get(identity)
     if (worker === undefined) return
     if (worker.isUnresponsive) this.logger.info('worker answers again', { worker: identity })
-    this.metrics.pollCompleted('report')
+    this.metrics.pollCompleted(report.mayOmitEnds ? 'partialReport' : 'report')
     if (report.processStartedAt === worker.processStartedAt) worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, acknowledgedEnd)
+    const hadOmittedEnds = worker.hasOmittedEnds
     this.scheduler.onReport(identity, report, sentAt, this.now())
+    if (worker.hasOmittedEnds !== hadOmittedEnds) this.logOmittedEnds(worker, report)
     this.options.onDidChange()
   }
 
+  private logOmittedEnds (worker: WorkerState, { ended }: WorkerReport): void {
+    const awaited = [...worker.runs.values()].filter(task => task.isAwaitingEnd).length
+    const message = worker.hasOmittedEnds ? 'worker may have more ends than its report lists; runs that it does not list are not taken as lost' : 'worker lists all ends again'
+    this.logger.info(message, { worker: worker.identity, count: ended.length, reason: `${awaited} runs are no longer running and have no end yet` })
+  }
+
   private onPollFailed (identity: string, reason: string): void {
     this.metrics.pollCompleted('failed')
     const worker = this.scheduler.workers.get(identity)
--- a/src/cluster/workerState.ts
+++ b/src/cluster/workerState.ts
@@ -34,6 +34,8 @@
   readonly suspects = new Set<Task>()
   /** The worker has reported under the current term, so its runs are known. */
   hasReported = false
+  /** The latest report may omit ends of runs. */
+  hasOmittedEnds = false
   /** The latest poll failed. */
   isUnresponsive = false
   /** The latest report lists orphaned runs; they use capacity until they have stopped. */
--- a/src/contracts/workerProtocol.ts
+++ b/src/contracts/workerProtocol.ts
@@ -54,7 +54,7 @@
 })
 export type RenewLeases = z.infer<typeof renewLeasesSchema>
 
-/** Response to `POST /leases` and `GET /tasks`. */
+/** Response to `POST /leases` and `GET /tasks`. `tasks` lists every attempt that runs, and every ended one that is not acknowledged. */
 export const workerReportSchema = z.object({ worker: z.string(), incarnation: z.string(), term: z.number().int(), tasks: z.array(reportedTaskSchema), logicalTime: z.number().int() })
 export type WorkerReport = z.infer<typeof workerReportSchema>
 
--- a/test/fakes/fakeCluster.ts
+++ b/test/fakes/fakeCluster.ts
@@ -313,6 +313,7 @@
   disturbedAt = 0
   /** Newest configuration. */
   configuration = CONFIGURATION
+  private maximumReportedEnds: number | undefined
   private readonly gangSimulator: GangSimulator
   private readonly crashSimulator: CrashSimulator
   private readonly random: Random
@@ -342,12 +343,19 @@
       worker.machine = machine
       worker.processStartedAt = Date.now()
     }
+    if (this.maximumReportedEnds !== undefined) worker.maximumReportedEnds = this.maximumReportedEnds
     worker.observer = this.crashSimulator
     this.workers.set(worker.identity, worker)
     this.publishEntry(worker)
     return worker
   }
 
+  /** Limits the number of ends in a report of present and later workers. */
+  limitReportedEnds (maximum: number): void {
+    this.maximumReportedEnds = maximum
+    for (const worker of this.workers.values()) worker.maximumReportedEnds = maximum
+  }
+
   /** Writes a worker's current registry entry, which the schedulers receive at once. */
   publishEntry (worker: FakeClusterWorker): void {
     for (const { process, activeScheduler } of this.runningSchedulers) process.deliver(() => activeScheduler.setWorker(worker.entry))
