--- a/src/links/executorClient.ts
+++ b/src/links/executorClient.ts
@@ -1,7 +1,8 @@
 import type { Readable } from 'node:stream'
 import { DisposableObject, toDisposable } from '../base/disposable.js'
 import { Emitter, type Event } from '../base/emitter.js'
-import { ConnectionPool } from './connectionPool.js'
+import { describeError } from '../base/logger.js'
+import { Connection, ConnectionPool } from './connectionPool.js'
 import { isConnectFailure } from './connectFailure.js'
 import type { OutgoingRequest } from './outgoingRequest.js'
 
@@ -58,10 +59,8 @@
   }
 
   override async send (address: string, request: OutgoingRequest, timeoutMilliseconds: number, connections: number, signal: AbortSignal, mayStart: () => boolean): Promise<ExecutorResult> {
-    const pool = this.poolFor(address)
-    pool.setLimit(connections)
-    const connection = pool.acquire()
-    if (connection === undefined) return { kind: 'notSent', reason: 'no connection is available' }
+    const connection = this.acquire(address, connections)
+    if (!(connection instanceof Connection)) return connection
     const timeout = new AbortController()
     const timer = setTimeout(() => timeout.abort(new TimedOutError('no response in time')), timeoutMilliseconds)
     let started = false
@@ -81,6 +80,19 @@
     this.pools.get(address)?.setLimit(connections)
   }
 
+  /** Returns a connection to the address, or why there is none. */
+  private acquire (address: string, connections: number): Connection | ExecutorFailure {
+    const pool = this.poolFor(address)
+    pool.setLimit(connections)
+    try {
+      return pool.acquire() ?? { kind: 'notSent', reason: 'no connection is available' }
+    } catch (error) {
+      // The address cannot be parsed.
+      this.pools.delete(address)
+      return { kind: 'notSent', reason: describeError(error), unreachable: true }
+    }
+  }
+
   private poolFor (address: string): ConnectionPool {
     const existing = this.pools.get(address)
     if (existing !== undefined) return existing
--- a/test/links/executorClient.test.ts
+++ b/test/links/executorClient.test.ts
@@ -82,6 +82,16 @@
       assert.equal(peer.received, '')
     }
   },
+  {
+    name: 'returns notSent for an address that cannot be parsed',
+    onData: socket => respond(socket),
+    run: async client => {
+      for (const address of ['http://127.0.0.1:70000', 'nowhere', '']) {
+        const result = await client.send(address, REQUEST, 1000, 1, NEVER_ABORTED, () => true)
+        assert.equal(result.kind, 'notSent')
+      }
+    }
+  },
   {
     name: 'returns notSent if aborted before the request is sent',
     onData: socket => respond(socket),
