--- a/src/links/instanceList.ts
+++ b/src/links/instanceList.ts
@@ -1,5 +1,6 @@
 import { request, type Agent } from 'undici'
-import { instancesResponseSchema, type ListedInstance } from '../contracts/platformProtocol.js'
+import type { Logger } from '../base/logger.js'
+import { instancesResponseSchema, listedInstanceSchema, type ListedInstance } from '../contracts/platformProtocol.js'
 
 const REQUEST_TIMEOUT_MILLISECONDS = 3000
 
@@ -11,7 +12,9 @@
 
 /** Fetches the list over HTTP as JSON. */
 export class HttpInstanceList extends InstanceList {
-  constructor (private readonly address: string, private readonly agent: Agent) {
+  private unusableCount = 0
+
+  constructor (private readonly address: string, private readonly agent: Agent, private readonly logger: Logger) {
     super()
   }
 
@@ -21,6 +24,14 @@
       await response.body.dump()
       throw new Error(`the instance list responded with status ${response.statusCode}`)
     }
-    return instancesResponseSchema.parse(await response.body.json()).instances
+    const entries = instancesResponseSchema.parse(await response.body.json()).instances
+    const usable = entries.flatMap(entry => listedInstanceSchema.safeParse(entry).data ?? [])
+    this.logUnusable(entries.length - usable.length)
+    return usable
+  }
+
+  private logUnusable (count: number): void {
+    if (count !== this.unusableCount) this.logger.warn('unusable entries in the instance list; the others are used', { count })
+    this.unusableCount = count
   }
 }
--- a/src/programs/wiring.ts
+++ b/src/programs/wiring.ts
@@ -61,7 +61,7 @@
   const identity = { instance: settings.instance, incarnation: context.incarnation, failureDomain: settings.failureDomain }
   return assembleEntryInstance(context, {
     log: new HttpPlatformLog(settings.platformAddress, agent),
-    instanceList: new HttpInstanceList(settings.platformAddress, agent),
+    instanceList: new HttpInstanceList(settings.platformAddress, agent, context.logger),
     workers: new HttpWorkerClient(agent),
     executors: new HttpExecutorClient(),
     peers: new HttpExecutorClient(),
