--- a/src/contracts/siteConfiguration.ts
+++ b/src/contracts/siteConfiguration.ts
@@ -14,7 +14,7 @@
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected a name of lower-case letters, digits and hyphens')
 const milliseconds = z.number().int().positive().max(86_400_000)
-const counts = z.record(name, z.number().int().nonnegative().max(100_000))
+const counts = byName(z.number().int().nonnegative().max(100_000))
 
 const failureDomainSchema = z.strictObject({
   region: name,
@@ -56,11 +56,11 @@
 /** Configuration that operators publish for a site. */
 export const siteConfigurationSchema = z.strictObject({
   site: name,
-  failureDomains: z.record(name, failureDomainSchema),
-  services: z.record(name, serviceSchema),
-  executorPools: z.record(name, executorPoolSchema),
-  workerPools: z.record(name, workerPoolSchema),
-  teams: z.record(name, teamSchema),
+  failureDomains: byName(failureDomainSchema),
+  services: byName(serviceSchema),
+  executorPools: byName(executorPoolSchema),
+  workerPools: byName(workerPoolSchema),
+  teams: byName(teamSchema),
   limits: limitsSchema.default(() => limitsSchema.parse({}))
 })
 export type SiteConfiguration = z.infer<typeof siteConfigurationSchema>
@@ -92,6 +92,11 @@
   return total
 }
 
+/** Schema of values by name. The values inherit no properties: names that other writers choose are looked up among them. */
+function byName<Value extends z.ZodType> (value: Value): z.ZodType<Record<string, z.output<Value>>> {
+  return z.record(name, value).transform(values => Object.assign(Object.create(null) as Record<string, z.output<Value>>, values))
+}
+
 function referenceProblems (configuration: SiteConfiguration): Problem[] {
   const problems: Problem[] = []
   if (Object.keys(configuration.failureDomains).length === 0) problems.push([['failureDomains'], 'at least one failure domain is expected'])
--- a/src/entry/requestDispatcher.ts
+++ b/src/entry/requestDispatcher.ts
@@ -110,10 +110,9 @@
 
   /** Demand by executor pool for the division of slots: waiting requests, weighted by urgency, plus requests in flight. */
   demand (): Record<string, number> {
-    const demand: Record<string, number> = {}
-    for (const [name, pool] of this.pools) demand[name] = pool.weightedQueueLength
-    for (const executor of this.executors.values()) demand[executor.pool] = (demand[executor.pool] ?? 0) + this.slots.inFlight(executor.name)
-    return demand
+    const demand = new Map([...this.pools].map(([name, pool]) => [name, pool.weightedQueueLength]))
+    for (const executor of this.executors.values()) demand.set(executor.pool, (demand.get(executor.pool) ?? 0) + this.slots.inFlight(executor.name))
+    return Object.fromEntries(demand)
   }
 
   /** Serves a request. Resolves with a response, whose body may still be streaming, or with an error; never rejects. */
