--- a/src/cluster/placementPass.ts
+++ b/src/cluster/placementPass.ts
@@ -259,13 +259,16 @@
     return this.eligibleWorkers(step).some(isInTime) ? [] : candidates
   }
 
-  /** Returns the workers of the queue's pool that have the required label and, if the queue uses the eligibility service, are named by it. */
+  /**
+   * Returns the workers of the queue's pool that have reported and have the required label and, if the queue uses the eligibility service,
+   * are named by it. A listed worker that has never reported may not exist; work that waited for it would wait for ever.
+   */
   private eligibleWorkers (step: Step): WorkerState[] {
     const { pool, eligibility } = this.policyOf(step)
     const named = eligibility === undefined ? undefined : step.eligibility.tickets
     const found: WorkerState[] = []
     for (const worker of named === undefined ? this.workers.values() : [...named.keys()].map(identity => this.workers.get(identity))) {
-      if (worker !== undefined && worker.entry.pool === pool && worker.isListed && worker.entry.state === 'ready' && worker.hasLabel(step.specification)) found.push(worker)
+      if (worker !== undefined && worker.entry.pool === pool && worker.hasReported && worker.isListed && worker.entry.state === 'ready' && worker.hasLabel(step.specification)) found.push(worker)
     }
     return found
   }
--- a/src/cluster/preemption/preemptionController.ts
+++ b/src/cluster/preemption/preemptionController.ts
@@ -174,7 +174,9 @@
 
   private countCores (): number {
     let processors = 0
-    for (const worker of this.host.workers.values()) processors += worker.entry.processorsThousandths
+    for (const worker of this.host.workers.values()) {
+      if (worker.hasReported) processors += worker.entry.processorsThousandths
+    }
     return processors / 1000
   }
 
--- a/test/cluster/placementPass.test.ts
+++ b/test/cluster/placementPass.test.ts
@@ -171,6 +171,23 @@
     assert.deepEqual(place(scheduler, 2), [])
   })
 
+  /** An entry of another writer may name a worker that does not exist. Work that could only run there must not keep other work waiting. */
+  const UNREPORTED: ReadonlyArray<{ readonly name: string, readonly urgent?: boolean, readonly steps: ReadonlyArray<readonly [queue: string, step: object]>, readonly placed: number }> = [
+    { name: 'reserves no workers for a gang that would fit only with it', steps: [['batch', { count: 30, gang: true }], ['batch', { count: 10 }]], placed: 10 },
+    { name: 'places a task as large as the largest other worker', urgent: true, steps: [['batch', { processorsThousandths: 10_000 }]], placed: 1 },
+    { name: 'places urgent work that would be in time only there', steps: [['urgent', { estimateMilliseconds: 1000 }]], placed: 1 }
+  ]
+  for (const { name, urgent = false, steps, placed } of UNREPORTED) {
+    it(`${name}, while a listed worker has never reported`, () => {
+      const scheduler = createSite([{ name: 'w1', cores: 10, speed: urgent ? 1.5 : 0.5 }])
+      scheduler.upsertWorker(new FakeClusterWorker('w2', 100, () => 0).entry, 0)
+      scheduler.onPollFailed('w2')
+      if (urgent) learnUrgentShare(scheduler, 'w1')
+      for (const [queue, step] of steps) add(scheduler, queue, step)
+      assert.equal(place(scheduler, 1).length, placed)
+    })
+  }
+
   /** Capacity that accumulates on a worker without responses is of no use to the gang. */
   it('reserves workers that respond before one that does not', () => {
     const scheduler = createSite([{ name: 'w1', cores: 2, speed: 1 }, { name: 'w2', cores: 2, speed: 1 }, { name: 'w3', cores: 2, speed: 1 }])
--- a/test/cluster/preemption.test.ts
+++ b/test/cluster/preemption.test.ts
@@ -115,6 +115,18 @@
     })
   }
 
+  /** An entry of another writer may name a worker that does not exist; its capacity must not enlarge the loss that preemption may cause. */
+  for (const isListed of [false, true]) {
+    it(`a burst over unsaved batch stops no more runs than the capacity allows${isListed ? ', while a large listed worker has never reported' : ''}`, () => {
+      const site = new Site()
+      site.fill('batch', { ...BATCH, checkpointable: false })
+      if (isListed) site.scheduler.upsertWorker(new FakeClusterWorker('w2', 100_000, () => 0).entry, 0)
+      site.add('urgent', { count: 3 }, LATER_MILLISECONDS)
+      site.place(LATER_MILLISECONDS)
+      assert.equal(site.preempted.length, 1)
+    })
+  }
+
   it('starts the urgent task only once the end of the preempted run is listed, and then the preempted task from its checkpoint', () => {
     const site = new Site()
     site.fill('batch', BATCH)
