--- a/src/cluster/serving/availability.ts
+++ b/src/cluster/serving/availability.ts
@@ -3,7 +3,7 @@
 
 /** Returns true if a long-running task does its work now. */
 export function isInService (task: Task): boolean {
-  return task.phase === 'running' && task.percent >= 100
+  return task.phase === 'running' && task.percent >= 100 && !task.isAwaitingEnd
 }
 
 /**
