--- a/src/contracts/platformProtocol.ts
+++ b/src/contracts/platformProtocol.ts
@@ -16,26 +16,15 @@
 })
 export type ReadResponse = z.infer<typeof readResponseSchema>
 
-const HTTP_PROTOCOLS = ['http:', 'https:']
-const LINK_PROTOCOLS = ['ws:', 'wss:']
-
-const commonFields = { name: z.string(), failureDomain: z.string(), state: z.enum(['live', 'leaving']) }
+const commonFields = { name: z.string(), failureDomain: z.string(), address: z.string(), state: z.enum(['live', 'leaving']) }
 
 /** One machine of the platform's list of live and leaving instances. `address` is an HTTP origin, or the WebSocket origin of the links of an entry instance. */
 export const listedInstanceSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('entry'), ...commonFields, address: origin(LINK_PROTOCOLS), callerAddress: origin(HTTP_PROTOCOLS) }),
-  z.object({ kind: z.literal('executor'), ...commonFields, address: origin(HTTP_PROTOCOLS), pool: z.string() }),
-  z.object({ kind: z.literal('worker'), ...commonFields, address: origin(HTTP_PROTOCOLS), pool: z.string(), rack: z.string() })
+  z.object({ kind: z.literal('entry'), ...commonFields, callerAddress: z.string() }),
+  z.object({ kind: z.literal('executor'), ...commonFields, pool: z.string() }),
+  z.object({ kind: z.literal('worker'), ...commonFields, pool: z.string(), rack: z.string() })
 ])
 export type ListedInstance = z.infer<typeof listedInstanceSchema>
 
 /** Response to `GET /instances`. Other writers may leave entries of any content in the list: each is decoded by itself with `listedInstanceSchema`. */
 export const instancesResponseSchema = z.object({ instances: z.array(z.unknown()) })
-
-/** Schema of a URL with one of the protocols that consists only of protocol, host and port. */
-function origin (protocols: readonly string[]): z.ZodString {
-  return z.string().refine(text => {
-    const url = URL.canParse(text) ? new URL(text) : undefined
-    return url !== undefined && protocols.includes(url.protocol) && url.pathname === '/' && url.search === '' && url.hash === ''
-  }, `expected an origin with ${protocols.join(' or ')}`)
-}
