--- a/src/cluster/workerSession.ts
+++ b/src/cluster/workerSession.ts
@@ -146,7 +146,7 @@
       if (!isFirst && !this.observer.needsPolling()) await this.waitUntilWoken()
       if (this.isDisposed) return
       const sentAt = this.now()
-      const succeeded = await this.poll(isFirst || this.hasPollFailed ? 0 : this.observer.getPollWait() ?? POLL_WAIT_MILLISECONDS, true)
+      const succeeded = await this.poll(isFirst ? 0 : this.observer.getPollWait() ?? POLL_WAIT_MILLISECONDS, true)
       if (this.isDisposed) return
       if (succeeded) isFirst = false
       if (!succeeded) this.checkLeaseExpiry()
