--- a/test/cluster/activeScheduler.test.ts
+++ b/test/cluster/activeScheduler.test.ts
@@ -123,6 +123,26 @@
     }))
   }
 
+  /** Guards against a long poll that is still waiting for a response when the worker can be reached again, until its lease expires. */
+  for (const offset of [0, 400, 800, 1200]) {
+    itUnlessKnownRed(`keeps the runs of a worker that cannot be reached for less than a lease, ${offset} ms after the start of a long poll`, async () => await withSite(async (site, start) => {
+      const worker = site.port.add(new FakeClusterWorker('w1', 2, () => 20_000))
+      const scheduler = start(1)
+      submit(site.log, JOB, [step({ count: 2 })])
+      await site.clock.tickAsync(2000)
+      const { pollCount } = worker
+      while (worker.pollCount === pollCount) await site.clock.tickAsync(10)
+      await site.clock.tickAsync(offset)
+      worker.isReachable = false
+      await site.clock.tickAsync(3500)
+      worker.isReachable = true
+      await site.clock.tickAsync(20_000)
+      assert.deepEqual(worker.ended.map(({ kind }) => kind), ['done', 'done'])
+      assert.equal(worker.started.length, 2)
+      assert.equal(scheduler.stateOf(JOB), 'completed')
+    }))
+  }
+
   /** Guards against a start that relies on the capacity that a worker had before a slow append of its placement. */
   it('starts no run beyond a capacity that has shrunk while the placement was being recorded', async () => await withSite(async (site, start) => {
     const worker = site.port.add(new FakeClusterWorker('w1', 2, () => 1000))
