--- a/src/contracts/siteConfiguration.ts
+++ b/src/contracts/siteConfiguration.ts
@@ -92,7 +92,7 @@
   return total
 }
 
-/** Schema of values by name. The values inherit no properties: names that other writers choose are looked up among them. */
+/** Schema of values by name. The parsed object inherits no properties, so that a name such as `constructor`, from a caller or an instance list, finds nothing that is not configured. */
 function byName<Value extends z.ZodType> (value: Value): z.ZodType<Record<string, z.output<Value>>> {
   return z.record(name, value).transform(values => Object.assign(Object.create(null) as Record<string, z.output<Value>>, values))
 }
